--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/installed
+
+.PHONY: demo test lint types unit binary golden clean
+
+demo: $(STAMP)
+	$(BIN)/wisteriastair demo
+
+test: lint types unit
+
+$(STAMP): requirements.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/lint-imports
+
+types: $(STAMP)
+	$(BIN)/mypy
+
+unit: $(STAMP)
+	$(BIN)/pytest
+
+clean:
+	rm -rf build dist out .mypy_cache .ruff_cache .pytest_cache
--- /dev/null
+++ b/wisteriastair/__init__.py
@@ -0,0 +1,1 @@
+"""A scheduler for agent programs that keeps its promises under failure."""
--- /dev/null
+++ b/wisteriastair/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers: their HTTP interface on an entry."""
--- /dev/null
+++ b/wisteriastair/core/admission.py
@@ -0,0 +1,307 @@
+"""Callers' requests at the carrier: start, attach, cancel, list.
+
+A request for a program that exists joins it, so a repeated request is harmless.  A
+new program is admitted only while there is room; otherwise it is refused at once,
+truthfully as not run, with a time to come back.  Programs under way are never refused
+here: finishing what has begun is what counts.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from ..errors import Code, Failure
+from .carrier import Carrier, new_limits
+from .config import Config, Service, Tool
+from .dispatch import Dispatcher
+from .outbox import Outbox
+from .program import EndStep, Program
+from .records import Action, Limits, ProgramStarted
+from .replica import Role
+from .running import Running, Subscriber
+from .slots import Slots
+from .wire import (
+    ListPrograms,
+    NotCarrier,
+    ProgramAttach,
+    ProgramCancel,
+    ProgramList,
+    ProgramOutcome,
+    ProgramRow,
+    ProgramStart,
+)
+
+RATE_WINDOW_S: Final = 10.0
+PLAIN_WALL_S: Final = 120.0
+PLAIN_TOOL_S: Final = 30.0
+SLOT_MOVES_S: Final = 0.5
+
+
+class Admission:
+    """Takes callers' requests.
+
+    Parameters
+    ----------
+    me : str
+        Member id, for the operators' listing.
+    carrier, slots, dispatcher, out
+        The parts it works with.
+    max_active : int
+        Programs under way at once on this carrier.
+    """
+
+    def __init__(
+        self,
+        me: str,
+        *,
+        carrier: Carrier,
+        slots: Slots,
+        dispatcher: Dispatcher,
+        out: Outbox,
+        max_active: int,
+    ) -> None:
+        self.refused = 0
+        self.stopping = False
+        self._me = me
+        self._carrier = carrier
+        self._slots = slots
+        self._dispatcher = dispatcher
+        self._out = out
+        self._max_active = max_active
+        self._window_start = 0.0
+        self._window_finished = 0
+        self._rate = 0.0
+
+    def on_start(self, sender: str, start: ProgramStart, now: float) -> None:
+        """Start a program, or join the one that the same key started."""
+        if not self._is_here(sender, start.request, start.slot):
+            return
+        run = self._carrier.running.get(start.program)
+        if run is None:
+            failure = self._refusal(start, now)
+            if failure is not None:
+                self._fail(sender, start.request, start.program, failure)
+                return
+            run = Running(Program(self._first_record(start, now)), start.slot)
+            run.trace = start.trace
+            self._subscribe(sender, run, start.request, 0, 0, start.stream, now)
+            self._carrier.start(run)
+            return
+        failure = _mismatch(run, start)
+        if failure is not None:
+            self._fail(sender, start.request, start.program, failure)
+            return
+        self._subscribe(sender, run, start.request, 0, 0, start.stream, now)
+        self._greet(sender, run, start.request)
+
+    def _is_here(self, sender: str, request: str, slot: int) -> bool:
+        if self._slots.is_open(slot):
+            return True
+        if self._slots.role(slot) is not Role.CARRIER:
+            self._out.send(sender, NotCarrier(request, slot))
+        return False
+
+    def _refusal(self, start: ProgramStart, now: float) -> Failure | None:
+        if start.slot in self._carrier.lost_slots:
+            detail = "this key's earlier state was lost; a new key runs it for certain"
+            return Failure(Code.OUTCOME_UNKNOWN, detail, "unknown")
+        config = self._carrier.config
+        failure = _check_plain(start, config)
+        if not start.operation:
+            failure = self._check_program(start, config)
+        if failure is not None:
+            return failure
+        if not self._slots.may_append(start.slot):
+            return Failure(Code.NO_CARRIER, "the slot is moving", "no", SLOT_MOVES_S)
+        if self._carrier.active >= self._max_active:
+            self.refused += 1
+            detail = f"{self._carrier.active} programs under way here"
+            return Failure(Code.OVERLOADED, detail, "no", self._come_back_s())
+        return None
+
+    def _check_program(self, start: ProgramStart, config: Config) -> Failure | None:
+        service = config.services.get(start.service)
+        if service is None:
+            return Failure(Code.UNKNOWN_SERVICE, f"no service '{start.service}'")
+        if start.budget > service.budget:
+            detail = f"budget {start.budget} is over the service's {service.budget}"
+            return Failure(Code.BAD_REQUEST, detail)
+        if not self._dispatcher.serves_any(service, config):
+            detail = f"no active server serves {', '.join(service.models) or 'it'}"
+            return Failure(Code.NO_SERVER, detail, "no", 5.0)
+        return None
+
+    def _come_back_s(self) -> float:
+        """Seconds until a place is likely to be free, from the recent rate."""
+        excess = max(1, self._carrier.active - self._max_active + 1)
+        if self._rate <= 0:
+            return 5.0
+        return min(60.0, max(0.5, excess / self._rate))
+
+    def _first_record(self, start: ProgramStart, now: float) -> ProgramStarted:
+        if start.operation:
+            tool = Tool(start.operation, start.service, start.repeatable)
+            service = Service(start.service, tools=(tool,))
+            limits = Limits(1, 1, 1, PLAIN_WALL_S, PLAIN_TOOL_S)
+            plain: Action | None = Action(start.operation, start.prompt)
+        else:
+            service = self._carrier.config.services[start.service]
+            limits = new_limits(service, start.budget)
+            plain = None
+        return ProgramStarted(
+            start.program,
+            "",
+            start.service,
+            start.customer,
+            start.prompt,
+            limits,
+            service,
+            now,
+            plain,
+        )
+
+    def _subscribe(
+        self,
+        sender: str,
+        run: Running,
+        request: str,
+        number: int,
+        offset: int,
+        stream: bool,
+        now: float,
+    ) -> None:
+        known = run.subscribers.get(request)
+        if known is None or known.reply_to != sender:
+            known = Subscriber(request, sender, number, offset, stream)
+        elif (number, offset) < (known.number, known.offset):
+            # The entry has less than was sent to it, so something was lost.
+            known.number, known.offset = number, offset
+        run.subscribe(known, now)
+
+    def _greet(self, sender: str, run: Running, request: str) -> None:
+        if run.program.ended is None:
+            self._out.send(sender, run.pending(request))
+        run.deliver(self._out)
+
+    def on_attach(self, sender: str, attach: ProgramAttach, now: float) -> None:
+        """Subscribe a request to an existing program."""
+        if not self._is_here(sender, attach.request, attach.slot):
+            return
+        run = self._carrier.running.get(attach.program)
+        if run is None or run.program.start.customer != attach.customer:
+            failure = self._not_found(attach.slot)
+            self._fail(sender, attach.request, attach.program, failure)
+            return
+        self._subscribe(
+            sender,
+            run,
+            attach.request,
+            attach.number,
+            attach.offset,
+            attach.stream,
+            now,
+        )
+        self._greet(sender, run, attach.request)
+
+    def _not_found(self, slot: int) -> Failure:
+        if slot in self._carrier.lost_slots:
+            detail = "the slot's earlier state was lost"
+            return Failure(Code.OUTCOME_UNKNOWN, detail, "unknown")
+        return Failure(Code.UNKNOWN_PROGRAM, "no such program")
+
+    def on_cancel(self, sender: str, cancel: ProgramCancel, now: float) -> None:
+        """End a program at its caller's wish."""
+        if not self._is_here(sender, cancel.request, cancel.slot):
+            return
+        run = self._carrier.running.get(cancel.program)
+        if run is None or run.program.start.customer != cancel.customer:
+            failure = self._not_found(cancel.slot)
+            self._fail(sender, cancel.request, cancel.program, failure)
+            return
+        self._subscribe(sender, run, cancel.request, 0, 0, False, now)
+        if self._slots.may_append(cancel.slot):
+            step = EndStep(Code.CANCELLED, "", "cancelled by its caller")
+            self._carrier.end(run, step)
+        self._greet(sender, run, cancel.request)
+
+    def on_list(self, sender: str, question: ListPrograms, now: float) -> None:
+        """List the programs carried here."""
+        rows = [
+            self._row(run, now)
+            for _, run in sorted(self._carrier.running.items())
+            if not question.customer or run.program.start.customer == question.customer
+        ]
+        limited = tuple(rows[: question.limit])
+        self._out.send(sender, ProgramList(question.request, limited))
+
+    def _row(self, run: Running, now: float) -> ProgramRow:
+        program = run.program
+        start = program.start
+        ended = program.ended
+        state = "running" if ended is None else ended.status
+        end = now if ended is None else ended.ended_at
+        return ProgramRow(
+            start.program,
+            start.service,
+            start.customer,
+            state,
+            program.turns,
+            program.spent,
+            program.reserved,
+            start.limits.budget,
+            end - start.started_at,
+            self._me,
+            _waiting_for(run),
+        )
+
+    def tick(self, now: float) -> None:
+        """Measure how fast programs finish."""
+        if now - self._window_start >= RATE_WINDOW_S:
+            finished = self._carrier.finished - self._window_finished
+            self._rate = finished / RATE_WINDOW_S
+            self._window_start = now
+            self._window_finished = self._carrier.finished
+
+    def _fail(self, to: str, request: str, program: str, failure: Failure) -> None:
+        outcome = ProgramOutcome(
+            request,
+            program,
+            failure.code,
+            failure.ran,
+            "",
+            failure.detail,
+            failure.retry_after_s,
+            0,
+            0,
+        )
+        self._out.send(to, outcome)
+
+
+def _check_plain(start: ProgramStart, config: Config) -> Failure | None:
+    if not start.operation:
+        return None
+    serving = [
+        s for s in config.servers.values() if s.kind == "plain" and s.state == "active"
+    ]
+    if any(start.service in server.serves for server in serving):
+        return None
+    return Failure(Code.UNKNOWN_SERVICE, f"no plain service '{start.service}'")
+
+
+def _mismatch(run: Running, start: ProgramStart) -> Failure | None:
+    known = run.program.start
+    same = (known.service, known.prompt) == (start.service, start.prompt)
+    if same and known.customer == start.customer:
+        return None
+    detail = "the idempotency key was used for another request"
+    return Failure(Code.KEY_REUSED, detail)
+
+
+def _waiting_for(run: Running) -> str:
+    program = run.program
+    if program.ended is not None:
+        return ""
+    if program.call is not None:
+        return f"{program.call.kind} {program.call.name} at {program.call.server}"
+    children = program.living_children()
+    return f"{len(children)} sub-agents" if children else "next step"
--- /dev/null
+++ b/wisteriastair/core/entry.py
@@ -0,0 +1,386 @@
+"""The entry: between callers and carriers.
+
+An entry keeps nothing that must last.  It knows the slot table and repeats what its
+callers wait for: to the carrier of the slot, and after a takeover to the next one.
+Starting and attaching are idempotent, so repeating them is safe; the position up to
+which the caller has the output travels with the request, so nothing reaches the
+caller twice or out of order, whatever is lost or crossed on the way.
+
+A request that the entry gives up gets its final answer at once: what is known about
+whether it ran, and when to come back.
+"""
+
+from __future__ import annotations
+
+from typing import Final, NamedTuple
+
+from ..errors import Code, Failure
+from .config import CONFIG_KEY, EMPTY_CONFIG, Config, decode_config
+from .docs import Docs
+from .events import Effect, Instance, KvValue, KvWritten, Send
+from .hashing import address_of, program_id, slot_of
+from .placement import SEGMENT_PREFIX, Placement
+from .wire import (
+    DocPull,
+    DocPush,
+    Heartbeat,
+    ListPrograms,
+    Message,
+    NotCarrier,
+    ProgramAttach,
+    ProgramCancel,
+    ProgramList,
+    ProgramOutcome,
+    ProgramPending,
+    ProgramRow,
+    ProgramStart,
+    ProgramText,
+)
+
+REPEAT_S: Final = 1.0
+RENEW_S: Final = 3.0
+PATIENCE_S: Final = 20.0
+LIST_WAIT_S: Final = 0.7
+COME_BACK_S: Final = 2.0
+
+
+class EntryOptions(NamedTuple):
+    """Settings of the core of an entry."""
+
+    member: str
+    domain: str
+    slots: int = 64
+    segments: int = 4
+    patience_s: float = PATIENCE_S
+
+
+class Ask(NamedTuple):
+    """What a caller asks for.
+
+    Attributes
+    ----------
+    kind : str
+        ``start``, ``attach`` or ``cancel``.
+    key, program : str
+        The idempotency key of a start, or the id of an existing program.
+    number, offset : int
+        Position from which output is wanted.
+    """
+
+    kind: str
+    customer: str
+    key: str = ""
+    program: str = ""
+    service: str = ""
+    prompt: str = ""
+    budget: int = 0
+    stream: bool = False
+    operation: str = ""
+    repeatable: bool = False
+    number: int = 0
+    offset: int = 0
+    trace: str = ""
+
+
+class TextOut(NamedTuple):
+    """Output for the caller."""
+
+    number: int
+    offset: int
+    text: str
+
+
+class Accepted(NamedTuple):
+    """The program is under way."""
+
+    program: str
+
+
+class Done(NamedTuple):
+    """The program has ended; the last event of a request."""
+
+    outcome: ProgramOutcome
+
+
+class Refused(NamedTuple):
+    """The request was given up or refused; the last event of a request."""
+
+    program: str
+    failure: Failure
+
+
+class Rows(NamedTuple):
+    """The operators' listing of programs; the last event of a request.
+
+    ``missing`` counts carriers that did not answer in time.
+    """
+
+    rows: tuple[ProgramRow, ...]
+    missing: int
+
+
+CallerEvent = TextOut | Accepted | Done | Refused | Rows
+
+
+class ToCaller(NamedTuple):
+    """Hand an event to the caller of a request."""
+
+    request: str
+    event: CallerEvent
+
+
+class _Request:
+    """A caller's request while it waits."""
+
+    def __init__(self, ask: Ask, program: str, slot: int, now: float) -> None:
+        self.ask = ask
+        self.program = program
+        self.slot = slot
+        self.number = ask.number
+        self.offset = ask.offset
+        self.accepted = False
+        self.sent = False
+        self.heard_at = now
+        self.repeat_at = now
+        self.carrier = ""
+
+
+class _Listing:
+    """A listing of programs that is being gathered."""
+
+    def __init__(self, waiting: int, until: float) -> None:
+        self.waiting = waiting
+        self.until = until
+        self.rows: list[ProgramRow] = []
+
+
+class EntryCore:
+    """The state machine of an entry."""
+
+    def __init__(self, cfg: EntryOptions) -> None:
+        self.config: Config = EMPTY_CONFIG
+        self.revision = 0
+        self.docs = Docs(address_of(cfg.member))
+        self.placement = Placement(cfg.member, cfg.slots, cfg.segments)
+        self.instances: tuple[Instance, ...] = ()
+        self._cfg = cfg
+        self._requests: dict[str, _Request] = {}
+        self._listings: dict[str, _Listing] = {}
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait for an outcome."""
+        return len(self._requests)
+
+    # Callers
+
+    def ask(self, request: str, ask: Ask, now: float) -> list[Effect | ToCaller]:
+        """Take a caller's request."""
+        program = ask.program or program_id(ask.customer, ask.key)
+        slot = slot_of(program, self._cfg.slots)
+        self._requests[request] = _Request(ask, program, slot, now)
+        return self._push(request, now)
+
+    def leave(self, request: str) -> None:
+        """Forget a request whose caller has gone; its program goes on."""
+        self._requests.pop(request, None)
+
+    def list_programs(
+        self, request: str, customer: str, limit: int, now: float
+    ) -> list[Effect | ToCaller]:
+        """Ask all carriers for their programs."""
+        sides = sorted(
+            {address_of(row.carrier) for row in self.placement.rows.values()}
+        )
+        if not sides:
+            return [ToCaller(request, Rows((), 0))]
+        self._listings[request] = _Listing(len(sides), now + LIST_WAIT_S)
+        question = ListPrograms(request, customer, limit)
+        return [Send(side, question) for side in sides]
+
+    def _push(self, request: str, now: float) -> list[Effect | ToCaller]:
+        """Send a request to the carrier of its slot, if there is one."""
+        state = self._requests[request]
+        state.repeat_at = now + (RENEW_S if state.accepted else REPEAT_S)
+        row = self.placement.rows.get(state.slot)
+        if row is None:
+            return []
+        state.carrier = row.carrier
+        state.sent = True
+        return [Send(row.carrier, self._message(request, state))]
+
+    def _message(self, request: str, state: _Request) -> Message:
+        ask = state.ask
+        if ask.kind == "cancel":
+            return ProgramCancel(request, state.slot, state.program, ask.customer)
+        if ask.kind == "start" and not state.accepted:
+            return ProgramStart(
+                request,
+                state.slot,
+                state.program,
+                ask.service,
+                ask.customer,
+                ask.prompt,
+                ask.budget,
+                ask.stream,
+                ask.operation,
+                ask.repeatable,
+                ask.trace,
+            )
+        return ProgramAttach(
+            request,
+            state.slot,
+            state.program,
+            ask.customer,
+            state.number,
+            state.offset,
+            ask.stream,
+        )
+
+    # Peers
+
+    def receive(
+        self, sender: str, message: Message, now: float
+    ) -> list[Effect | ToCaller]:
+        """Take a message from another process."""
+        match message:
+            case ProgramText():
+                return self._on_text(message, now)
+            case ProgramPending(request, program):
+                return self._on_pending(request, program, now)
+            case ProgramOutcome():
+                return self._on_outcome(message)
+            case NotCarrier(request, _):
+                return self._on_moved(sender, request, now)
+            case ProgramList(request, rows):
+                return self._on_rows(request, rows)
+            case DocPush(key, revision, value):
+                return self.take_doc(key, revision, value)
+            case DocPull():
+                effects: list[Effect | ToCaller] = []
+                effects += self.docs.on_pull(sender, message)
+                effects += self.docs.compare(sender, message.revisions)
+                return effects
+            case Heartbeat(reply=True):
+                beat = Heartbeat(
+                    self._cfg.domain, False, 0, self.docs.revisions(), False
+                )
+                return [Send(sender, beat)]
+            case _:
+                return []
+
+    def _on_text(self, message: ProgramText, now: float) -> list[Effect | ToCaller]:
+        """Pass on what the caller does not have yet; drop what is late."""
+        state = self._requests.get(message.request)
+        if state is None or state.program != message.program:
+            return []
+        state.heard_at = now
+        if message.number < state.number:
+            return []
+        have = state.offset if message.number == state.number else 0
+        if message.offset > have:
+            # Something before it was lost; asking again from our position mends it.
+            return self._push(message.request, now)
+        new = message.text[have - message.offset :]
+        if not new:
+            return []
+        state.number = message.number
+        state.offset = have + len(new)
+        return [ToCaller(message.request, TextOut(message.number, have, new))]
+
+    def _on_pending(
+        self, request: str, program: str, now: float
+    ) -> list[Effect | ToCaller]:
+        state = self._requests.get(request)
+        if state is None:
+            return []
+        state.heard_at = now
+        if state.accepted:
+            return []
+        state.accepted = True
+        return [ToCaller(request, Accepted(program))]
+
+    def _on_outcome(self, outcome: ProgramOutcome) -> list[Effect | ToCaller]:
+        state = self._requests.get(outcome.request)
+        if state is None or state.program != outcome.program:
+            return []
+        del self._requests[outcome.request]
+        return [ToCaller(outcome.request, Done(outcome))]
+
+    def _on_moved(
+        self, sender: str, request: str, now: float
+    ) -> list[Effect | ToCaller]:
+        """Ask whoever does not carry the slot for its newer table."""
+        state = self._requests.get(request)
+        if state is not None:
+            state.repeat_at = min(state.repeat_at, now + REPEAT_S / 4)
+        return [Send(sender, DocPull(self.docs.revisions()))]
+
+    def _on_rows(
+        self, request: str, rows: tuple[ProgramRow, ...]
+    ) -> list[Effect | ToCaller]:
+        listing = self._listings.get(request)
+        if listing is None:
+            return []
+        listing.rows += rows
+        listing.waiting -= 1
+        return self._end_listing(request) if listing.waiting == 0 else []
+
+    def _end_listing(self, request: str) -> list[Effect | ToCaller]:
+        listing = self._listings.pop(request)
+        rows = tuple(sorted(listing.rows))
+        return [ToCaller(request, Rows(rows, listing.waiting))]
+
+    # Documents
+
+    def set_instances(self, instances: tuple[Instance, ...]) -> list[Effect]:
+        """Take the instance list."""
+        self.instances = instances
+        return self.docs.set_instances(instances)
+
+    def on_kv(self, event: KvValue | KvWritten) -> list[Effect | ToCaller]:
+        """Take a document that this entry read or wrote itself."""
+        return self.take_doc(event.key, event.revision, event.value)
+
+    def take_doc(
+        self, key: str, revision: int, value: bytes
+    ) -> list[Effect | ToCaller]:
+        """Take a document and pass it on if it is news."""
+        if not self.docs.offer(key, revision, value):
+            return []
+        effects: list[Effect | ToCaller] = [*self.docs.spread(key)]
+        if key == CONFIG_KEY:
+            self.config = decode_config(value)
+            self.revision = revision
+        elif key.startswith(SEGMENT_PREFIX):
+            moved = {row.slot for row in self.placement.take(value)}
+            for state in self._requests.values():
+                if state.slot in moved:
+                    state.repeat_at = 0.0
+        return effects
+
+    # Time
+
+    def tick(self, now: float) -> list[Effect | ToCaller]:
+        """Repeat, renew, give up."""
+        effects: list[Effect | ToCaller] = [*self.docs.tick(now)]
+        for request in list(self._requests):
+            state = self._requests[request]
+            if now - state.heard_at > self._cfg.patience_s:
+                effects.append(self._give_up(request))
+            elif now >= state.repeat_at:
+                effects += self._push(request, now)
+        for request in list(self._listings):
+            if now >= self._listings[request].until:
+                effects += self._end_listing(request)
+        return effects
+
+    def _give_up(self, request: str) -> ToCaller:
+        state = self._requests.pop(request)
+        if not state.sent:
+            detail = "no process carries this slot now"
+            failure = Failure(Code.NO_CARRIER, detail, "no", COME_BACK_S)
+        else:
+            detail = "no answer from the carrier; ask again with the same key"
+            failure = Failure(Code.TIMED_OUT, detail, "unknown", COME_BACK_S)
+        return ToCaller(request, Refused(state.program, failure))
--- /dev/null
+++ b/wisteriastair/core/events.py
@@ -0,0 +1,197 @@
+"""What a shell hands to the core, and what the core asks of its shell.
+
+Events and effects are plain data.  A shell delivers one event at a time together
+with the time in seconds, and carries out the effects in their order.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from .records import Action
+from .wire import CallId, GateCall, Message
+
+
+class Tick(NamedTuple):
+    """Time has passed."""
+
+
+class Received(NamedTuple):
+    """A message from another process."""
+
+    sender: str
+    message: Message
+
+
+class Instance(NamedTuple):
+    """One row of the platform's instance list."""
+
+    name: str
+    role: str
+    address: str
+    domain: str
+    leaving: bool
+    servers: tuple[str, ...]
+
+
+class InstancesSeen(NamedTuple):
+    """The instance list as the platform gave it."""
+
+    instances: tuple[Instance, ...]
+
+
+class KvValue(NamedTuple):
+    """A key as the key-value service holds it; revision 0 means absent."""
+
+    key: str
+    revision: int
+    value: bytes
+
+
+class KvWritten(NamedTuple):
+    """A compare-and-swap that took effect, confirmed by the service."""
+
+    key: str
+    revision: int
+    value: bytes
+
+
+class KvConflict(NamedTuple):
+    """A compare-and-swap that certainly did not take effect."""
+
+    key: str
+
+
+class KvUnknown(NamedTuple):
+    """No answer: a read failed, or a write may or may not have taken effect."""
+
+    key: str
+    wrote: bool
+
+
+class BackendText(NamedTuple):
+    """Output of a backend call as it arrives."""
+
+    call: CallId
+    text: str
+
+
+class BackendEnded(NamedTuple):
+    """The end of a backend call, as the adapter saw it."""
+
+    call: CallId
+    status: str
+    ran: str
+    text: str
+    actions: tuple[Action, ...]
+    prompt_tokens: int
+    cached_tokens: int
+    completion_tokens: int
+
+
+class BackendHeld(NamedTuple):
+    """Programs for which a model engine reports that it holds memory."""
+
+    server: str
+    programs: tuple[str, ...]
+
+
+class StopRequested(NamedTuple):
+    """Begin a planned stop of this process."""
+
+
+Event = (
+    Tick
+    | Received
+    | InstancesSeen
+    | KvValue
+    | KvWritten
+    | KvConflict
+    | KvUnknown
+    | BackendText
+    | BackendEnded
+    | BackendHeld
+    | StopRequested
+)
+
+
+class Send(NamedTuple):
+    """Send a message to a process (by address or member id)."""
+
+    to: str
+    message: Message
+
+
+class KvRead(NamedTuple):
+    """Read a key."""
+
+    key: str
+
+
+class KvSwap(NamedTuple):
+    """Write a key if it still is at a revision."""
+
+    key: str
+    revision: int
+    value: bytes
+
+
+class KvWatch(NamedTuple):
+    """Start or stop watching all documents of the key-value service."""
+
+    active: bool
+
+
+class BackendCall(NamedTuple):
+    """Dispatch a call to a backend server."""
+
+    call: GateCall
+
+
+class BackendCancel(NamedTuple):
+    """Cancel a dispatched call."""
+
+    call: CallId
+    server: str
+
+
+class BackendRelease(NamedTuple):
+    """Have a model engine drop what it holds for programs."""
+
+    server: str
+    programs: tuple[str, ...]
+
+
+class Drained(NamedTuple):
+    """A planned stop is complete; the process may exit."""
+
+
+class Note(NamedTuple):
+    """Something an operator may want to read in the log.
+
+    Attributes
+    ----------
+    level : str
+        ``info`` or ``warning``.
+    text : str
+        What happened, in one line.
+    program : str
+        The program concerned, if any.
+    """
+
+    level: str
+    text: str
+    program: str
+
+
+Effect = (
+    Send
+    | KvRead
+    | KvSwap
+    | KvWatch
+    | BackendCall
+    | BackendCancel
+    | BackendRelease
+    | Drained
+    | Note
+)
--- /dev/null
+++ b/wisteriastair/core/outbox.py
@@ -0,0 +1,35 @@
+"""The effects of one step, gathered from all parts of the core."""
+
+from __future__ import annotations
+
+from .events import Effect, Note, Send
+from .wire import Message
+
+
+class Outbox:
+    """Collects effects in the order in which they were caused."""
+
+    def __init__(self) -> None:
+        self._effects: list[Effect] = []
+
+    def add(self, effect: Effect) -> None:
+        """Add one effect."""
+        self._effects.append(effect)
+
+    def extend(self, effects: list[Effect]) -> None:
+        """Add several effects."""
+        self._effects.extend(effects)
+
+    def send(self, to: str, message: Message) -> None:
+        """Add a message to another process."""
+        self._effects.append(Send(to, message))
+
+    def note(self, text: str, *, level: str = "info", program: str = "") -> None:
+        """Add a line for the log."""
+        self._effects.append(Note(level, text, program))
+
+    def drain(self) -> list[Effect]:
+        """Take all effects gathered so far."""
+        effects = self._effects
+        self._effects = []
+        return effects
--- /dev/null
+++ b/wisteriastair/core/peers.py
@@ -0,0 +1,183 @@
+"""What this process knows of the others: liveness, incarnation, domain.
+
+Heartbeats go only between processes that share a slot, and on demand to a gate whose
+incarnation is needed, so their number does not grow with the fleet.
+
+A peer is suspected after a silence, or at once when another incarnation speaks from
+its address: that is proof that the old one is gone.  A suspicion may be wrong (a cut,
+a pause); the compare-and-swap that follows it decides, so a wrong one costs a move
+and never a loss.
+"""
+
+from __future__ import annotations
+
+from typing import Final, NamedTuple
+
+from .docs import Docs
+from .events import Instance
+from .hashing import address_of
+from .outbox import Outbox
+from .wire import Heartbeat
+
+HEARTBEAT_S: Final = 0.5
+SUSPECT_S: Final = 2.0
+SILENT_S: Final = 4.0
+ASK_S: Final = 0.5
+PAUSE_S: Final = 1.0
+
+
+class Peer(NamedTuple):
+    """Another process as last heard."""
+
+    member: str
+    heard_at: float
+    domain: str
+    draining: bool
+    carried: int
+
+
+class Peers:
+    """The other processes.
+
+    Parameters
+    ----------
+    me, domain : str
+        Member id and failure domain of this process.
+    docs : Docs
+        Revisions for the heartbeats.
+    out : Outbox
+        Where messages go.
+    """
+
+    def __init__(self, me: str, domain: str, docs: Docs, out: Outbox) -> None:
+        self.instances: tuple[Instance, ...] = ()
+        self.draining = False
+        self.carried = 0
+        self._me = me
+        self._domain = domain
+        self._docs = docs
+        self._out = out
+        self._known: dict[str, Peer] = {}
+        self._watched_since: dict[str, float] = {}
+        self._asked: dict[str, float] = {}
+        self._next_beat = 0.0
+        self._last_tick = 0.0
+
+    def heard(self, sender: str, beat: Heartbeat | None, now: float) -> None:
+        """Take any message as a sign of life."""
+        address = address_of(sender)
+        old = self._known.get(address)
+        if beat is not None:
+            peer = Peer(sender, now, beat.domain, beat.draining, beat.carried)
+        elif old is not None and old.member == sender:
+            peer = old._replace(heard_at=now)
+        else:
+            peer = Peer(sender, now, "", False, 0)
+        self._known[address] = peer
+        if beat is not None and beat.reply:
+            self._out.send(sender, self._heartbeat(reply=False))
+
+    def _heartbeat(self, *, reply: bool) -> Heartbeat:
+        return Heartbeat(
+            self._domain, self.draining, self.carried, self._docs.revisions(), reply
+        )
+
+    def tick(self, partners: set[str], now: float) -> None:
+        """Send heartbeats to the members this process shares a slot with."""
+        self._forgive_pause(now)
+        for member in partners:
+            self._watched_since.setdefault(member, now)
+        for member in set(self._watched_since) - partners:
+            del self._watched_since[member]
+        if now < self._next_beat:
+            return
+        self._next_beat = now + HEARTBEAT_S
+        for member in sorted(partners):
+            self._out.send(member, self._heartbeat(reply=False))
+
+    def _forgive_pause(self, now: float) -> None:
+        """Start the clocks anew after this process itself was paused.
+
+        A frozen process wakes with every peer silent for long.  Suspecting them all
+        would ask for as many moves; none of them is at fault.
+        """
+        paused = self._last_tick > 0 and now - self._last_tick > PAUSE_S
+        self._last_tick = now
+        if paused:
+            for address, peer in self._known.items():
+                self._known[address] = peer._replace(heard_at=now)
+            for member in self._watched_since:
+                self._watched_since[member] = now
+
+    def suspects(self, member: str, now: float) -> bool:
+        """Whether a member is held to be gone."""
+        peer = self._known.get(address_of(member))
+        if peer is not None and peer.member != member:
+            return True
+        heard = peer.heard_at if peer is not None else 0.0
+        since = max(heard, self._watched_since.get(member, now))
+        return now - since > SUSPECT_S
+
+    def silent(self, member: str, now: float) -> bool:
+        """Whether a member has not been heard for long."""
+        peer = self._known.get(address_of(member))
+        return peer is None or now - peer.heard_at > SILENT_S
+
+    def is_gone(self, member: str) -> bool:
+        """Whether there is proof that a member is gone, other than its silence."""
+        address = address_of(member)
+        peer = self._known.get(address)
+        if peer is not None and peer.member != member:
+            return True
+        listed = {i.address for i in self.instances}
+        return bool(listed) and address not in listed
+
+    def is_draining(self, member: str) -> bool:
+        """Whether a member has said that it is in a planned stop."""
+        peer = self._known.get(address_of(member))
+        return peer is not None and peer.member == member and peer.draining
+
+    def member_at(self, address: str, now: float) -> str:
+        """Return the member at an address; empty, and asked for, if not known."""
+        peer = self._known.get(address)
+        if peer is not None:
+            if now - peer.heard_at > SUSPECT_S:
+                self.ask(address, now)
+            return peer.member
+        self.ask(address, now)
+        return ""
+
+    def ask(self, address: str, now: float) -> None:
+        """Ask an address for a heartbeat, at most twice a second."""
+        if now - self._asked.get(address, -ASK_S) >= ASK_S:
+            self._asked[address] = now
+            self._out.send(address, self._heartbeat(reply=True))
+
+    def sides(self) -> list[Instance]:
+        """Instances that can hold slots: side processes that are not leaving."""
+        return [i for i in self.instances if i.role == "side" and not i.leaving]
+
+    def gate_of(self, server: str) -> Instance | None:
+        """Return the instance whose side process stands before a server."""
+        for instance in self.instances:
+            if server in instance.servers:
+                return instance
+        return None
+
+    def choose_copy(self, exclude: set[str], now: float) -> str:
+        """Choose a member for a new copy.
+
+        It is alive, not draining, in another failure domain if any is, and among
+        those the one with the fewest slots.
+        """
+        best: tuple[bool, int, str] | None = None
+        for instance in self.sides():
+            member = self.member_at(instance.address, now)
+            if not member or member in exclude or member == self._me:
+                continue
+            peer = self._known[instance.address]
+            if peer.draining or self.suspects(member, now) or not peer.domain:
+                continue
+            rank = (peer.domain == self._domain, peer.carried, member)
+            best = rank if best is None else min(best, rank)
+        return best[2] if best is not None else ""
--- /dev/null
+++ b/wisteriastair/core/program.py
@@ -0,0 +1,308 @@
+"""One program: the fold of its records, and what it should do next.
+
+A program is a chain of calls.  A model call ends with an answer, or with actions:
+tool calls, which run one after another in the order given, and sub-agents, which run
+beside them.  When all actions of a turn have their results, the next model call
+follows.  `Program.next_step` derives the next step from the committed records alone,
+so a successor that rebuilds the program from its log goes on exactly where the log
+ends.
+"""
+
+from __future__ import annotations
+
+from typing import Final, NamedTuple
+
+import msgspec
+
+from ..errors import Code
+from .records import (
+    Action,
+    CallEnded,
+    CallIntended,
+    ChildEnded,
+    ChildStarted,
+    ProgramEnded,
+    ProgramStarted,
+    Record,
+    TextAppended,
+)
+
+SPAWN: Final = "spawn"
+MAX_ATTEMPTS: Final = 6
+# A chat template adds a few tokens around each message.
+MESSAGE_OVERHEAD_TOKENS: Final = 8
+
+
+class ChatMessage(NamedTuple):
+    """One message of the history, as the engine is sent it."""
+
+    role: str
+    content: str
+
+
+class Turn(NamedTuple):
+    """One action of the current turn with what has become of it."""
+
+    action: Action
+    child: str
+    result: str | None
+
+
+class Wait(NamedTuple):
+    """Nothing to do until a call or a child ends."""
+
+
+class ModelStep(NamedTuple):
+    """Make a model call."""
+
+    number: int
+    attempt: int
+    prompt_bound: int
+    max_tokens: int
+    prefix: str
+
+
+class ToolStep(NamedTuple):
+    """Make a tool call."""
+
+    number: int
+    attempt: int
+    action: Action
+
+
+class ChildStep(NamedTuple):
+    """Start a sub-agent."""
+
+    position: int
+    child: str
+    prompt: str
+    budget: int
+
+
+class EndStep(NamedTuple):
+    """End the program."""
+
+    status: str
+    answer: str
+    detail: str
+
+
+Step = Wait | ModelStep | ToolStep | ChildStep | EndStep
+
+
+class Program:
+    """State of one program."""
+
+    def __init__(self, started: ProgramStarted) -> None:
+        self.start = started
+        self.history: list[ChatMessage] = [ChatMessage("user", started.prompt)]
+        self.outputs: dict[int, str] = {}
+        self.call: CallIntended | None = None
+        self.ended: ProgramEnded | None = None
+        self.spent = 0
+        self.turns = 0
+        self.servers: set[str] = set()
+        self.last_server = ""
+        self.last_tokens = 0
+        self.call_base = 0
+        self._partial = ""
+        self._actions: list[Turn] = []
+        self._answer: str | None = None
+        self._number = 1
+        self._attempt = 1
+        self._failure: EndStep | None = None
+        self._carved: dict[str, int] = {}
+        if started.plain is not None:
+            self._actions = [Turn(started.plain, "", None)]
+        self._unsent_bytes = len(started.prompt.encode()) + MESSAGE_OVERHEAD_TOKENS
+
+    @property
+    def reserved(self) -> int:
+        """Tokens set aside for the open call and living children."""
+        open_call = self.call.reserved if self.call is not None else 0
+        return open_call + sum(self._carved.values())
+
+    @property
+    def partial(self) -> str:
+        """Committed output of the open or interrupted model call."""
+        return self._partial
+
+    def remaining(self) -> int:
+        """Tokens that may still be promised to anyone."""
+        return self.start.limits.budget - self.spent - self.reserved
+
+    def living_children(self) -> list[str]:
+        """Sub-agents that have not ended."""
+        return list(self._carved)
+
+    def child_start(self, child: str) -> ChildStep | None:
+        """How a child was started, to start it again after a takeover."""
+        for index, turn in enumerate(self._actions):
+            if turn.child == child:
+                prompt = turn.action.argument
+                return ChildStep(index, child, prompt, self._carved.get(child, 0))
+        return None
+
+    # Records
+
+    def apply(self, record: Record) -> None:
+        """Fold one committed record into the state."""
+        match record:
+            case CallIntended():
+                self.call = record
+                self.call_base = len(self._partial)
+                if record.kind == "model":
+                    self.servers.add(record.server)
+            case TextAppended():
+                self._partial += record.text
+            case CallEnded():
+                self._end_call(record)
+            case ChildStarted():
+                self._carved[record.child] = record.budget
+                turn = self._actions[record.position]
+                self._actions[record.position] = turn._replace(child=record.child)
+            case ChildEnded():
+                self._end_child(record)
+            case ProgramEnded():
+                self.ended = record
+                self.call = None
+                self._carved.clear()
+            case ProgramStarted():
+                pass
+
+    def _end_call(self, record: CallEnded) -> None:
+        call = self.call
+        assert call is not None, "a call ends once, after its intent"
+        self.call = None
+        if record.status == "ok":
+            self.spent += record.prompt_tokens + record.completion_tokens
+            self._attempt = 1
+            self._number += 1
+            if call.kind == "model":
+                self._finish_turn(call, record)
+            else:
+                self._set_result(self._next_tool_index(), record.text)
+            return
+        if record.ran != "no" and call.kind == "model":
+            # What the lost attempt used is not known, so its reservation is kept.
+            self.spent += call.reserved
+        self._attempt += 1
+        self._failure = self._fatal(call, record)
+
+    def _fatal(self, call: CallIntended, record: CallEnded) -> EndStep | None:
+        if record.ran == "no":
+            return None
+        if not call.repeatable:
+            detail = f"{call.name} (call {call.number}) may have run; not repeated"
+            return EndStep(Code.OUTCOME_UNKNOWN, "", detail)
+        if self._attempt > MAX_ATTEMPTS:
+            code = Code.MODEL_FAILED if call.kind == "model" else Code.TOOL_FAILED
+            return EndStep(code, "", f"{call.name} failed {MAX_ATTEMPTS} times")
+        return None
+
+    def _finish_turn(self, call: CallIntended, record: CallEnded) -> None:
+        text = self._partial + record.text
+        self._partial = ""
+        self.turns += 1
+        self.outputs[call.number] = text
+        self.last_server = call.server
+        self.last_tokens = record.prompt_tokens + record.completion_tokens
+        self._unsent_bytes = MESSAGE_OVERHEAD_TOKENS
+        self.history.append(ChatMessage("assistant", text))
+        if record.actions:
+            self._actions = [Turn(action, "", None) for action in record.actions]
+        else:
+            self._answer = text
+
+    def _end_child(self, record: ChildEnded) -> None:
+        self._carved.pop(record.child, None)
+        self.spent += record.spent
+        for index, turn in enumerate(self._actions):
+            if turn.child == record.child:
+                self._set_result(index, record.answer)
+                return
+
+    def _set_result(self, index: int, result: str) -> None:
+        self._actions[index] = self._actions[index]._replace(result=result)
+        if any(turn.result is None for turn in self._actions):
+            return
+        if self.start.plain is not None:
+            self._answer = result
+            self._actions = []
+            return
+        for turn in self._actions:
+            text = f"{turn.action.name}: {turn.result}"
+            self.history.append(ChatMessage("tool", text))
+            self._unsent_bytes += len(text.encode()) + MESSAGE_OVERHEAD_TOKENS
+        self._actions = []
+
+    def _next_tool_index(self) -> int:
+        for index, turn in enumerate(self._actions):
+            if turn.result is None and turn.action.name != SPAWN:
+                return index
+        return -1
+
+    # Decisions
+
+    def next_step(self, now: float) -> Step:
+        """Decide what the program should do now."""
+        if self.ended is not None:
+            return Wait()
+        if now - self.start.started_at >= self.start.limits.wall_s:
+            detail = f"not finished within {self.start.limits.wall_s:g} s"
+            return EndStep(Code.WALL_TIME, "", detail)
+        if self._failure is not None:
+            return self._failure
+        if self.call is not None:
+            return Wait()
+        if self._actions:
+            return self._next_action()
+        if self._answer is not None:
+            return EndStep("done", self._answer, "")
+        return self._next_model_call()
+
+    def _next_action(self) -> Step:
+        for index, turn in enumerate(self._actions):
+            if turn.action.name == SPAWN and not turn.child:
+                return self._child_step(index, turn.action)
+        index = self._next_tool_index()
+        if index < 0:
+            return Wait()
+        return ToolStep(self._number, self._attempt, self._actions[index].action)
+
+    def _child_step(self, index: int, action: Action) -> Step:
+        spawns = [t for t in self._actions if t.action.name == SPAWN and not t.child]
+        # Equal shares for the sub-agents of this turn and for the program itself.
+        budget = self.remaining() // (len(spawns) + 1)
+        if budget < 1:
+            return EndStep(Code.BUDGET, "", "no budget left for a sub-agent")
+        child = f"{self.start.program}.{self._number}-{index}"
+        return ChildStep(index, child, action.argument, budget)
+
+    def _next_model_call(self) -> Step:
+        limits = self.start.limits
+        if self.turns >= limits.max_turns:
+            return EndStep(Code.TURNS, "", f"used all {limits.max_turns} model calls")
+        bound = self.prompt_bound()
+        room = self.remaining() - bound
+        if room < 1:
+            detail = (
+                f"{self.spent} of {limits.budget} tokens used; next call needs more"
+            )
+            return EndStep(Code.BUDGET, "", detail)
+        max_tokens = min(limits.max_tokens, room)
+        return ModelStep(self._number, self._attempt, bound, max_tokens, self._partial)
+
+    def prompt_bound(self) -> int:
+        """Upper bound of the next prompt in tokens.
+
+        What the engine counted for the last call, and a token for each byte that has
+        come since: no tokenizer makes more.
+        """
+        return self.last_tokens + self._unsent_bytes + len(self._partial.encode())
+
+    def model_body(self, step_prefix: str) -> str:
+        """Messages for a model call, as JSON."""
+        messages = [{"role": m.role, "content": m.content} for m in self.history]
+        body = {"messages": messages, "prefix": step_prefix}
+        return msgspec.json.encode(body).decode()
--- /dev/null
+++ b/wisteriastair/core/side.py
@@ -0,0 +1,270 @@
+"""The side process: gate of its backend servers, and carrier or standby of slots.
+
+`SideCore.step` takes one event and the time and returns the effects.  It only routes
+the event to the part that knows what to do.
+"""
+
+from __future__ import annotations
+
+from typing import Final, NamedTuple
+
+from .admission import Admission
+from .carrier import Carrier
+from .config import CONFIG_KEY, decode_config
+from .dispatch import Dispatcher
+from .docs import Docs
+from .events import (
+    BackendEnded,
+    BackendHeld,
+    BackendText,
+    Drained,
+    Effect,
+    Event,
+    InstancesSeen,
+    KvConflict,
+    KvUnknown,
+    KvValue,
+    KvWritten,
+    Received,
+    StopRequested,
+    Tick,
+)
+from .gate import Gate, GateLimits
+from .hashing import address_of
+from .ordering import make_order
+from .outbox import Outbox
+from .peers import Peers
+from .placement import Placement
+from .routing import EngineModel, make_router
+from .slots import Slots
+from .wire import (
+    Acknowledge,
+    Append,
+    CallPending,
+    CallResult,
+    CallText,
+    Copy,
+    CopyEnd,
+    DocPull,
+    DocPush,
+    GateCall,
+    GateCancel,
+    GateForget,
+    GateLookup,
+    Heartbeat,
+    HoldRelease,
+    HoldRenew,
+    ListPrograms,
+    Message,
+    ProgramAttach,
+    ProgramCancel,
+    ProgramStart,
+)
+
+DRAIN_NOTICE_S: Final = 1.0
+
+
+class SideOptions(NamedTuple):
+    """Settings of the core of a side process."""
+
+    member: str
+    domain: str
+    servers: tuple[str, ...]
+    slots: int = 64
+    segments: int = 4
+    router: str = "cost"
+    order: str = "program"
+    gate: GateLimits = GateLimits()
+    engine: EngineModel = EngineModel()
+    max_active: int = 256
+
+
+class SideCore:
+    """The state machine of a side process."""
+
+    def __init__(self, cfg: SideOptions) -> None:
+        me = cfg.member
+        self.out = Outbox()
+        self.docs = Docs(address_of(me))
+        self.peers = Peers(me, cfg.domain, self.docs, self.out)
+        self.placement = Placement(me, cfg.slots, cfg.segments)
+        self.dispatcher = Dispatcher(make_router(cfg.router, cfg.engine), self.peers)
+        self.carrier = Carrier(self.dispatcher, self.peers, self.out)
+        self.slots = Slots(
+            me,
+            placement=self.placement,
+            peers=self.peers,
+            out=self.out,
+            listener=self.carrier,
+        )
+        self.carrier.bind(self.slots)
+        self.admission = Admission(
+            me,
+            carrier=self.carrier,
+            slots=self.slots,
+            dispatcher=self.dispatcher,
+            out=self.out,
+            max_active=cfg.max_active,
+        )
+        order = make_order(cfg.order)
+        self.gates = {
+            name: Gate(name, me, cfg.gate, order, self.out) for name in cfg.servers
+        }
+        self._me = me
+        self._stop_at = 0.0
+        self._drained = False
+        self._leaving = False
+
+    def step(self, event: Event, now: float) -> list[Effect]:
+        """Take one event; return what the shell must do."""
+        self.carrier.set_time(now)
+        match event:
+            case Received(sender, message):
+                self._receive(sender, message, now)
+            case Tick():
+                self._tick(now)
+            case BackendText(call, text):
+                for gate in self.gates.values():
+                    gate.on_text(call, text)
+            case BackendEnded():
+                for gate in self.gates.values():
+                    gate.on_ended(event, now)
+            case BackendHeld(server, programs):
+                self.gates[server].reconcile(programs)
+            case InstancesSeen(instances):
+                self.peers.instances = instances
+                self.out.extend(self.docs.set_instances(instances))
+                self._leaving = any(
+                    i.leaving for i in instances if i.address == address_of(self._me)
+                )
+                self._mark_leaving()
+            case StopRequested():
+                self.peers.draining = True
+                self._stop_at = self._stop_at or now
+                self._mark_leaving()
+            case KvValue() | KvWritten() | KvConflict() | KvUnknown():
+                self._on_kv(event, now)
+        self.slots.flush(now)
+        return self.out.drain()
+
+    # Platform documents
+
+    def _on_kv(
+        self, event: KvValue | KvWritten | KvConflict | KvUnknown, now: float
+    ) -> None:
+        if isinstance(event, KvValue | KvWritten):
+            self._take_doc(event.key, event.revision, event.value)
+        if not self.placement.owns(event.key):
+            return
+        if isinstance(event, KvValue):
+            self.slots.on_segment_read(event.key, now)
+        self.out.extend(self.placement.on_answer(event, now))
+
+    def _take_doc(self, key: str, revision: int, value: bytes) -> None:
+        """Take a document and pass it on if it is news."""
+        if not self.docs.offer(key, revision, value):
+            return
+        self.out.extend(self.docs.spread(key))
+        if key == CONFIG_KEY:
+            self.carrier.config = decode_config(value)
+            self._mark_leaving()
+            self.out.note(f"configuration {revision} in force")
+        elif self.placement.owns(key):
+            for row in self.placement.take(value):
+                self.slots.observe(row)
+
+    def _mark_leaving(self) -> None:
+        """Refuse new work at the gate of a leaving server.
+
+        A router that has not heard yet still sends calls here; the gate's refusal is
+        what makes the promise independent of how fast the news travels.
+        """
+        servers = self.carrier.config.servers
+        for name, gate in self.gates.items():
+            server = servers.get(name)
+            declared = server is not None and server.state == "leaving"
+            gate.leaving = declared or self._leaving or self.peers.draining
+
+    # Messages
+
+    def _receive(self, sender: str, message: Message, now: float) -> None:
+        beat = message if isinstance(message, Heartbeat) else None
+        self.peers.heard(sender, beat, now)
+        match message:
+            case Heartbeat():
+                self.out.extend(self.docs.compare(sender, message.revisions))
+            case DocPush(key, revision, value):
+                self._take_doc(key, revision, value)
+            case DocPull():
+                self.out.extend(self.docs.on_pull(sender, message))
+                self.out.extend(self.docs.compare(sender, message.revisions))
+            case Append():
+                self.slots.on_append(sender, message)
+            case Acknowledge():
+                self.slots.on_acknowledge(sender, message, now)
+            case Copy():
+                self.slots.on_copy(sender, message)
+            case CopyEnd():
+                self.slots.on_copy_end(sender, message)
+            case CallText():
+                self.carrier.on_text(sender, message)
+            case CallResult():
+                self.carrier.on_result(message)
+            case CallPending():
+                self.carrier.on_pending(message)
+            case ProgramStart():
+                self.admission.on_start(sender, message, now)
+            case ProgramAttach():
+                self.admission.on_attach(sender, message, now)
+            case ProgramCancel():
+                self.admission.on_cancel(sender, message, now)
+            case ListPrograms():
+                self.admission.on_list(sender, message, now)
+            case _:
+                self._receive_at_gate(sender, message, now)
+
+    def _receive_at_gate(self, sender: str, message: Message, now: float) -> None:
+        server = getattr(message, "server", "")
+        gate = self.gates.get(server)
+        if gate is None:
+            return
+        match message:
+            case GateCall():
+                gate.on_call(sender, message, now)
+            case GateLookup():
+                gate.on_lookup(sender, message, now)
+            case GateCancel(call, _):
+                gate.on_cancel(call, now)
+            case GateForget(call, _):
+                gate.on_forget(call)
+            case HoldRenew(_, programs):
+                gate.renew(programs, now)
+            case HoldRelease(_, programs):
+                gate.release(programs)
+
+    # Time
+
+    def _tick(self, now: float) -> None:
+        self.peers.carried = self.slots.count()
+        self.peers.tick(self.slots.partners(), now)
+        self.out.extend(self.docs.tick(now))
+        self.slots.tick(now)
+        self.out.extend(self.placement.tick(now))
+        self.carrier.tick()
+        self.admission.tick(now)
+        for gate in self.gates.values():
+            gate.tick(now)
+        self._check_drained(now)
+
+    def _check_drained(self, now: float) -> None:
+        """Report the end of a planned stop.
+
+        It is over when nothing is carried or copied here and the gates are idle; a
+        short wait lets news of the stop reach those who would still send calls.
+        """
+        if not self._stop_at or self._drained or now - self._stop_at < DRAIN_NOTICE_S:
+            return
+        idle = all(gate.idle for gate in self.gates.values())
+        if idle and self.slots.count() == 0:
+            self._drained = True
+            self.out.add(Drained())
--- /dev/null
+++ b/wisteriastair/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""The daemons: thin shells around the deterministic core."""
--- /dev/null
+++ b/wisteriastair/daemons/entry.py
@@ -0,0 +1,229 @@
+"""The entry's shell: HTTP towards callers and operators, the core behind it."""
+
+from __future__ import annotations
+
+import logging
+import math
+import signal
+import time
+import uuid
+from collections.abc import AsyncIterator, Callable, Sequence
+from contextlib import asynccontextmanager
+from typing import Final
+
+import anyio
+from anyio.abc import TaskGroup
+from anyio.streams.memory import MemoryObjectSendStream
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from ..callers.api import CallerApi
+from ..callers.gateway import Gateway
+from ..core.config import CONFIG_KEY, Change, Config
+from ..core.entry import Ask, CallerEvent, Done, EntryCore, Refused, Rows, ToCaller
+from ..core.entry import EntryOptions as CoreOptions
+from ..core.events import (
+    Effect,
+    Event,
+    Instance,
+    InstancesSeen,
+    KvRead,
+    KvSwap,
+    KvValue,
+    KvWatch,
+    KvWritten,
+    Send,
+)
+from ..core.replica import Row
+from ..core.wire import Message
+from ..errors import Failure
+from ..metrics import entry_metrics_route
+from ..operators.api import OperatorApi
+from ..operators.changes import make_change
+from ..options import EntryOptions, split_pairs
+from ..peers.transport import Transport
+from ..platform.instances import make_instance_list
+from ..platform.kv import make_key_value
+from ..tracing import make_tracer, start_span, traceparent_of
+from .platform_link import PlatformLink
+from .side import new_member
+from .web import serve_http
+
+TICK_S: Final = 0.1
+
+log = logging.getLogger(__name__)
+
+
+class EntryShell(Gateway):
+    """Runs an `EntryCore` with real time, sockets and HTTP."""
+
+    def __init__(self, cfg: EntryOptions) -> None:
+        common = cfg.common
+        self.member = new_member(common.listen)
+        self.core = EntryCore(
+            CoreOptions(
+                self.member,
+                common.domain,
+                common.slots,
+                common.segments,
+                cfg.patience_s,
+            )
+        )
+        self.transport = Transport(self.member, self._on_message)
+        self._cfg = cfg
+        self._tracer = make_tracer(common.trace_file)
+        self._key_value = make_key_value(common.platform_url)
+        self._platform = PlatformLink(
+            self._key_value, make_instance_list(common.platform_url), self._on_event
+        )
+        self._streams: dict[str, MemoryObjectSendStream[CallerEvent]] = {}
+        self._group: TaskGroup
+        self._stop = anyio.Event()
+
+    async def run(self) -> None:
+        """Run until a planned stop is complete."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            group.start_soon(self.transport.run)
+            group.start_soon(self._platform.run, self._cfg.common.segments)
+            group.start_soon(self._tick)
+            group.start_soon(self._watch_signals)
+            log.info("entry started", extra={"member": self.member})
+            await serve_http(
+                self._app(),
+                self._cfg.common.http,
+                self._stop,
+                tls_cert=self._cfg.tls_cert,
+                tls_key=self._cfg.tls_key,
+            )
+            group.cancel_scope.cancel()
+        log.info("entry stopped", extra={"member": self.member})
+
+    def _app(self) -> Starlette:
+        cfg = self._cfg
+        callers = CallerApi(self, split_pairs(cfg.caller_tokens), cfg.max_body)
+        operators = OperatorApi(self, split_pairs(cfg.operator_tokens))
+        own = [Route("/healthz", self._health), entry_metrics_route(self)]
+        return Starlette(routes=[*callers.routes(), *operators.routes(), *own])
+
+    async def _health(self, http: Request) -> Response:
+        core = self.core
+        placed = len(core.placement.rows) == self._cfg.common.slots
+        return JSONResponse(
+            {
+                "member": self.member,
+                "ready": placed and core.revision > 0,
+                "placed": placed,
+                "revisions": core.docs.revisions(),
+                "waiting": core.waiting,
+            }
+        )
+
+    # Core
+
+    def _on_message(self, sender: str, message: Message) -> None:
+        self._do(self.core.receive(sender, message, time.time()))
+
+    def _on_event(self, event: Event) -> None:
+        match event:
+            case InstancesSeen(instances):
+                self._do(self.core.set_instances(instances))
+            case KvValue() | KvWritten():
+                self._do(self.core.on_kv(event))
+            case _:
+                pass
+
+    def _do(self, effects: Sequence[Effect | ToCaller]) -> None:
+        for effect in effects:
+            match effect:
+                case Send(to, message):
+                    self.transport.send(to, message)
+                case ToCaller(request, event):
+                    stream = self._streams.get(request)
+                    if stream is not None:
+                        stream.send_nowait(event)
+                case KvRead() | KvSwap() | KvWatch():
+                    self._platform.do(effect, self._group)
+                case _:
+                    pass
+
+    async def _tick(self) -> None:
+        while True:
+            self._do(self.core.tick(time.time()))
+            await anyio.sleep(TICK_S)
+
+    async def _watch_signals(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                log.info("planned stop", extra={"member": self.member})
+                self._stop.set()
+
+    # Gateway
+
+    @asynccontextmanager
+    async def open(self, ask: Ask) -> AsyncIterator[AsyncIterator[CallerEvent]]:
+        """Take a request and yield its events."""
+        request = uuid.uuid4().hex
+        span = start_span(self._tracer, f"entry {ask.kind}", "", request=request)
+        # The stream is bounded by the output of one program, which its budget limits.
+        send, receive = anyio.create_memory_object_stream[CallerEvent](math.inf)
+        self._streams[request] = send
+        try:
+            traced = ask._replace(trace=traceparent_of(span))
+            self._do(self.core.ask(request, traced, time.time()))
+            yield _until_last(receive)
+        finally:
+            self.core.leave(request)
+            del self._streams[request]
+            send.close()
+            receive.close()
+            span.end()
+
+    async def list_programs(self, customer: str, limit: int) -> Rows:
+        """List programs of all carriers."""
+        request = uuid.uuid4().hex
+        send, receive = anyio.create_memory_object_stream[CallerEvent](1)
+        self._streams[request] = send
+        try:
+            self._do(self.core.list_programs(request, customer, limit, time.time()))
+            event = await receive.receive()
+        finally:
+            del self._streams[request]
+            send.close()
+            receive.close()
+        assert isinstance(event, Rows), "a listing ends with its rows"
+        return event
+
+    async def change(
+        self, change_id: str, make: Callable[[Config], Change], expected: int
+    ) -> int | Failure:
+        """Make a change of configuration."""
+        outcome = await make_change(self._key_value, change_id, make, expected)
+        if isinstance(outcome, Failure):
+            return outcome
+        event = KvWritten(CONFIG_KEY, outcome.revision, outcome.value)
+        self._do(self.core.on_kv(event))
+        return outcome.revision
+
+    def config(self) -> tuple[int, Config]:
+        """Return the configuration in force here."""
+        return self.core.revision, self.core.config
+
+    def instances(self) -> tuple[Instance, ...]:
+        """Return the instance list."""
+        return self.core.instances
+
+    def rows(self) -> list[Row]:
+        """Return the slot table."""
+        return list(self.core.placement.rows.values())
+
+
+async def _until_last(
+    events: AsyncIterator[CallerEvent],
+) -> AsyncIterator[CallerEvent]:
+    async for event in events:
+        yield event
+        if isinstance(event, Done | Refused):
+            return
--- /dev/null
+++ b/wisteriastair/engines/__init__.py
@@ -0,0 +1,1 @@
+"""The model engines behind the gates."""
--- /dev/null
+++ b/wisteriastair/errors.py
@@ -0,0 +1,111 @@
+"""Messages to users: typed codes, their HTTP statuses and texts.
+
+Outcomes are values.  A function that can fail returns a `Failure` with its reason
+in place of the result; exceptions are left to broken invariants and to the edges,
+where libraries raise them.
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import Final, NamedTuple, TypedDict
+
+
+class Code(StrEnum):
+    """Every reason that a caller or an operator can be given."""
+
+    BAD_REQUEST = "bad_request"
+    UNAUTHORIZED = "unauthorized"
+    FORBIDDEN = "forbidden"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_SERVER = "unknown_server"
+    UNKNOWN_PROGRAM = "unknown_program"
+    TOO_LARGE = "too_large"
+    SYNTAX = "syntax"
+    CONFLICT = "conflict"
+    KEY_REUSED = "key_reused"
+    OVERLOADED = "overloaded"
+    NO_CARRIER = "no_carrier"
+    NO_SERVER = "no_server"
+    PLATFORM_DOWN = "platform_down"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    BUDGET = "budget_exhausted"
+    TURNS = "turn_limit"
+    WALL_TIME = "time_limit"
+    TOOL_FAILED = "tool_failed"
+    MODEL_FAILED = "model_failed"
+    CANCELLED = "cancelled"
+    STOPPING = "stopping"
+    TIMED_OUT = "timed_out"
+
+
+HTTP_STATUS: Final[dict[Code, int]] = {
+    Code.BAD_REQUEST: 400,
+    Code.SYNTAX: 400,
+    Code.UNAUTHORIZED: 401,
+    Code.FORBIDDEN: 403,
+    Code.UNKNOWN_SERVICE: 404,
+    Code.UNKNOWN_SERVER: 404,
+    Code.UNKNOWN_PROGRAM: 404,
+    Code.CONFLICT: 409,
+    Code.KEY_REUSED: 409,
+    Code.OUTCOME_UNKNOWN: 409,
+    Code.TOO_LARGE: 413,
+    Code.OVERLOADED: 429,
+    Code.PLATFORM_DOWN: 503,
+    Code.NO_CARRIER: 503,
+    Code.NO_SERVER: 503,
+    Code.STOPPING: 503,
+    Code.TIMED_OUT: 504,
+}
+
+# A program that ended short of its answer is a well-formed result of the request.
+PROGRAM_ENDED_STATUS: Final = 422
+
+
+class Failure(NamedTuple):
+    """The sentinel for a failed operation, with its reason.
+
+    Attributes
+    ----------
+    code : Code
+        What kind of failure.
+    detail : str
+        One line for a person.
+    ran : str
+        ``no``, ``yes`` or ``unknown``: whether anything irreversible may have run.
+    retry_after_s : float
+        When to come back, in seconds; 0 if it is of no use.
+    column : int
+        Position of a syntax error, counted from 1; 0 for none.
+    """
+
+    code: Code
+    detail: str
+    ran: str = "no"
+    retry_after_s: float = 0.0
+    column: int = 0
+
+
+class ErrorBody(TypedDict):
+    """The body of every error answer."""
+
+    code: str
+    ran: str
+    retry_after_s: float
+    detail: str
+
+
+def http_status(code: Code) -> int:
+    """HTTP status for a code."""
+    return HTTP_STATUS.get(code, PROGRAM_ENDED_STATUS)
+
+
+def error_body(failure: Failure) -> ErrorBody:
+    """Body of the answer that reports a failure."""
+    return ErrorBody(
+        code=failure.code.value,
+        ran=failure.ran,
+        retry_after_s=failure.retry_after_s,
+        detail=failure.detail,
+    )
--- /dev/null
+++ b/wisteriastair/main.py
@@ -0,0 +1,275 @@
+"""The command line: one binary with a subcommand for each job.
+
+Every flag has an environment variable (``--platform-url`` and
+``WISTERIASTAIR_PLATFORM_URL``); the flag wins.
+"""
+
+from __future__ import annotations
+
+import inspect
+import os
+import sys
+from collections.abc import Callable, Sequence
+from typing import Any, Final
+
+import anyio
+import defopt
+
+from .daemons.entry import EntryShell
+from .daemons.side import SideShell
+from .logs import set_up_logs
+from .operators.ctl import run_command
+from .options import (
+    ENV_PREFIX,
+    BadSetting,
+    CommonOptions,
+    EntryOptions,
+    SideOptions,
+    check_entry,
+    check_side,
+)
+from .standins.demo import demo
+from .standins.main import standin_engine, standin_platform, standin_service
+
+EXIT_BAD_SETTING: Final = 2
+
+
+def entry(
+    *,
+    listen: str,
+    http: str,
+    domain: str,
+    platform_url: str,
+    caller_tokens: list[str],
+    operator_tokens: list[str],
+    slots: int = 64,
+    segments: int = 4,
+    patience_s: float = 20.0,
+    max_body: int = 2_000_000,
+    tls_cert: str = "",
+    tls_key: str = "",
+    log_level: str = "info",
+    trace_file: str = "",
+) -> int:
+    """Run an entry: callers and operators on one side, carriers on the other.
+
+    Parameters
+    ----------
+    listen : str
+        IP:PORT for the other processes of the system.
+    http : str
+        IP:PORT for callers and operators.
+    domain : str
+        Failure domain of this instance.
+    platform_url : str
+        Base URL of the platform.
+    caller_tokens : list[str]
+        CUSTOMER=TOKEN, one for each customer.
+    operator_tokens : list[str]
+        OPERATOR=TOKEN, one for each operator.
+    slots : int
+        Slots of the table; the same everywhere.
+    segments : int
+        Keys of the table; the same everywhere.
+    patience_s : float
+        Seconds of silence after which a request is given up.
+    max_body : int
+        Bytes of the largest request body.
+    tls_cert : str
+        Certificate file for TLS.
+    tls_key : str
+        Key file for TLS.
+    log_level : str
+        debug, info, warning or error.
+    trace_file : str
+        File for spans.
+    """
+    common = CommonOptions(
+        listen, http, domain, platform_url, slots, segments, log_level, trace_file
+    )
+    cfg = EntryOptions(
+        common,
+        tuple(caller_tokens),
+        tuple(operator_tokens),
+        patience_s,
+        max_body,
+        tls_cert,
+        tls_key,
+    )
+    bad = check_entry(cfg)
+    if bad is not None:
+        return _complain(bad)
+    set_up_logs(log_level)
+    anyio.run(_run_entry, cfg)
+    return 0
+
+
+async def _run_entry(cfg: EntryOptions) -> None:
+    await EntryShell(cfg).run()
+
+
+def side(
+    *,
+    listen: str,
+    http: str,
+    domain: str,
+    platform_url: str,
+    models: list[str] = [],  # noqa: B006
+    plain: list[str] = [],  # noqa: B006
+    slots: int = 64,
+    segments: int = 4,
+    router: str = "cost",
+    order: str = "program",
+    running: int = 8,
+    queued: int = 64,
+    kv_tokens: int = 200_000,
+    max_active: int = 256,
+    prefill_tokens_s: float = 8_000.0,
+    log_level: str = "info",
+    trace_file: str = "",
+) -> int:
+    """Run a side process: gate of backend servers, carrier and standby of slots.
+
+    Parameters
+    ----------
+    listen : str
+        IP:PORT for the other processes of the system.
+    http : str
+        IP:PORT for metrics and health.
+    domain : str
+        Failure domain of this instance.
+    platform_url : str
+        Base URL of the platform.
+    models : list[str]
+        NAME=URL of each model engine behind this gate.
+    plain : list[str]
+        NAME=URL of each plain service behind this gate.
+    slots : int
+        Slots of the table; the same everywhere.
+    segments : int
+        Keys of the table; the same everywhere.
+    router : str
+        cost, round-robin, least-load or affinity.
+    order : str
+        program or fifo.
+    running : int
+        Calls at once in a backend server.
+    queued : int
+        Calls that may wait at a gate.
+    kv_tokens : int
+        Tokens at once in a model engine.
+    max_active : int
+        Programs under way at once on this process.
+    prefill_tokens_s : float
+        Prompt tokens a second that one engine computes.
+    log_level : str
+        debug, info, warning or error.
+    trace_file : str
+        File for spans.
+    """
+    common = CommonOptions(
+        listen, http, domain, platform_url, slots, segments, log_level, trace_file
+    )
+    cfg = SideOptions(
+        common,
+        tuple(models),
+        tuple(plain),
+        router,
+        order,
+        running,
+        queued,
+        kv_tokens,
+        max_active,
+        prefill_tokens_s,
+    )
+    bad = check_side(cfg)
+    if bad is not None:
+        return _complain(bad)
+    set_up_logs(log_level)
+    anyio.run(_run_side, cfg)
+    return 0
+
+
+async def _run_side(cfg: SideOptions) -> None:
+    await SideShell(cfg).run()
+
+
+def ctl(
+    *words: str,
+    url: str,
+    token: str,
+    json: bool = False,
+    change: str = "",
+    ca_file: str = "",
+) -> int:
+    """Send one command of the operators' language to an entry.
+
+    Parameters
+    ----------
+    words : str
+        The command, such as: show programs where state = running
+    url : str
+        Base URL of any entry.
+    token : str
+        The operator's bearer token.
+    json : bool
+        Print JSON instead of a table.
+    change : str
+        Id of the change, to repeat a command whose answer was lost.
+    ca_file : str
+        Certificate of the authority that signed the entry's.
+    """
+    return run_command(
+        " ".join(words),
+        url=url,
+        token=token,
+        as_json=json,
+        change=change,
+        ca_file=ca_file,
+    )
+
+
+COMMANDS: Final[dict[str, Callable[..., int]]] = {
+    "entry": entry,
+    "side": side,
+    "ctl": ctl,
+    "demo": demo,
+    "standin-platform": standin_platform,
+    "standin-engine": standin_engine,
+    "standin-service": standin_service,
+}
+
+
+def _complain(bad: BadSetting) -> int:
+    print(f"wisteriastair: {bad}", file=sys.stderr)
+    return EXIT_BAD_SETTING
+
+
+def with_environment(argv: Sequence[str], environ: dict[str, str]) -> list[str]:
+    """Add a flag for each setting that only the environment gives."""
+    if not argv or argv[0] not in COMMANDS:
+        return list(argv)
+    given = {word.split("=", 1)[0] for word in argv if word.startswith("--")}
+    added: list[str] = []
+    for name, parameter in inspect.signature(COMMANDS[argv[0]]).parameters.items():
+        flag = "--" + name.replace("_", "-")
+        value = environ.get(ENV_PREFIX + name.upper())
+        if value is None or flag in given or parameter.kind.name != "KEYWORD_ONLY":
+            continue
+        added += _as_flag(flag, value, parameter.annotation)
+    return [argv[0], *added, *argv[1:]]
+
+
+def _as_flag(flag: str, value: str, annotation: Any) -> list[str]:
+    if annotation in (bool, "bool"):
+        return [flag] if value.lower() in ("1", "true", "yes") else []
+    if "list" in str(annotation):
+        return [flag, *value.split(",")]
+    return [flag, value]
+
+
+def main() -> int:
+    """Run the command line."""
+    argv = with_environment(sys.argv[1:], dict(os.environ))
+    status = defopt.run(COMMANDS, argv=argv, no_negated_flags=True)
+    return int(status)
--- /dev/null
+++ b/wisteriastair/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators: their query and command language."""
--- /dev/null
+++ b/wisteriastair/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The other processes of the system: transport between them."""
--- /dev/null
+++ b/wisteriastair/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform: its key-value service and its instance list."""
--- /dev/null
+++ b/wisteriastair/services/__init__.py
@@ -0,0 +1,1 @@
+"""The plain services and tool services behind the gates."""
--- /dev/null
+++ b/wisteriastair/standins/service.py
@@ -0,0 +1,76 @@
+"""The stand-in plain service and tool service over HTTP.
+
+It records every execution, so that a checker can count how often an action that must
+not be repeated really ran.
+"""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+import anyio
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, PlainTextResponse, Response
+from starlette.routing import Route
+
+FOREVER_S: Final = 3_600.0
+
+
+class ServiceStandin:
+    """Serves any provider and operation.
+
+    Parameters
+    ----------
+    delay_s : float
+        Seconds that a call takes.
+    """
+
+    def __init__(self, delay_s: float) -> None:
+        self.records: list[dict[str, Any]] = []
+        self._delay_s = delay_s
+        self._hang = 0
+        self._lose = 0
+
+    def app(self) -> Starlette:
+        """Build the HTTP application."""
+        return Starlette(
+            routes=[
+                Route("/records", self.get_records),
+                Route("/control", self.control, methods=["POST"]),
+                Route("/{provider}/{operation}", self.call, methods=["POST"]),
+            ]
+        )
+
+    async def call(self, http: Request) -> Response:
+        """Execute one call and record it."""
+        body = (await http.body()).decode()
+        provider = http.path_params["provider"]
+        operation = http.path_params["operation"]
+        if self._hang > 0:
+            self._hang -= 1
+            await anyio.sleep(FOREVER_S)
+        await anyio.sleep(self._delay_s)
+        self.records.append(
+            {
+                "call": http.headers.get("x-call", ""),
+                "operation": f"{provider}/{operation}",
+                "argument": body,
+            }
+        )
+        if self._lose > 0:
+            self._lose -= 1
+            return Response(status_code=503)
+        return PlainTextResponse(f"{operation} of {body} done")
+
+    async def control(self, http: Request) -> Response:
+        """Fail on demand: hang, or lose the answer after the execution."""
+        wanted = await http.json()
+        self._hang += int(wanted.get("hang", 0))
+        self._lose += int(wanted.get("lose", 0))
+        self._delay_s = float(wanted.get("delay_s", self._delay_s))
+        return JSONResponse({})
+
+    async def get_records(self, http: Request) -> Response:
+        """Return every execution."""
+        return JSONResponse(self.records)
