Takeover without sealing, a former member that keeps its copy, virtual deployment

Change: no seal; the member left out by a row without a standby stays named as the former member and may take over from a lone carrier. Conclusion: any single death, after any wrong suspicions, leaves the log with a living member that the table names.

--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, in folders that mirror the package."""
--- /dev/null
+++ b/tests/core/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the deterministic core."""
--- /dev/null
+++ b/tests/core/deployments.py
@@ -0,0 +1,109 @@
+"""Deployments that the failure tests share."""
+
+from __future__ import annotations
+
+from wisteriastair.core.config import PutServer, PutService, Server, Service, Tool
+from wisteriastair.core.entry import Ask, Done, TextOut
+from wisteriastair.core.replica import Row
+from wisteriastair.core.side import SideCore
+from wisteriastair.standins.script import final_answer
+from wisteriastair.standins.virtual import (
+    VirtualDeployment,
+    VirtualOptions,
+    VirtualServer,
+)
+
+MODEL = "jigsaw-7b@3"
+SERVICE = Service(
+    "appraisal",
+    budget=40_000,
+    models=(MODEL,),
+    tools=(Tool("find", "listings", True), Tool("reserve", "swaps", False)),
+)
+SERVERS = (
+    VirtualServer("m1", "model", (MODEL,), "chingeltei"),
+    VirtualServer("m2", "model", (MODEL,), "bayanzurkh"),
+    VirtualServer("m3", "model", (MODEL,), "khan-uul"),
+    VirtualServer("p1", "plain", ("listings", "swaps"), "chingeltei"),
+    VirtualServer("p2", "plain", ("listings", "swaps"), "bayanzurkh"),
+)
+PROMPT = (
+    "shared: You appraise.\nIs it complete?\n"
+    "plan: tool find c | spawn Check the list. words=8 | tool reserve box\nwords=30"
+)
+ANSWER = final_answer(PROMPT)
+
+
+def office(cfg: VirtualOptions | None = None) -> VirtualDeployment:
+    """Start a deployment with its slots placed and its service configured."""
+    deployment = VirtualDeployment(cfg or VirtualOptions(SERVERS))
+    for number, server in enumerate(deployment.cfg.servers):
+        declared = Server(server.name, server.kind, server.serves)
+        deployment.change(PutServer(f"declare-{number}", declared))
+    deployment.change(PutService("create", True, SERVICE))
+    placed = deployment.run_until(lambda: all_paired(deployment), 30.0)
+    assert placed, "the slots are placed"
+    deployment.run(2.0)
+    return deployment
+
+
+def rows_of(deployment: VirtualDeployment) -> dict[int, Row]:
+    """Return the slot table as the first entry knows it."""
+    return deployment.entry().placement.rows
+
+
+def all_paired(deployment: VirtualDeployment) -> bool:
+    """Whether every slot has a living carrier and a living standby."""
+    rows = rows_of(deployment)
+    living = {n.member for n in deployment.nodes.values() if n.alive and not n.drained}
+    paired = [r for r in rows.values() if r.carrier in living and r.standby in living]
+    return len(paired) == deployment.cfg.slots
+
+
+def start(key: str, *, prompt: str = PROMPT, stream: bool = True) -> Ask:
+    """Ask for an appraisal."""
+    return Ask(
+        "start", "citizens", key=key, service="appraisal", prompt=prompt, stream=stream
+    )
+
+
+def carrier_of(deployment: VirtualDeployment, program: str) -> str:
+    """Name of the process that carries a program now."""
+    for name, node in deployment.nodes.items():
+        core = node.core
+        if name.startswith("side") and node.alive and not node.drained:
+            assert isinstance(core, SideCore)
+            if program in core.carrier.running and core.slots.is_open(
+                core.carrier.running[program].slot
+            ):
+                return name
+    return ""
+
+
+def answers(deployment: VirtualDeployment, requests: list[str]) -> list[str]:
+    """Answers of requests that ended with one; the error code of the others."""
+    found = []
+    for request in requests:
+        last = deployment.last(request)
+        if isinstance(last, Done):
+            outcome = last.outcome
+            found.append(outcome.answer if outcome.status == "done" else outcome.status)
+        else:
+            found.append(repr(last))
+    return found
+
+
+def all_ended(deployment: VirtualDeployment, requests: list[str]) -> bool:
+    """Whether every request has its final event."""
+    return all(deployment.last(request) is not None for request in requests)
+
+
+def streamed(deployment: VirtualDeployment, request: str) -> dict[int, str]:
+    """Text that a caller received, by model call, checked to be gapless."""
+    texts: dict[int, str] = {}
+    for event in deployment.events[request]:
+        if isinstance(event, TextOut):
+            held = texts.get(event.number, "")
+            assert event.offset == len(held), "no gap and nothing twice"
+            texts[event.number] = held + event.text
+    return texts
--- a/wisteriastair/core/placement.py
+++ b/wisteriastair/core/placement.py
@@ -61,7 +61,6 @@
 
     def __init__(self) -> None:
         self.wanted: dict[int, Row] = {}
-        self.asked = False
         self.busy_until = 0.0
         self.not_before = 0.0
         self.attempts = 0
@@ -95,9 +94,10 @@
         key = segment_key(row.slot, self.segments)
         self._segments[key].wanted[row.slot] = row
 
-    def ask(self, key: str) -> None:
-        """Ask for a read of a segment without proposing anything yet."""
-        self._segments[key].asked = True
+    def withdraw(self, slot: int) -> None:
+        """Take a proposal back; a write of it already under way may still win."""
+        segment = self._segments[segment_key(slot, self.segments)]
+        segment.wanted.pop(slot, None)
 
     def settle(self, slot: int, epoch: int) -> None:
         """Drop a proposal that the table has overtaken."""
@@ -122,8 +122,7 @@
         effects: list[Effect] = []
         for key, segment in self._segments.items():
             idle = now >= segment.busy_until and now >= segment.not_before
-            if (segment.wanted or segment.asked) and idle:
-                segment.asked = False
+            if segment.wanted and idle:
                 segment.busy_until = now + ANSWER_TIMEOUT_S
                 effects.append(KvRead(key))
         return effects
--- a/wisteriastair/core/replica.py
+++ b/wisteriastair/core/replica.py
@@ -6,24 +6,30 @@
 
 1. An entry is committed once the standby of the current epoch has acknowledged it.
    Nothing that a caller or a backend server can see happens before that.
-2. A standby that suspects its carrier first stops acknowledging (it is *sealed*)
-   and then asks the key-value service, by compare-and-swap, to be named carrier at
-   the next epoch, with no standby.
+2. A standby that suspects its carrier asks the key-value service, by
+   compare-and-swap, to be named carrier at the next epoch, with no standby.  It goes
+   on acknowledging until it sees that row: what it acknowledges it holds, and will
+   hold as carrier.
 3. A carrier that suspects its standby asks to be named alone at the next epoch.
    The compare-and-swap lets one of the two win.
 4. A carrier without a standby commits nothing: its death would lose what it had
    told others.
-5. A new copy is made first and named second.  A member that the table names before
+5. The member that was left out by a row without a standby is named in it as the
+   *former* member and keeps its copy until a row names a standby.  It holds all that
+   was ever committed, since a lone carrier commits nothing; if the lone carrier dies,
+   the former member takes over.  Without this, a wrong suspicion followed by one
+   death would lose a log that another living process still has.
+6. A new copy is made first and named second.  A member that the table names before
    it holds the log could take over without it.  (Counterexample of the broken
    variant: append, acknowledge, name the new standby, kill the carrier, take over;
    the entry is gone.)
-6. Between proposing a replacement for a live standby and learning the outcome, an
+7. Between proposing a replacement for a live standby and learning the outcome, an
    entry is committed only when both the old and the new copy hold it, because
    either may turn out to be the named one.
 
-A carrier that was paused and wakes up cannot commit: its standby is sealed or has
-moved to a later epoch.  Split brain is excluded by the acknowledgement and not by a
-clock.
+A carrier that was paused and wakes up commits only what its standby still takes as
+standby, and so will hold as carrier.  Split brain is excluded by the acknowledgement
+and not by a clock.
 
 Everything in this module is a pure function of immutable state, so that the model
 checker in ``tests/core/test_replica_model.py`` explores this very code.  Contents of
@@ -43,8 +49,8 @@
 
     NONE = 0
     LEARNER = 1
-    STANDBY = 2
-    SEALED = 3
+    FORMER = 2
+    STANDBY = 3
     CARRIER = 4
 
 
@@ -62,6 +68,8 @@
     fresh : bool
         The members begin with an empty log: the slot was never placed before, or
         all its members were lost.
+    former : str
+        The member that a row without a standby has left out; it keeps its copy.
     lost : bool
         All members of an earlier epoch were lost together, so for a program that is
         not in the log the answer is "unknown" and never "not run".
@@ -71,8 +79,9 @@
     carrier: str
     standby: str
     epoch: int
-    fresh: bool
-    lost: bool
+    fresh: bool = False
+    former: str = NOBODY
+    lost: bool = False
 
 
 class Replica(NamedTuple):
@@ -101,7 +110,9 @@
     committed : int
         Newest position whose effects may be released.
     proposal : Row or None
-        The change of the row that this process has asked for.
+        The change of the row that this carrier has asked for.
+    former : str
+        The former member that the present row names.
     lost : bool
         See `Row`.
     """
@@ -118,6 +129,7 @@
     learnt: int = -1
     committed: int = 0
     proposal: Row | None = None
+    former: str = NOBODY
     lost: bool = False
 
 
@@ -169,7 +181,7 @@
 
 
 def _listens_to(replica: Replica, sender: str, epoch: int, session: int) -> bool:
-    """Whether a copy accepts entries: a sealed one must not."""
+    """Whether a copy accepts entries of a sender."""
     if sender != replica.peer or epoch != replica.epoch:
         return False
     if replica.role is Role.STANDBY:
@@ -222,9 +234,10 @@
     A member that still has a named role ignores the copy: it must first hear that
     the table has moved on.
     """
-    named = replica.role not in (Role.NONE, Role.LEARNER)
+    named = replica.role in (Role.STANDBY, Role.CARRIER)
     if named or epoch < replica.epoch:
         return replica
+    same_row = epoch == replica.epoch
     return Replica(
         me=replica.me,
         slot=replica.slot,
@@ -233,15 +246,20 @@
         peer=sender,
         session=session,
         last=last,
+        former=replica.former if same_row else NOBODY,
+        lost=replica.lost,
     )
 
 
-def propose_takeover(replica: Replica) -> Replica:
-    """Seal a standby that suspects its carrier and propose it as carrier."""
-    if replica.role is not Role.STANDBY:
-        return replica
-    row = _next_row(replica, replica.me, NOBODY)
-    return replica._replace(role=Role.SEALED, proposal=row)
+def takeover_row(replica: Replica) -> Row | None:
+    """Return the row to propose for taking over from a suspected carrier.
+
+    None if this member may not: it is neither the standby nor the former member.
+    """
+    former = replica.former == replica.me
+    if replica.role is not Role.STANDBY and not former:
+        return None
+    return _next_row(replica, replica.me, NOBODY, former=replica.peer)
 
 
 def propose_alone(replica: Replica) -> Replica:
@@ -250,7 +268,8 @@
         return replica
     if replica.proposal is not None:
         return replica
-    return replica._replace(proposal=_next_row(replica, replica.me, NOBODY))
+    row = _next_row(replica, replica.me, NOBODY, former=replica.peer)
+    return replica._replace(proposal=row)
 
 
 def propose_learner(replica: Replica) -> Replica:
@@ -272,8 +291,17 @@
     return replica._replace(proposal=_next_row(replica, replica.peer, replica.me))
 
 
-def _next_row(replica: Replica, carrier: str, standby: str) -> Row:
-    return Row(replica.slot, carrier, standby, replica.epoch + 1, False, replica.lost)
+def _next_row(
+    replica: Replica, carrier: str, standby: str, former: str = NOBODY
+) -> Row:
+    return Row(
+        replica.slot,
+        carrier,
+        standby,
+        replica.epoch + 1,
+        former=former,
+        lost=replica.lost,
+    )
 
 
 def observe_row(replica: Replica, row: Row) -> Replica:
@@ -285,17 +313,18 @@
     if row.epoch <= replica.epoch:
         return replica
     holds_log = row.fresh or replica.role is not Role.NONE
-    if not holds_log or replica.me not in (row.carrier, row.standby):
+    if not holds_log or replica.me not in (row.carrier, row.standby, row.former):
         return Replica(me=replica.me, slot=replica.slot, epoch=row.epoch)
     if row.carrier == replica.me:
         return _become_carrier(replica, row)
     return Replica(
         me=replica.me,
         slot=replica.slot,
-        role=Role.STANDBY,
+        role=Role.STANDBY if row.standby == replica.me else Role.FORMER,
         epoch=row.epoch,
         peer=row.carrier,
         last=0 if row.fresh else replica.last,
+        former=row.former,
         lost=row.lost,
     )
 
@@ -313,6 +342,7 @@
         last=0 if row.fresh else replica.last,
         acked=replica.learnt if promoted else -1,
         committed=replica.committed if was_carrier else 0,
+        former=row.former,
         lost=row.lost,
     )
     return _advance(result)
--- a/wisteriastair/core/side.py
+++ b/wisteriastair/core/side.py
@@ -156,8 +156,6 @@
             self._take_doc(event.key, event.revision, event.value)
         if not self.placement.owns(event.key):
             return
-        if isinstance(event, KvValue):
-            self.slots.on_segment_read(event.key, now)
         self.out.extend(self.placement.on_answer(event, now))
 
     def _take_doc(self, key: str, revision: int, value: bytes) -> None:
--- a/wisteriastair/core/slots.py
+++ b/wisteriastair/core/slots.py
@@ -19,7 +19,7 @@
 from .hashing import address_of, rank
 from .outbox import Outbox
 from .peers import Peers
-from .placement import Placement, segment_key
+from .placement import Placement
 from .records import Record, encode_record
 from .replica import NOBODY, Replica, Role, Row
 from .slotlog import SlotLog
@@ -27,8 +27,10 @@
 
 APPEND_LIMIT: Final = 256
 RESEND_S: Final = 0.5
-COPY_TIMEOUT_S: Final = 5.0
+COPY_TIMEOUT_S: Final = 2.0
+COPY_BYTES_S: Final = 10_000_000.0
 COPIES_AT_ONCE: Final = 4
+NO_ACK_S: Final = 5.0
 PLACE_DELAY_S: Final = 1.0
 PLACE_PATIENCE_S: Final = 5.0
 LOST_S: Final = 6.0
@@ -62,8 +64,10 @@
         self.fed = -1
         self.resend_at = 0.0
         self.copy_until = 0.0
+        self.behind_since = 0.0
         self.staged: dict[str, tuple[Entry, ...]] = {}
         self.staged_for: tuple[str, int, int] = ("", 0, 0)
+        self.staged_end: CopyEnd | None = None
 
 
 class Slots:
@@ -85,7 +89,7 @@
         self._listener = listener
         self._slots: dict[int, _Slot] = {}
         self._dirty: set[int] = set()
-        self._checked: dict[str, float] = {}
+        self._now = 0.0
         self._place_at = 0.0
         self._place_since = 0.0
         self._lost_since: dict[int, float] = {}
@@ -113,7 +117,8 @@
         """Members that share a slot with this process."""
         found: set[str] = set()
         for slot in self._slots.values():
-            found |= {slot.replica.peer, slot.replica.learner}
+            replica = slot.replica
+            found |= {replica.peer, replica.learner, replica.former}
         return found - {NOBODY, self._me}
 
     def count(self) -> int:
@@ -127,7 +132,7 @@
         """Take a confirmed row."""
         slot = self._slots.get(row.slot)
         if slot is None:
-            if self._me not in (row.carrier, row.standby):
+            if self._me not in (row.carrier, row.standby, row.former):
                 return
             slot = self._slots[row.slot] = _Slot(self._me, row.slot)
         before = slot.replica
@@ -156,6 +161,7 @@
         slot.sent = slot.replica.acked
         slot.fed = -1
         slot.resend_at = 0.0
+        slot.behind_since = self._now
         self._dirty.add(slot.replica.slot)
 
     # Carrier side
@@ -298,53 +304,66 @@
 
     def on_copy(self, sender: str, message: Copy) -> None:
         """Stage one program of a copy."""
-        slot = self._slots.get(message.slot)
+        slot = self._staging(sender, message.slot, message.epoch, message.session)
+        slot.staged[message.program] = message.entries
+        self._maybe_learn(slot)
+
+    def on_copy_end(self, sender: str, message: CopyEnd) -> None:
+        """Take the end of a copy, which may overtake its parts."""
+        slot = self._staging(sender, message.slot, message.epoch, message.session)
+        slot.staged_end = message
+        self._maybe_learn(slot)
+
+    def _staging(self, sender: str, number: int, epoch: int, session: int) -> _Slot:
+        slot = self._slots.get(number)
         if slot is None:
-            slot = self._slots[message.slot] = _Slot(self._me, message.slot)
-        source = (sender, message.epoch, message.session)
+            slot = self._slots[number] = _Slot(self._me, number)
+        source = (sender, epoch, session)
         if slot.staged_for != source:
             slot.staged_for = source
             slot.staged = {}
-        if message.program:
-            slot.staged[message.program] = message.entries
+            slot.staged_end = None
+        return slot
 
-    def on_copy_end(self, sender: str, message: CopyEnd) -> None:
-        """Become a learner if the copy is complete."""
-        self.on_copy(sender, Copy(message.slot, message.epoch, message.session, "", ()))
-        slot = self._slots[message.slot]
-        if len(slot.staged) != message.programs:
-            return
-        log = SlotLog()
-        if not all(log.add(e) for entries in slot.staged.values() for e in entries):
-            self._out.note(f"slot {message.slot}: copy is corrupt", level="warning")
+    def _maybe_learn(self, slot: _Slot) -> None:
+        """Become a learner once the copy is complete and fits."""
+        end = slot.staged_end
+        if end is None or len(slot.staged) != end.programs:
             return
+        sender = slot.staged_for[0]
         replica = slot.replica
         same = (replica.peer, replica.epoch, replica.session) == slot.staged_for
         if replica.role is Role.LEARNER and same:
-            self._acknowledge(sender, replica, message.session)
+            self._acknowledge(sender, replica, end.session)
+            return
+        log = SlotLog()
+        if not all(log.add(e) for entries in slot.staged.values() for e in entries):
+            self._out.note(f"slot {end.slot}: copy is corrupt", level="warning")
             return
         changed = rp.learn(
             replica,
             sender=sender,
-            epoch=message.epoch,
-            session=message.session,
-            last=message.last,
+            epoch=end.epoch,
+            session=end.session,
+            last=end.last,
         )
         if changed is replica:
             return
         slot.replica = changed
         slot.log = log
         slot.staged = {}
-        self._acknowledge(sender, changed, message.session)
+        slot.staged_end = None
+        self._acknowledge(sender, changed, end.session)
 
     # Time
 
     def tick(self, now: float) -> None:
         """Suspect, repair, hand over, repeat what was not acknowledged."""
+        self._now = now
         copying = sum(1 for s in self._slots.values() if s.replica.learner != NOBODY)
         for slot in list(self._slots.values()):
             replica = slot.replica
-            if replica.role is Role.STANDBY:
+            if replica.role in (Role.STANDBY, Role.FORMER, Role.LEARNER):
                 self._watch_carrier(slot, now)
             elif replica.role is Role.CARRIER:
                 copying += self._tend_carrier(slot, copying, now)
@@ -352,31 +371,18 @@
         self.flush(now)
 
     def _watch_carrier(self, slot: _Slot, now: float) -> None:
-        """Ask for the table before sealing.
-
-        A sealed standby acknowledges nothing until the table has changed.  If the
-        key-value service is down, a false suspicion would stop the slot for the
-        whole outage; so a standby seals only once the service answers.
-        """
-        if not self._peers.suspects(slot.replica.peer, now):
-            return
-        key = segment_key(slot.replica.slot, self._placement.segments)
-        if now - self._checked.get(key, -RESEND_S) >= RESEND_S:
-            self._checked[key] = now
-            self._placement.ask(key)
-
-    def on_segment_read(self, key: str, now: float) -> None:
-        """Seal and propose takeovers now that the service answers."""
-        for slot in self._slots.values():
-            replica = slot.replica
-            if segment_key(replica.slot, self._placement.segments) != key:
-                continue
-            if replica.role is Role.STANDBY and self._peers.suspects(replica.peer, now):
-                self._propose(slot, rp.propose_takeover(replica))
+        """Propose a takeover from a suspected carrier, or take the proposal back."""
+        replica = slot.replica
+        if self._peers.suspects(replica.peer, now):
+            row = rp.takeover_row(replica)
+            if row is not None:
+                self._placement.propose(row)
+        else:
+            self._placement.withdraw(replica.slot)
 
     def _tend_carrier(self, slot: _Slot, copying: int, now: float) -> int:
         replica = slot.replica
-        if replica.peer != NOBODY and self._peers.suspects(replica.peer, now):
+        if replica.peer != NOBODY and self._standby_fails(slot, now):
             self._propose(slot, rp.propose_alone(replica))
         if now >= slot.resend_at:
             slot.sent = replica.acked
@@ -395,6 +401,18 @@
             self._propose(slot, rp.propose_handover(replica))
         return 0
 
+    def _standby_fails(self, slot: _Slot, now: float) -> bool:
+        """Whether a carrier needs another standby.
+
+        One that lives but acknowledges nothing (it refused a corrupt entry, or has
+        lost its copy) would stop the slot for ever if only its silence counted.
+        """
+        replica = slot.replica
+        if replica.acked >= replica.last:
+            slot.behind_since = now
+        stuck = now - slot.behind_since > NO_ACK_S
+        return stuck or self._peers.suspects(replica.peer, now)
+
     def _start_copy(self, slot: _Slot, copying: int, now: float) -> int:
         """Begin a new copy; paced, so that repair stays within its share."""
         replica = slot.replica
@@ -410,12 +428,14 @@
     def _send_copy(self, slot: _Slot, now: float) -> None:
         replica = slot.replica
         slot.fed = -1
-        slot.copy_until = now + COPY_TIMEOUT_S
         head = (replica.slot, replica.epoch, replica.session)
+        size = 0
         for program, entries in slot.log.programs.items():
+            size += sum(len(entry.body) for entry in entries)
             self._out.send(replica.learner, Copy(*head, program, tuple(entries)))
         end = CopyEnd(*head, len(slot.log.programs), replica.last)
         self._out.send(replica.learner, end)
+        slot.copy_until = now + COPY_TIMEOUT_S + size / COPY_BYTES_S
 
     def _watch_learner(self, slot: _Slot, now: float) -> None:
         replica = slot.replica
@@ -459,7 +479,7 @@
         row = self._placement.rows.get(number)
         if row is None:
             return True
-        members = (row.carrier, row.standby)
+        members = (row.carrier, row.standby, row.former)
         if not all(self._peers.is_gone(m) for m in members if m != NOBODY):
             self._lost_since.pop(number, None)
             return False
@@ -474,4 +494,5 @@
             return
         epoch = row.epoch + 1 if row is not None else 1
         lost = row is not None
-        self._placement.propose(Row(number, carrier, standby, epoch, True, lost))
+        row = Row(number, carrier, standby, epoch, fresh=True, lost=lost)
+        self._placement.propose(row)
--- /dev/null
+++ b/wisteriastair/standins/virtual.py
@@ -0,0 +1,565 @@
+"""A whole deployment in one process and in virtual time.
+
+The shipped cores run against small fakes at their interfaces: a network that delays,
+loses and cuts, a key-value service that can be down or lose its answers, engines and
+plain services.  Every run with the same seed is the same run.  The failure tests, the
+golden sessions and the load tool use it; there is no socket and no real clock.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from functools import partial
+from random import Random
+from typing import Any, Final, NamedTuple
+
+import msgspec
+
+from ..core.config import (
+    CONFIG_KEY,
+    EMPTY_CONFIG,
+    Change,
+    Config,
+    apply_change,
+    encode_config,
+)
+from ..core.entry import (
+    Ask,
+    CallerEvent,
+    Done,
+    EntryCore,
+    EntryOptions,
+    Refused,
+    ToCaller,
+)
+from ..core.events import (
+    BackendCall,
+    BackendCancel,
+    BackendEnded,
+    BackendHeld,
+    BackendRelease,
+    BackendText,
+    Drained,
+    Effect,
+    Event,
+    Instance,
+    InstancesSeen,
+    KvConflict,
+    KvRead,
+    KvSwap,
+    KvUnknown,
+    KvValue,
+    KvWatch,
+    KvWritten,
+    Note,
+    Received,
+    Send,
+    StopRequested,
+    Tick,
+)
+from ..core.gate import GateLimits
+from ..core.hashing import address_of
+from ..core.records import Action
+from ..core.routing import EngineModel
+from ..core.side import SideCore, SideOptions
+from ..core.wire import CallId, GateCall, Message, decode_message, encode_message
+from ..errors import Failure
+from .engine import blocks_of
+from .engine_model import EngineModel as EngineStand
+from .engine_model import EngineSpeed, Request
+from .script import count_tokens, say
+
+TICK_S: Final = 0.1
+ENGINE_STEP_S: Final = 0.02
+LIST_S: Final = 1.0
+HELD_S: Final = 5.0
+KV_S: Final = 0.002
+TEXT_PIECES: Final = 3
+
+
+class VirtualServer(NamedTuple):
+    """Description of a backend server with its side process."""
+
+    name: str
+    kind: str
+    serves: tuple[str, ...]
+    domain: str
+
+
+class VirtualOptions(NamedTuple):
+    """Settings of a virtual deployment.
+
+    Attributes
+    ----------
+    delay_s : float
+        Mean one-way delay between processes.
+    service_s : float
+        Seconds that a plain call takes.
+    stream : bool
+        Whether engines emit text as it is produced (slower to run).
+    """
+
+    servers: tuple[VirtualServer, ...]
+    entries: int = 2
+    seed: int = 1
+    slots: int = 16
+    segments: int = 2
+    delay_s: float = 0.001
+    service_s: float = 0.05
+    stream: bool = True
+    tick_s: float = TICK_S
+    speed: EngineSpeed = EngineSpeed()
+    gate: GateLimits = GateLimits()
+    engine: EngineModel = EngineModel()
+    router: str = "cost"
+    order: str = "program"
+    max_active: int = 256
+
+
+class Node:
+    """One process: its core and whether it runs."""
+
+    def __init__(self, name: str, member: str, core: SideCore | EntryCore) -> None:
+        self.name = name
+        self.member = member
+        self.core = core
+        self.alive = True
+        self.frozen = False
+        self.drained = False
+        self.watching = False
+        self.backlog: list[Event] = []
+
+
+class Execution(NamedTuple):
+    """One execution at a plain service, as the service itself recorded it."""
+
+    server: str
+    operation: str
+    argument: str
+    call: str
+
+
+class _EngineCall:
+    """A model call in an engine and how much of its output has been emitted."""
+
+    def __init__(self, node: Node, call: GateCall) -> None:
+        body = msgspec.json.decode(call.body)
+        contents = [m["content"] for m in body["messages"]]
+        turn = sum(1 for m in body["messages"] if m["role"] == "assistant")
+        saying = say(contents[0], turn)
+        self.node = node
+        self.call = call
+        self.rest = saying.text[len(body["prefix"]) :]
+        self.emitted = 0
+        self.actions = tuple(Action(name, text) for name, text in saying.actions)
+        self.request = Request(
+            "/".join(str(part) for part in call.call),
+            call.call.program,
+            tuple(blocks_of(contents)),
+            max(1, min(call.max_tokens, count_tokens(self.rest))),
+            call.priority,
+        )
+
+
+class VirtualKv:
+    """The key-value service."""
+
+    def __init__(self) -> None:
+        self.keys: dict[str, KvValue] = {}
+        self.revision = 0
+        self.up = True
+        self.lose_answers = 0
+        self.reads = 0
+        self.writes = 0
+
+    def read(self, key: str) -> KvValue | KvUnknown:
+        """Read a key."""
+        self.reads += 1
+        if not self.up:
+            return KvUnknown(key, False)
+        return self.keys.get(key, KvValue(key, 0, b""))
+
+    def swap(self, swap: KvSwap) -> KvWritten | KvConflict | KvUnknown:
+        """Write a key if it is at the revision given."""
+        self.writes += 1
+        if not self.up:
+            return KvUnknown(swap.key, True)
+        present = self.keys.get(swap.key)
+        if (present.revision if present is not None else 0) != swap.revision:
+            return KvConflict(swap.key)
+        self.revision += 1
+        self.keys[swap.key] = KvValue(swap.key, self.revision, swap.value)
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            return KvUnknown(swap.key, True)
+        return KvWritten(swap.key, self.revision, swap.value)
+
+
+class VirtualDeployment:
+    """The deployment."""
+
+    def __init__(self, cfg: VirtualOptions) -> None:
+        self.cfg = cfg
+        self.now = 1_000.0
+        self.kv = VirtualKv()
+        self.nodes: dict[str, Node] = {}
+        self.instances: dict[str, Instance] = {}
+        self.events: dict[str, list[CallerEvent]] = {}
+        self.on_last: dict[str, Callable[[CallerEvent], None]] = {}
+        self.executions: list[Execution] = []
+        self.engines: dict[str, EngineStand] = {}
+        self.notes: list[str] = []
+        self.hanging: set[str] = set()
+        self.lose_messages: Callable[[str, str, Message], bool] = lambda a, b, m: False
+        self.messages = 0
+        self.bytes = 0
+        self.config: Config = EMPTY_CONFIG
+        self._random = Random(cfg.seed)
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = 0
+        self._cuts: set[frozenset[str]] = set()
+        self._requests = 0
+        self._running: dict[CallId, _EngineCall] = {}
+        self._incarnations = 0
+        for server in cfg.servers:
+            if server.kind == "model":
+                self.engines[server.name] = EngineStand(cfg.speed)
+                self._every(ENGINE_STEP_S, partial(self._step_engine, server.name))
+            self.start_side(server)
+        for number in range(cfg.entries):
+            self._start_entry(f"entry-{number + 1}")
+        self._every(LIST_S, self._show_list)
+
+    # Processes
+
+    def start_side(self, server: VirtualServer) -> Node:
+        """Start (or restart, with a new incarnation) a server's side process."""
+        name = f"side-{server.name}"
+        address = f"{name}:1"
+        cfg = self.cfg
+        core = SideCore(
+            SideOptions(
+                self._new_member(address),
+                server.domain,
+                (server.name,),
+                cfg.slots,
+                cfg.segments,
+                cfg.router,
+                cfg.order,
+                cfg.gate,
+                cfg.engine,
+                cfg.max_active,
+            )
+        )
+        self.instances[name] = Instance(
+            name, "side", address, server.domain, False, (server.name,)
+        )
+        node = self._add(name, address, core)
+        self._every(cfg.tick_s, lambda: self._deliver(node, Tick()), node)
+        if server.kind == "model":
+            self._every(HELD_S, lambda: self._report_held(node, server.name), node)
+        return node
+
+    def _new_member(self, address: str) -> str:
+        self._incarnations += 1
+        return f"{address}#{self._incarnations}"
+
+    def _start_entry(self, name: str) -> None:
+        address = f"{name}:1"
+        domain = self.cfg.servers[0].domain
+        core = EntryCore(
+            EntryOptions(
+                self._new_member(address), domain, self.cfg.slots, self.cfg.segments
+            )
+        )
+        self.instances[name] = Instance(name, "entry", address, domain, False, ())
+        node = self._add(name, address, core)
+        self._every(self.cfg.tick_s, lambda: self._deliver(node, Tick()), node)
+
+    def _add(self, name: str, address: str, core: SideCore | EntryCore) -> Node:
+        member = f"{address}#{self._incarnations}"
+        node = Node(name, member, core)
+        self.nodes[name] = node
+        for key in [CONFIG_KEY, *(f"slots/{n}" for n in range(self.cfg.segments))]:
+            self._at(0.0, partial(self._read, node, key))
+        self._at(0.0, self._show_list)
+        return node
+
+    def side(self, server: str) -> SideCore:
+        """Core of a server's side process."""
+        core = self.nodes[f"side-{server}"].core
+        assert isinstance(core, SideCore)
+        return core
+
+    def entry(self, number: int = 1) -> EntryCore:
+        """Core of an entry."""
+        core = self.nodes[f"entry-{number}"].core
+        assert isinstance(core, EntryCore)
+        return core
+
+    def kill(self, name: str, *, listed: bool = False) -> None:
+        """Kill a process; the list notices unless ``listed`` is kept."""
+        self.nodes[name].alive = False
+        if not listed:
+            self.instances.pop(name, None)
+
+    def freeze(self, name: str) -> None:
+        """Stop a process without ending it, as SIGSTOP does."""
+        self.nodes[name].frozen = True
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen process go on; it finds what came meanwhile."""
+        node = self.nodes[name]
+        node.frozen = False
+        backlog, node.backlog = node.backlog, []
+        for event in backlog:
+            self._deliver(node, event)
+
+    def stop_side(self, name: str) -> None:
+        """Begin a planned stop."""
+        self._deliver(self.nodes[name], StopRequested())
+
+    def cut(self, first: str, second: str) -> None:
+        """Cut two processes off from each other."""
+        self._cuts.add(frozenset((first, second)))
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self._cuts.clear()
+
+    # Time
+
+    def _at(self, delay: float, action: Callable[[], None]) -> None:
+        self._sequence += 1
+        heapq.heappush(self._queue, (self.now + delay, self._sequence, action))
+
+    def after(self, delay: float, action: Callable[[], None]) -> None:
+        """Do something after a delay in virtual seconds."""
+        self._at(delay, action)
+
+    def _every(
+        self, period: float, action: Callable[[], None], node: Node | None = None
+    ) -> None:
+        def again() -> None:
+            if node is not None and (not node.alive or node.drained):
+                return
+            action()
+            self._at(period, again)
+
+        self._at(self._random.random() * period, again)
+
+    def run(self, seconds: float) -> None:
+        """Advance virtual time."""
+        self.run_until(lambda: False, seconds)
+
+    def run_until(self, done: Callable[[], bool], limit_s: float) -> bool:
+        """Advance until something holds; False if it did not within the limit."""
+        end = self.now + limit_s
+        while self._queue and self._queue[0][0] <= end:
+            if done():
+                return True
+            self.now, _, action = heapq.heappop(self._queue)
+            action()
+        self.now = max(self.now, end)
+        return done()
+
+    # Delivery
+
+    def _deliver(self, node: Node, event: Event) -> None:
+        if not node.alive or node.drained:
+            return
+        if node.frozen:
+            if not isinstance(event, Tick):
+                node.backlog.append(event)
+            return
+        core = node.core
+        if isinstance(core, SideCore):
+            self._do(node, core.step(event, self.now))
+        else:
+            self._do(node, self._step_entry(core, event))
+
+    def _step_entry(self, core: EntryCore, event: Event) -> list[Effect | ToCaller]:
+        match event:
+            case Received(sender, message):
+                return core.receive(sender, message, self.now)
+            case Tick():
+                return core.tick(self.now)
+            case InstancesSeen(instances):
+                return [*core.set_instances(instances)]
+            case KvValue() | KvWritten():
+                return core.on_kv(event)
+            case _:
+                return []
+
+    def _do(self, node: Node, effects: list[Any]) -> None:
+        for effect in effects:
+            match effect:
+                case Send(to, message):
+                    self._transmit(node, to, message)
+                case ToCaller(request, event):
+                    self._to_caller(request, event)
+                case KvRead(key):
+                    self._at(KV_S, partial(self._read, node, key))
+                case KvSwap():
+                    self._at(KV_S, partial(self._swap, node, effect))
+                case KvWatch(active):
+                    node.watching = active
+                case BackendCall(call):
+                    self._call_backend(node, call)
+                case BackendCancel(call_id, server):
+                    self._cancel(call_id, server)
+                case BackendRelease(server, programs):
+                    for program in programs:
+                        self.engines[server].release(program)
+                case Drained():
+                    node.drained = True
+                    self.instances.pop(node.name, None)
+                case Note(_, text, _):
+                    self.notes.append(f"{node.name}: {text}")
+
+    def _transmit(self, node: Node, to: str, message: Message) -> None:
+        data = encode_message(message)
+        self.messages += 1
+        self.bytes += len(data)
+        name = address_of(to).split(":")[0]
+        target = self.nodes.get(name)
+        if target is None or not target.alive or target.drained:
+            return
+        if "#" in to and target.member != to:
+            return
+        if frozenset((node.name, name)) in self._cuts:
+            return
+        if self.lose_messages(node.name, name, message):
+            return
+        delay = self.cfg.delay_s * (0.5 + self._random.random())
+        received = Received(node.member, decode_message(data))
+        self._at(delay, lambda: self._deliver(target, received))
+
+    def _read(self, node: Node, key: str) -> None:
+        self._deliver(node, self.kv.read(key))
+
+    def _swap(self, node: Node, swap: KvSwap) -> None:
+        answer = self.kv.swap(swap)
+        self._deliver(node, answer)
+        held = self.kv.keys.get(swap.key)
+        if held is not None and self.kv.up:
+            self.show(held)
+
+    def show(self, value: KvValue) -> None:
+        """Have the watchers see a key."""
+        for node in list(self.nodes.values()):
+            if node.watching:
+                self._at(KV_S, partial(self._deliver, node, value))
+
+    def _show_list(self) -> None:
+        seen = InstancesSeen(tuple(self.instances[n] for n in sorted(self.instances)))
+        for node in list(self.nodes.values()):
+            self._deliver(node, seen)
+
+    # Callers and operators
+
+    def ask(self, ask: Ask, entry: int = 1) -> str:
+        """Send a caller's request; its events gather in ``events``."""
+        self._requests += 1
+        request = f"request-{self._requests}"
+        self.events[request] = []
+        node = self.nodes[f"entry-{entry}"]
+        self._do(node, self.entry(entry).ask(request, ask, self.now))
+        return request
+
+    def _to_caller(self, request: str, event: CallerEvent) -> None:
+        if request not in self.events:
+            return
+        self.events[request].append(event)
+        if isinstance(event, Done | Refused) and request in self.on_last:
+            self.on_last.pop(request)(event)
+
+    def last(self, request: str) -> CallerEvent | None:
+        """Return the final event of a request, if it has one."""
+        events = self.events[request]
+        final = bool(events) and isinstance(events[-1], Done | Refused)
+        return events[-1] if final else None
+
+    def change(self, change: Change) -> Config | Failure:
+        """Make a change of configuration as an operator's entry does."""
+        changed = apply_change(self.config, change)
+        if isinstance(changed, Failure):
+            return changed
+        self.config = changed
+        held = self.kv.keys.get(CONFIG_KEY)
+        revision = held.revision if held is not None else 0
+        self.kv.swap(KvSwap(CONFIG_KEY, revision, encode_config(changed)))
+        self.show(self.kv.keys[CONFIG_KEY])
+        return changed
+
+    # Backend servers
+
+    def _call_backend(self, node: Node, call: GateCall) -> None:
+        if call.server in self.engines:
+            self._call_engine(node, call)
+        elif call.server not in self.hanging:
+            self._at(self.cfg.service_s, lambda: self._execute(node, call))
+
+    def _execute(self, node: Node, call: GateCall) -> None:
+        name = "/".join(str(part) for part in call.call)
+        self.executions.append(Execution(call.server, call.name, call.body, name))
+        text = f"{call.name} of {call.body} done"
+        ended = BackendEnded(call.call, "ok", "yes", text, (), 0, 0, 0)
+        self._deliver(node, ended)
+
+    def _call_engine(self, node: Node, call: GateCall) -> None:
+        running = _EngineCall(node, call)
+        self.engines[call.server].submit(running.request)
+        self._running[call.call] = running
+        if self.cfg.stream:
+            size = max(1, -(-len(running.rest) // TEXT_PIECES))
+            for number in range(1, TEXT_PIECES):
+                emit = partial(self._emit, running, size * number)
+                self._at(number * ENGINE_STEP_S, emit)
+
+    def _emit(self, running: _EngineCall, end: int) -> None:
+        """Emit the output up to a position, unless the call is over."""
+        call = running.call.call
+        if self._running.get(call) is not running or running.node.frozen:
+            return
+        text = running.rest[running.emitted : end]
+        running.emitted = max(running.emitted, min(end, len(running.rest)))
+        if text:
+            self._deliver(running.node, BackendText(call, text))
+
+    def _step_engine(self, server: str) -> None:
+        if server in self.hanging:
+            return
+        done = self.engines[server].step(ENGINE_STEP_S)
+        if not done:
+            return
+        for call_id, running in list(self._running.items()):
+            if running.request in done:
+                if self.cfg.stream:
+                    self._emit(running, len(running.rest))
+                del self._running[call_id]
+                self._end_engine_call(running)
+
+    def _end_engine_call(self, running: _EngineCall) -> None:
+        request = running.request
+        ended = BackendEnded(
+            running.call.call,
+            "ok",
+            "yes",
+            "" if running.emitted else running.rest,
+            running.actions,
+            request.prompt,
+            request.cached,
+            request.output,
+        )
+        self._deliver(running.node, ended)
+
+    def _cancel(self, call: CallId, server: str) -> None:
+        running = self._running.pop(call, None)
+        if running is not None:
+            self.engines[server].cancel(running.request.name)
+
+    def _report_held(self, node: Node, server: str) -> None:
+        held = tuple(self.engines[server].programs())
+        self._deliver(node, BackendHeld(server, held))
