--- a/tests/core/test_failures.py
+++ b/tests/core/test_failures.py
@@ -205,7 +205,9 @@
     """One message in ten is lost on the way, and every answer is still whole."""
     deployment = office()
     counter = iter(range(10_000_000))
-    deployment.lose_messages = lambda sender, to, message: next(counter) % 10 == 9
+    deployment.disturb = lambda sender, to, message: (
+        () if next(counter) % 10 == 9 else (0.0,)
+    )
     requests = [deployment.ask(start(f"k{n}"), 1 + n % 2) for n in range(8)]
     run_all(deployment, requests)
     assert answers(deployment, requests) == [ANSWER] * 8
--- a/wisteriastair/core/carrier.py
+++ b/wisteriastair/core/carrier.py
@@ -424,7 +424,8 @@
         self._dispatcher.learn(run.program, result, self._now)
         if result.status != "ok":
             run.avoid = result.server
-            wait = max(RETRY_WAIT_S, min(result.retry_after_s, RETRY_WAIT_MAX_S))
+            asked = min(result.retry_after_s, RETRY_WAIT_MAX_S)
+            wait = max(asked, _retry_wait_s(result.call.attempt))
             run.not_before = self._now + wait
         else:
             run.avoid = ""
@@ -508,7 +509,7 @@
     def _lose(self, run: Running, call: CallIntended) -> None:
         if self._slots.may_append(run.slot):
             run.avoid = call.server
-            run.not_before = self._now + RETRY_WAIT_S
+            run.not_before = self._now + _retry_wait_s(call.attempt)
             self._append_end(run, _lost_result(call))
 
     def _ask(self, run: Running) -> None:
@@ -555,6 +556,11 @@
     )
 
 
+def _retry_wait_s(attempt: int) -> float:
+    """Seconds before the next attempt; doubles, so that a short fault is outlived."""
+    return min(RETRY_WAIT_MAX_S, RETRY_WAIT_S * 2.0**attempt)
+
+
 def _id_of(call: CallIntended) -> CallId:
     return CallId(call.program, call.number, call.attempt)
 
--- a/wisteriastair/standins/virtual.py
+++ b/wisteriastair/standins/virtual.py
@@ -117,6 +117,15 @@
     max_active: int = 256
 
 
+# Extra delays of the copies of a message that arrive; none for a lost one.
+Disturb = Callable[[str, str, Message], tuple[float, ...]]
+
+
+def undisturbed(sender: str, to: str, message: Message) -> tuple[float, ...]:
+    """Deliver every message once and at once."""
+    return (0.0,)
+
+
 class Node:
     """One process: its core and whether it runs."""
 
@@ -211,7 +220,7 @@
         self.engines: dict[str, EngineStand] = {}
         self.notes: list[str] = []
         self.hanging: set[str] = set()
-        self.lose_messages: Callable[[str, str, Message], bool] = lambda a, b, m: False
+        self.disturb: Disturb = undisturbed
         self.messages = 0
         self.bytes = 0
         self.config: Config = EMPTY_CONFIG
@@ -430,11 +439,10 @@
             return
         if frozenset((node.name, name)) in self._cuts:
             return
-        if self.lose_messages(node.name, name, message):
-            return
-        delay = self.cfg.delay_s * (0.5 + self._random.random())
         received = Received(node.member, decode_message(data))
-        self._at(delay, lambda: self._deliver(target, received))
+        for extra in self.disturb(node.name, name, message):
+            delay = self.cfg.delay_s * (0.5 + self._random.random()) + extra
+            self._at(delay, partial(self._deliver, target, received))
 
     def _read(self, node: Node, key: str) -> None:
         self._deliver(node, self.kv.read(key))
@@ -521,7 +529,7 @@
     def _emit(self, running: _EngineCall, end: int) -> None:
         """Emit the output up to a position, unless the call is over."""
         call = running.call.call
-        if self._running.get(call) is not running or running.node.frozen:
+        if self._running.get(call) is not running:
             return
         text = running.rest[running.emitted : end]
         running.emitted = max(running.emitted, min(end, len(running.rest)))
