Load tool and workloads; a tick costs nothing for what has ended

Cause: a profile of the load tool: 3.1 of 17 s went into looking, ten times a second, at every call a gate remembers and every ended program a carrier keeps (600 s of them). Change: ends are kept in their order and only the oldest is looked at. Ruled out: the engine stand-in (1.1 s) and the codec (0.9 s). Conclusion: the cost of a tick follows live programs only.

--- a/wisteriastair/core/carrier.py
+++ b/wisteriastair/core/carrier.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import Final
 
 from ..errors import Code
@@ -82,16 +83,21 @@
         self.config: Config = EMPTY_CONFIG
         self.running: dict[str, Running] = {}
         self.lost_slots: set[int] = set()
-        self.active = 0
         self.finished = 0
         self._dispatcher = dispatcher
         self._peers = peers
         self._out = out
         self._slots: Slots
-        self._epoch_of: dict[int, int] = {}
+        self._live: dict[str, None] = {}
+        self._kept: deque[tuple[float, str]] = deque()
         self._now = 0.0
         self._renew_at = 0.0
 
+    @property
+    def active(self) -> int:
+        """Programs under way here."""
+        return len(self._live)
+
     def bind(self, slots: Slots) -> None:
         """Connect the replication below (the two know each other)."""
         self._slots = slots
@@ -113,8 +119,7 @@
             run = self._rebuild(slot, entries)
             self.running[name] = run
             opened.append(run)
-            if run.program.ended is None:
-                self.active += 1
+            self._note_state(name, run)
         for run in opened:
             self._go_on(run)
 
@@ -128,6 +133,15 @@
         run.heard_at = self._now
         return run
 
+    def _note_state(self, name: str, run: Running) -> None:
+        """Sort a program under the living or under those kept for late askers."""
+        ended = run.program.ended
+        if ended is None:
+            self._live[name] = None
+        else:
+            self._live.pop(name, None)
+            self._kept.append((ended.ended_at, name))
+
     def _go_on(self, run: Running) -> None:
         """Resume after a takeover: look the open call up, mend half-done steps."""
         program = run.program
@@ -145,9 +159,8 @@
         """Drop the programs of a slot that another process carries now."""
         self.lost_slots.discard(slot)
         for name in [n for n, r in self.running.items() if r.slot == slot]:
-            run = self.running.pop(name)
-            if run.program.ended is None:
-                self.active -= 1
+            del self.running[name]
+            self._live.pop(name, None)
 
     def _append(
         self, run: Running, record: Record, *, new_program: bool = False
@@ -204,7 +217,7 @@
             run.trace = parent.trace if parent is not None else ""
             self.running[record.program] = run
         run.uncommitted = 0
-        self.active += 1
+        self._note_state(record.program, run)
         for request in run.subscribers:
             self._out.send(run.subscribers[request].reply_to, run.pending(request))
         self._decide(run)
@@ -214,7 +227,7 @@
     ) -> None:
         """Release everything a program held."""
         program = run.program
-        self.active -= 1
+        self._note_state(program.start.program, run)
         self.finished += 1
         if call is not None:
             self._cancel_call(call)
@@ -467,28 +480,29 @@
 
     def tick(self) -> None:
         """Look up silent calls, renew holds, drop what has been kept long enough."""
-        for run in list(self.running.values()):
+        for run in [self.running[name] for name in self._live]:
             run.expire_subscribers(self._now)
             program = run.program
-            if program.ended is not None:
-                self._maybe_drop(run)
-            elif program.call is not None and not run.ending:
+            if program.call is not None and not run.ending:
                 self._watch_call(run, program.call)
             if run.uncommitted == 0:
                 self._decide(run)
+        self._drop_old()
         if self._now >= self._renew_at:
             self._renew_at = self._now + RENEW_S
             self._renew_holds()
 
-    def _maybe_drop(self, run: Running) -> None:
-        ended = run.program.ended
-        assert ended is not None, "checked by the caller"
-        name = run.program.start.program
-        if self._now - ended.ended_at < RETAIN_S:
-            return
-        if self._slots.may_append(run.slot):
-            self._slots.append(run.slot, name, None)
-            del self.running[name]
+    def _drop_old(self) -> None:
+        """Drop ended programs that have been kept long enough, the oldest first."""
+        while self._kept and self._now - self._kept[0][0] >= RETAIN_S:
+            _, name = self._kept[0]
+            run = self.running.get(name)
+            if run is not None and run.program.ended is not None:
+                if not self._slots.may_append(run.slot):
+                    return
+                self._slots.append(run.slot, name, None)
+                del self.running[name]
+            self._kept.popleft()
 
     def _watch_call(self, run: Running, call: CallIntended) -> None:
         if not call.server:
@@ -535,10 +549,9 @@
     def _renew_holds(self) -> None:
         """Tell each gate, in one message, which programs live."""
         by_server: dict[str, list[str]] = {}
-        for name, run in self.running.items():
-            if run.program.ended is None:
-                for server in run.program.servers:
-                    by_server.setdefault(server, []).append(name)
+        for name in self._live:
+            for server in self.running[name].program.servers:
+                by_server.setdefault(server, []).append(name)
         for server, names in sorted(by_server.items()):
             instance = self._peers.gate_of(server)
             if instance is not None:
--- a/wisteriastair/core/gate.py
+++ b/wisteriastair/core/gate.py
@@ -18,6 +18,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from enum import IntEnum
 from typing import Final, NamedTuple
 
@@ -108,6 +109,8 @@
         self._out = out
         self._calls: dict[CallId, _Call] = {}
         self._queue: list[CallId] = []
+        # Ends of calls in their order, so that forgetting them costs nothing a tick.
+        self._ended: deque[tuple[float, CallId]] = deque()
         self._running: set[CallId] = set()
         self._tokens = 0
         self._epochs: dict[int, int] = {}
@@ -174,6 +177,7 @@
         poisoned = _Call(None, to, now)
         poisoned.result = self._result(call, "refused", "no", retry_after_s)
         self._calls[call] = poisoned
+        self._ended.append((now, call))
         self._answer(to, poisoned.result)
 
     def on_lookup(self, sender: str, lookup: GateLookup, now: float) -> None:
@@ -207,8 +211,7 @@
         """Stop a call that nobody needs."""
         known = self._calls.get(call)
         if known is None:
-            self._calls[call] = _Call(None, "", now)
-            self._calls[call].result = self._result(call, "refused", "no", 0.0)
+            self._refuse("", call, 0.0, now)
         elif known.state is _State.QUEUED:
             self._queue.remove(call)
             self._finish(call, self._result(call, "refused", "no", 0.0), now)
@@ -261,7 +264,7 @@
             self._running.discard(call)
             self._tokens -= _weight(known.call)
         known.state = _State.DONE
-        known.since = now
+        self._ended.append((now, call))
         known.result = result._replace(load=self.load())
         self._answer(known.reply_to, known.result)
 
@@ -323,17 +326,16 @@
         busy = {call.program for call in self._running}
         expired = [p for p, end in self._holds.items() if now > end and p not in busy]
         self.release(tuple(expired))
-        for call in list(self._calls):
+        for call in [*self._queue, *self._running]:
             self._expire(call, now)
+        while self._ended and now - self._ended[0][0] > MEMORY_S:
+            _, call = self._ended.popleft()
+            del self._calls[call]
         self._pump(now)
 
     def _expire(self, call: CallId, now: float) -> None:
         known = self._calls[call]
         age = now - known.since
-        if known.state in (_State.DONE, _State.POISONED):
-            if age > MEMORY_S:
-                del self._calls[call]
-            return
         assert known.call is not None, "a live call has its request"
         if age <= known.call.timeout_s:
             return
--- a/wisteriastair/main.py
+++ b/wisteriastair/main.py
@@ -29,6 +29,7 @@
     check_side,
 )
 from .standins.demo import demo
+from .standins.load import load
 from .standins.main import standin_engine, standin_platform, standin_service
 
 EXIT_BAD_SETTING: Final = 2
@@ -234,6 +235,7 @@
     "side": side,
     "ctl": ctl,
     "demo": demo,
+    "load": load,
     "standin-platform": standin_platform,
     "standin-engine": standin_engine,
     "standin-service": standin_service,
--- a/wisteriastair/standins/engine_model.py
+++ b/wisteriastair/standins/engine_model.py
@@ -70,11 +70,47 @@
         return self.produced >= self.output
 
 
+class Ledger:
+    """What has been computed on any engine, to tell what is computed again.
+
+    Attributes
+    ----------
+    prompt_tokens : int
+        Tokens of all prompts admitted.
+    wasted_tokens : int
+        Of these, tokens computed although some engine had computed them before.
+    """
+
+    def __init__(self) -> None:
+        self.prompt_tokens = 0
+        self.wasted_tokens = 0
+        self._computed: set[str] = set()
+
+    def admit(self, request: Request) -> None:
+        """Count a request whose cached part is known."""
+        self.prompt_tokens += request.prompt
+        position = 0
+        for block in request.blocks:
+            position += block.tokens
+            if position > request.cached and block.key in self._computed:
+                self.wasted_tokens += block.tokens
+            self._computed.add(block.key)
+
+
 class EngineModel:
-    """The engine."""
+    """The engine.
+
+    Parameters
+    ----------
+    speed : EngineSpeed
+        Size and speed.
+    ledger : Ledger or None
+        Shared by the engines of a deployment.
+    """
 
-    def __init__(self, speed: EngineSpeed) -> None:
+    def __init__(self, speed: EngineSpeed, ledger: Ledger | None = None) -> None:
         self.speed = speed
+        self.ledger = ledger or Ledger()
         self.waiting: list[Request] = []
         self.running: list[Request] = []
         self.computed_tokens = 0
@@ -114,6 +150,7 @@
         while self.waiting and len(self.running) < self.speed.batch:
             request = self.waiting.pop(0)
             request.cached = self._lookup(request)
+            self.ledger.admit(request)
             request.to_compute = float(request.prompt - request.cached)
             self.computed_tokens += request.prompt - request.cached
             self.running.append(request)
--- a/wisteriastair/standins/script.py
+++ b/wisteriastair/standins/script.py
@@ -2,9 +2,10 @@
 
 A prompt may contain a line ``plan: STEP | STEP | ...``.  A step is a model call that
 asks for actions: ``tool NAME ARGUMENT`` or ``spawn PROMPT``, several joined by ``&``.
-After the last step the model answers with ``words=N`` words.  The words are numbered
-and derive from the prompt, so a checker can tell from an answer alone whether it is
-whole, in order and the right caller's.
+After the last step the model answers with ``words=N`` words; before it says
+``stepwords=N`` words a step.  The words are numbered and derive from the prompt, so a
+checker can tell from an answer alone whether it is whole, in order and the right
+caller's.
 """
 
 from __future__ import annotations
@@ -14,8 +15,9 @@
 from typing import Final, NamedTuple
 
 PLAN: Final = re.compile(r"^plan:(.*)$", re.MULTILINE)
-WORDS: Final = re.compile(r"words=(\d+)")
+WORDS: Final = re.compile(r"(?<!step)words=(\d+)")
 DEFAULT_WORDS: Final = 12
+STEP: Final = re.compile(r"stepwords=(\d+)")
 STEP_WORDS: Final = 6
 BYTES_PER_TOKEN: Final = 4
 
@@ -49,12 +51,17 @@
     steps = steps_of(prompt)
     if turn < len(steps):
         actions = tuple(_action(part.strip()) for part in steps[turn].split("&"))
-        return Saying(numbered_words(prompt, turn, STEP_WORDS), actions)
-    found = WORDS.search(prompt)
-    count = int(found.group(1)) if found else DEFAULT_WORDS
+        count = _number(STEP, prompt, STEP_WORDS)
+        return Saying(numbered_words(prompt, turn, count), actions)
+    count = _number(WORDS, prompt, DEFAULT_WORDS)
     return Saying(numbered_words(prompt, turn, count), ())
 
 
+def _number(pattern: re.Pattern[str], prompt: str, default: int) -> int:
+    found = pattern.search(prompt)
+    return int(found.group(1)) if found else default
+
+
 def final_answer(prompt: str) -> str:
     """Return the whole answer of a program with this prompt."""
     return say(prompt, len(steps_of(prompt))).text
--- a/wisteriastair/standins/virtual.py
+++ b/wisteriastair/standins/virtual.py
@@ -67,7 +67,7 @@
 from ..errors import Failure
 from .engine import blocks_of
 from .engine_model import EngineModel as EngineStand
-from .engine_model import EngineSpeed, Request
+from .engine_model import EngineSpeed, Ledger, Request
 from .script import count_tokens, say
 
 TICK_S: Final = 0.1
@@ -217,10 +217,12 @@
         self.events: dict[str, list[CallerEvent]] = {}
         self.on_last: dict[str, Callable[[CallerEvent], None]] = {}
         self.executions: list[Execution] = []
+        self.ledger = Ledger()
         self.engines: dict[str, EngineStand] = {}
         self.notes: list[str] = []
         self.hanging: set[str] = set()
         self.disturb: Disturb = undisturbed
+        self.service_time: Callable[[GateCall], float] = lambda call: cfg.service_s
         self.messages = 0
         self.bytes = 0
         self.config: Config = EMPTY_CONFIG
@@ -233,7 +235,7 @@
         self._incarnations = 0
         for server in cfg.servers:
             if server.kind == "model":
-                self.engines[server.name] = EngineStand(cfg.speed)
+                self.engines[server.name] = EngineStand(cfg.speed, self.ledger)
                 self._every(ENGINE_STEP_S, partial(self._step_engine, server.name))
             self.start_side(server)
         for number in range(cfg.entries):
@@ -507,7 +509,8 @@
         if call.server in self.engines:
             self._call_engine(node, call)
         elif call.server not in self.hanging:
-            self._at(self.cfg.service_s, lambda: self._execute(node, call))
+            pause = self.service_time(call)
+            self._at(pause, lambda: self._execute(node, call))
 
     def _execute(self, node: Node, call: GateCall) -> None:
         name = "/".join(str(part) for part in call.call)
