--- a/tests/core/test_failures.py
+++ b/tests/core/test_failures.py
@@ -163,7 +163,8 @@
     """A cut between the two members costs a move and loses nothing.
 
     Both live and each suspects the other; the compare-and-swap lets one win.  The
-    other hears of the new row, and the program goes on under one carrier only.
+    other hears of the new row, and the program goes on under one carrier only.  The
+    loser waits for the winner's repair instead of deposing it in turn.
     """
     deployment = office()
     request = deployment.ask(start("k"))
@@ -176,6 +177,7 @@
     run_all(deployment, [request])
     assert answers(deployment, [request]) == [ANSWER]
     assert reserved(deployment) == 1
+    assert rows_of(deployment)[row.slot].epoch <= row.epoch + 3, "no duel"
 
 
 def _slot(deployment: VirtualDeployment, program: str) -> int:
--- /dev/null
+++ b/tests/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Whole sessions as callers and operators see them."""
--- a/wisteriastair/callers/api.py
+++ b/wisteriastair/callers/api.py
@@ -18,6 +18,7 @@
 
 import re
 from collections.abc import AsyncIterator
+from math import ceil
 from typing import Any, Final
 
 import msgspec
@@ -247,7 +248,8 @@
 def _refusal(failure: Failure) -> Response:
     headers = {}
     if failure.retry_after_s > 0:
-        headers["retry-after"] = str(max(1, round(failure.retry_after_s)))
+        # Rounded up: a caller that comes back early would only be refused again.
+        headers["retry-after"] = str(ceil(failure.retry_after_s))
     return JSONResponse(
         error_body(failure), status_code=http_status(failure.code), headers=headers
     )
--- a/wisteriastair/core/admission.py
+++ b/wisteriastair/core/admission.py
@@ -207,7 +207,9 @@
         if slot in self._carrier.lost_slots:
             detail = "the slot's earlier state was lost"
             return Failure(Code.OUTCOME_UNKNOWN, detail, "unknown")
-        return Failure(Code.UNKNOWN_PROGRAM, "no such program")
+        # An id may also be unknown because its program ended long ago, so "not run"
+        # would be a guess.
+        return Failure(Code.UNKNOWN_PROGRAM, "no such program", "unknown")
 
     def on_cancel(self, sender: str, cancel: ProgramCancel, now: float) -> None:
         """End a program at its caller's wish."""
--- a/wisteriastair/core/entry.py
+++ b/wisteriastair/core/entry.py
@@ -263,7 +263,7 @@
                 return effects
             case Heartbeat(reply=True):
                 beat = Heartbeat(
-                    self._cfg.domain, False, 0, self.docs.revisions(), False
+                    self._cfg.domain, False, 0, 0, self.docs.revisions(), False
                 )
                 return [Send(sender, beat)]
             case _:
--- a/wisteriastair/core/peers.py
+++ b/wisteriastair/core/peers.py
@@ -34,6 +34,7 @@
     domain: str
     draining: bool
     carried: int
+    leads: int
 
 
 class Peers:
@@ -53,6 +54,7 @@
         self.instances: tuple[Instance, ...] = ()
         self.draining = False
         self.carried = 0
+        self.leads = 0
         self._me = me
         self._domain = domain
         self._docs = docs
@@ -68,18 +70,25 @@
         address = address_of(sender)
         old = self._known.get(address)
         if beat is not None:
-            peer = Peer(sender, now, beat.domain, beat.draining, beat.carried)
+            peer = Peer(
+                sender, now, beat.domain, beat.draining, beat.carried, beat.leads
+            )
         elif old is not None and old.member == sender:
             peer = old._replace(heard_at=now)
         else:
-            peer = Peer(sender, now, "", False, 0)
+            peer = Peer(sender, now, "", False, 0, 0)
         self._known[address] = peer
         if beat is not None and beat.reply:
             self._out.send(sender, self._heartbeat(reply=False))
 
     def _heartbeat(self, *, reply: bool) -> Heartbeat:
         return Heartbeat(
-            self._domain, self.draining, self.carried, self._docs.revisions(), reply
+            self._domain,
+            self.draining,
+            self.carried,
+            self.leads,
+            self._docs.revisions(),
+            reply,
         )
 
     def tick(self, partners: set[str], now: float) -> None:
@@ -137,6 +146,13 @@
         peer = self._known.get(address_of(member))
         return peer is not None and peer.member == member and peer.draining
 
+    def leads_of(self, member: str) -> int | None:
+        """Slots that a member said it carries; None if it is not fit to take one."""
+        peer = self._known.get(address_of(member))
+        if peer is None or peer.member != member or peer.draining or not peer.domain:
+            return None
+        return peer.leads
+
     def member_at(self, address: str, now: float) -> str:
         """Return the member at an address; empty, and asked for, if not known."""
         peer = self._known.get(address)
--- a/wisteriastair/core/program.py
+++ b/wisteriastair/core/program.py
@@ -29,6 +29,8 @@
 
 SPAWN: Final = "spawn"
 MAX_ATTEMPTS: Final = 6
+# A hanging tool may use up its time limit so often in one step.
+TOOL_TIMES: Final = 2
 # A chat template adds a few tokens around each message.
 MESSAGE_OVERHEAD_TOKENS: Final = 8
 
@@ -108,6 +110,7 @@
         self._partial = ""
         self._actions: list[Turn] = []
         self._answer: str | None = None
+        self._step_began = 0.0
         self._number = 1
         self._attempt = 1
         self._failure: EndStep | None = None
@@ -151,6 +154,8 @@
             case CallIntended():
                 self.call = record
                 self.call_base = len(self._partial)
+                if record.attempt == 1:
+                    self._step_began = record.intended_at
                 if record.kind == "model":
                     self.servers.add(record.server)
             case TextAppended():
@@ -195,9 +200,12 @@
         if not call.repeatable:
             detail = f"{call.name} (call {call.number}) may have run; not repeated"
             return EndStep(Code.OUTCOME_UNKNOWN, "", detail)
+        code = Code.MODEL_FAILED if call.kind == "model" else Code.TOOL_FAILED
         if self._attempt > MAX_ATTEMPTS:
-            code = Code.MODEL_FAILED if call.kind == "model" else Code.TOOL_FAILED
             return EndStep(code, "", f"{call.name} failed {MAX_ATTEMPTS} times")
+        taken = record.ended_at - self._step_began
+        if call.kind == "tool" and taken > TOOL_TIMES * self.start.limits.tool_s:
+            return EndStep(code, "", f"{call.name} gave no answer in {taken:.0f} s")
         return None
 
     def _finish_turn(self, call: CallIntended, record: CallEnded) -> None:
--- a/wisteriastair/core/side.py
+++ b/wisteriastair/core/side.py
@@ -244,6 +244,7 @@
 
     def _tick(self, now: float) -> None:
         self.peers.carried = self.slots.count()
+        self.peers.leads = len(self.slots.carried())
         self.peers.tick(self.slots.partners(), now)
         self.out.extend(self.docs.tick(now))
         self.slots.tick(now)
--- a/wisteriastair/core/slots.py
+++ b/wisteriastair/core/slots.py
@@ -30,7 +30,10 @@
 COPY_TIMEOUT_S: Final = 2.0
 COPY_BYTES_S: Final = 10_000_000.0
 COPIES_AT_ONCE: Final = 4
+FORMER_WAIT_S: Final = 8.0
 NO_ACK_S: Final = 5.0
+BALANCE_S: Final = 1.0
+BALANCE_GAP: Final = 2
 PLACE_DELAY_S: Final = 1.0
 PLACE_PATIENCE_S: Final = 5.0
 LOST_S: Final = 6.0
@@ -65,6 +68,7 @@
         self.resend_at = 0.0
         self.copy_until = 0.0
         self.behind_since = 0.0
+        self.row_at = 0.0
         self.staged: dict[str, tuple[Entry, ...]] = {}
         self.staged_for: tuple[str, int, int] = ("", 0, 0)
         self.staged_end: CopyEnd | None = None
@@ -90,6 +94,7 @@
         self._slots: dict[int, _Slot] = {}
         self._dirty: set[int] = set()
         self._now = 0.0
+        self._balance_at = 0.0
         self._place_at = 0.0
         self._place_since = 0.0
         self._lost_since: dict[int, float] = {}
@@ -140,6 +145,7 @@
         if after is before:
             return
         slot.replica = after
+        slot.row_at = self._now
         if row.fresh:
             slot.log = SlotLog()
         if after.role is not Role.CARRIER:
@@ -367,13 +373,19 @@
                 self._watch_carrier(slot, now)
             elif replica.role is Role.CARRIER:
                 copying += self._tend_carrier(slot, copying, now)
+        self._rebalance(now)
         self._place_slots(now)
         self.flush(now)
 
     def _watch_carrier(self, slot: _Slot, now: float) -> None:
         """Propose a takeover from a suspected carrier, or take the proposal back."""
         replica = slot.replica
-        if self._peers.suspects(replica.peer, now):
+        # A lone carrier that is only cut off from its former partner needs a moment
+        # for a new copy.  Without the wait the two would depose each other for ever,
+        # each before the other's repair is done, and no record would be committed.
+        former = replica.former == self._me
+        waits = former and now - slot.row_at < FORMER_WAIT_S
+        if self._peers.suspects(replica.peer, now) and not waits:
             row = rp.takeover_row(replica)
             if row is not None:
                 self._placement.propose(row)
@@ -444,6 +456,25 @@
         if now >= slot.copy_until:
             slot.replica = rp.drop_learner(replica)
 
+    def _rebalance(self, now: float) -> None:
+        """Hand one slot at a time to a standby that leads clearly fewer.
+
+        After a takeover one process leads all that its partner led; without this it
+        would go on doing the work of two while the replacement only copies.
+        """
+        if now < self._balance_at or self._peers.draining:
+            return
+        self._balance_at = now + BALANCE_S
+        leads = len(self.carried())
+        for number in self.carried():
+            replica = self._slots[number].replica
+            theirs = self._peers.leads_of(replica.peer)
+            if replica.learner != NOBODY or theirs is None:
+                continue
+            if theirs + BALANCE_GAP <= leads:
+                self._propose(self._slots[number], rp.propose_handover(replica))
+                return
+
     def _place_slots(self, now: float) -> None:
         """Place slots that have no row, or whose members are all gone.
 
@@ -460,8 +491,9 @@
             return
         wanted = [n for n in range(self._placement.slots) if self._unplaced(n, now)]
         if not wanted:
-            self._place_since = now
+            self._place_since = 0.0
             return
+        self._place_since = self._place_since or now
         domains = {self._peers.member_at(i.address, now): i.domain for i in sides}
         domains.pop("", None)
         domains[self._me] = next(i.domain for i in sides if i.address == own)
--- a/wisteriastair/core/wire.py
+++ b/wisteriastair/core/wire.py
@@ -39,6 +39,8 @@
         Whether the sender is in a planned stop.
     carried : int
         Slots the sender carries or copies, for placing copies evenly.
+    leads : int
+        Slots the sender carries.
     revisions : dict of str to int
         Newest revision held of each document.
     reply : bool
@@ -48,6 +50,7 @@
     domain: str
     draining: bool
     carried: int
+    leads: int
     revisions: dict[str, int]
     reply: bool
 
--- a/wisteriastair/operators/language.py
+++ b/wisteriastair/operators/language.py
@@ -180,7 +180,9 @@
         expected = exc.accepts or set(exc.expected)
     elif isinstance(exc, UnexpectedCharacters):
         expected = set(exc.allowed or ())
-    column = exc.column if exc.column > 0 else len(text) + 1
+    # At the end of the text the parser names the place of the last token.
+    at_end = isinstance(exc, UnexpectedToken) and exc.token.type == "$END"
+    column = len(text.rstrip()) + 1 if at_end else exc.column
     words = ", ".join(sorted(_spell(name) for name in expected))
     detail = f"column {column}: expected {words or 'a command'}"
     return Failure(Code.SYNTAX, detail, column=column)
