Fault run of real processes with a checker; engine stand-in shares its accelerator

Cause: the promises were proved in virtual time only; and the engine stand-in computed prompts beside decoding at no cost, so wasted cache could not cost latency as it does on an accelerator.

--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,14 @@
 
 clean:
 	rm -rf build dist out .mypy_cache .ruff_cache .pytest_cache
+
+SEED ?= 1
+N ?= 60
+
+.PHONY: faults load
+
+faults: $(STAMP)
+	$(BIN)/wisteriastair faults --seed $(SEED) --programs $(N)
+
+load: $(STAMP)
+	$(BIN)/wisteriastair load
--- a/wisteriastair/main.py
+++ b/wisteriastair/main.py
@@ -29,6 +29,7 @@
     check_side,
 )
 from .standins.demo import demo
+from .standins.faults import faults
 from .standins.load import load
 from .standins.main import standin_engine, standin_platform, standin_service
 
@@ -235,6 +236,7 @@
     "side": side,
     "ctl": ctl,
     "demo": demo,
+    "faults": faults,
     "load": load,
     "standin-platform": standin_platform,
     "standin-engine": standin_engine,
--- a/wisteriastair/standins/engine_model.py
+++ b/wisteriastair/standins/engine_model.py
@@ -1,9 +1,10 @@
 """A small model of a continuously batching engine with a prefix cache.
 
 Time advances in steps that the owner takes, in real time (the HTTP stand-in) or in
-virtual time (the load tool).  One share of each step computes prompts, in order of
-priority and arrival; every request whose prompt is computed gains output tokens, the
-slower the fuller the batch.  The cache holds prompt prefixes as a chain of blocks in
+virtual time (the load tool).  Each step computes prompts, in order of priority and
+arrival; every request whose prompt is computed gains output tokens, the slower the
+fuller the batch, and slower still while a prompt is being computed, since both share
+the accelerator.  The cache holds prompt prefixes as a chain of blocks in
 limited memory and evicts the least recently used.
 """
 
@@ -13,6 +14,8 @@
 from typing import Final, NamedTuple
 
 BATCH_SLOWDOWN: Final = 0.05
+# Share of the decoding speed that is left while a prompt is being computed.
+DECODE_SHARE: Final = 0.4
 
 
 class EngineSpeed(NamedTuple):
@@ -167,6 +170,8 @@
 
     def _decode(self, dt: float) -> None:
         slowdown = 1.0 + BATCH_SLOWDOWN * (len(self.running) - 1)
+        if any(request.to_compute > 0 for request in self.running):
+            slowdown /= DECODE_SHARE
         gain = dt * self.speed.decode_tokens_s / slowdown
         for request in self.running:
             if request.to_compute <= 0:
--- a/wisteriastair/standins/workload.py
+++ b/wisteriastair/standins/workload.py
@@ -18,7 +18,7 @@
 
 OFFICE_MODEL: Final = "jigsaw-7b@3"
 LABEL_MODEL: Final = "lyric-13b@2"
-CHAINS: Final = 10
+CHAINS: Final = 40
 CHAIN_TOKENS: Final = 9_000
 OFFICE_PREFIX_TOKENS: Final = 1_500
 MAX_NEGOTIATION_TURNS: Final = 60
