--- a/wisteriastair/core/admission.py
+++ b/wisteriastair/core/admission.py
@@ -48,6 +48,8 @@
         The parts it works with.
     max_active : int
         Programs under way at once on this carrier.
+    max_wait_s : float
+        Predicted seconds of waiting over which a new program is refused; 0 for none.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         dispatcher: Dispatcher,
         out: Outbox,
         max_active: int,
+        max_wait_s: float,
     ) -> None:
         self.refused = 0
         self.stopping = False
@@ -68,6 +71,7 @@
         self._dispatcher = dispatcher
         self._out = out
         self._max_active = max_active
+        self._max_wait_s = max_wait_s
         self._window_start = 0.0
         self._window_finished = 0
         self._rate = 0.0
@@ -113,11 +117,25 @@
             return failure
         if not self._slots.may_append(start.slot):
             return Failure(Code.NO_CARRIER, "the slot is moving", "no", SLOT_MOVES_S)
+        return self._overload(start, config, now)
+
+    def _overload(
+        self, start: ProgramStart, config: Config, now: float
+    ) -> Failure | None:
+        """Refuse what would only wait, so that what has begun can finish."""
         if self._carrier.active >= self._max_active:
             self.refused += 1
             detail = f"{self._carrier.active} programs under way here"
             return Failure(Code.OVERLOADED, detail, "no", self._come_back_s())
-        return None
+        service = config.services.get(start.service)
+        if start.operation or service is None or self._max_wait_s <= 0:
+            return None
+        wait_s = self._dispatcher.expected_wait_s(service, config, now)
+        if wait_s <= self._max_wait_s:
+            return None
+        self.refused += 1
+        detail = f"every server would keep it waiting {wait_s:.1f} s"
+        return Failure(Code.OVERLOADED, detail, "no", wait_s)
 
     def _check_program(self, start: ProgramStart, config: Config) -> Failure | None:
         service = config.services.get(start.service)
--- a/wisteriastair/core/dispatch.py
+++ b/wisteriastair/core/dispatch.py
@@ -79,6 +79,27 @@
             for server in config.servers.values()
         )
 
+    def expected_wait_s(self, service: Service, config: Config, now: float) -> float:
+        """Seconds that a new program's first call would wait at the best server.
+
+        0 if nothing recent is known: a carrier that has heard of no queue must not
+        refuse because of one.
+        """
+        waits = []
+        for server in config.servers.values():
+            if server.kind != "model" or server.state != "active":
+                continue
+            if not set(server.serves) & set(service.models):
+                continue
+            waits.append(self._router.wait_s(self._load_of(server.name, now)))
+        return min(waits, default=0.0)
+
+    def _load_of(self, server: str, now: float) -> Candidate:
+        view = self._views.setdefault(server, _ServerView())
+        fresh = now - view.load_at <= LOAD_MAX_AGE_S
+        load = view.load if fresh else None
+        return Candidate(server, 0, load, view.sent_since)
+
     def _servers(
         self, config: Config, kind: str, target: str, avoid: str, now: float
     ) -> dict[str, str]:
@@ -126,13 +147,10 @@
     def _candidate(
         self, program: Program, service: str, server: str, now: float
     ) -> Candidate:
-        view = self._views.setdefault(server, _ServerView())
-        fresh = now - view.load_at <= LOAD_MAX_AGE_S
         cached = self._shared.get((service, server), 0)
         if server == program.last_server:
             cached = program.last_tokens
-        load = view.load if fresh else None
-        return Candidate(server, cached, load, view.sent_since)
+        return self._load_of(server, now)._replace(cached_tokens=cached)
 
     def learn(self, program: Program, result: CallResult, now: float) -> None:
         """Take a server's load and what it had cached from a result."""
--- a/wisteriastair/core/gate.py
+++ b/wisteriastair/core/gate.py
@@ -291,7 +291,11 @@
         assert known.call is not None, "a queued call has its request"
         request = known.call
         waiting = Waiting(
-            request.priority, request.attained, known.since, request.prompt_tokens
+            request.priority,
+            request.attained,
+            known.since,
+            request.prompt_tokens,
+            known.since - request.age_s,
         )
         return self._order.key(waiting, now)
 
--- a/wisteriastair/core/ordering.py
+++ b/wisteriastair/core/ordering.py
@@ -24,6 +24,7 @@
     attained: int
     queued_at: float
     prompt_tokens: int
+    program_since: float
 
 
 class Order(ABC):
@@ -52,9 +53,23 @@
         return (-call.priority, aged, call.queued_at)
 
 
-ORDERS: Final = ("program", "fifo")
+class OldestProgram(Order):
+    """Finish what was begun first."""
+
+    def key(self, call: Waiting, now: float) -> tuple[float, ...]:
+        """Priority, then the program's start."""
+        return (-call.priority, call.program_since)
+
+
+ORDERS: Final = ("program", "attained", "fifo")
 
 
 def make_order(name: str) -> Order:
     """Build an order by its name in the settings."""
-    return Fifo() if name == "fifo" else LeastAttained()
+    match name:
+        case "fifo":
+            return Fifo()
+        case "attained":
+            return LeastAttained()
+        case _:
+            return OldestProgram()
--- a/wisteriastair/core/routing.py
+++ b/wisteriastair/core/routing.py
@@ -17,8 +17,7 @@
 from .hashing import hash_word, rank
 from .wire import ServerLoad
 
-SHARED_SUBSET: Final = 2
-REPORT_MAX_AGE_S: Final = 10.0
+CROWD_SHARE: Final = 0.1
 
 
 class EngineModel(NamedTuple):
@@ -69,7 +68,22 @@
 
 
 class Router(ABC):
-    """Chooses among candidates."""
+    """Chooses among candidates.
+
+    Parameters
+    ----------
+    engine : EngineModel
+        What calls cost.
+    """
+
+    def __init__(self, engine: EngineModel) -> None:
+        self.engine = engine
+
+    def wait_s(self, candidate: Candidate) -> float:
+        """Predict the seconds that a call waits for a place on a server."""
+        calls = _calls_at(candidate)
+        ahead = max(0, calls - self.engine.slots + 1)
+        return ahead * self.engine.call_s / self.engine.slots
 
     @abstractmethod
     def choose(self, call: Call, candidates: list[Candidate]) -> Candidate:
@@ -104,26 +118,19 @@
 class CostRouter(Router):
     """The chosen rule: least predicted seconds of waiting and recomputing."""
 
-    def __init__(self, engine: EngineModel) -> None:
-        self._engine = engine
-
     def choose(self, call: Call, candidates: list[Candidate]) -> Candidate:
         """Choose the cheapest, ties by hash so that choosers spread."""
         return min(candidates, key=lambda c: (self._cost(call, c), _tie(call, c)))
 
     def _cost(self, call: Call, candidate: Candidate) -> float:
+        engine = self.engine
         missing = max(0, call.prompt_tokens - candidate.cached_tokens)
-        prefill_s = missing / self._engine.prefill_tokens_s
+        prefill_s = missing / engine.prefill_tokens_s
         waste_factor = 0.5 + call.waste_weight
-        return self._wait_s(candidate) + waste_factor * prefill_s
-
-    def _wait_s(self, candidate: Candidate) -> float:
-        engine = self._engine
-        calls = _calls_at(candidate)
-        ahead = max(0, calls - engine.slots + 1)
-        # A fuller batch also slows each call a little before any has to wait.
-        crowd = 0.1 * engine.call_s * min(calls, engine.slots) / engine.slots
-        return crowd + ahead * engine.call_s / engine.slots
+        # A fuller batch slows each call a little before any has to wait.
+        calls = min(_calls_at(candidate), engine.slots)
+        crowd_s = CROWD_SHARE * engine.call_s * calls / engine.slots
+        return self.wait_s(candidate) + crowd_s + waste_factor * prefill_s
 
 
 def _calls_at(candidate: Candidate) -> int:
@@ -137,11 +144,6 @@
     return hash_word(call.program, candidate.server)
 
 
-def shared_prefix_servers(service: str, servers: list[str]) -> list[str]:
-    """Servers that keep a service's common prefix warm: a stable small subset."""
-    return rank(f"prefix {service}", servers)[:SHARED_SUBSET]
-
-
 ROUTERS: Final = ("cost", "round-robin", "least-load", "affinity")
 
 
@@ -149,10 +151,10 @@
     """Build a router by its name in the settings."""
     match name:
         case "round-robin":
-            return RoundRobin()
+            return RoundRobin(engine)
         case "least-load":
-            return LeastLoad()
+            return LeastLoad(engine)
         case "affinity":
-            return AffinityOnly()
+            return AffinityOnly(engine)
         case _:
             return CostRouter(engine)
--- a/wisteriastair/core/side.py
+++ b/wisteriastair/core/side.py
@@ -77,6 +77,7 @@
     gate: GateLimits = GateLimits()
     engine: EngineModel = EngineModel()
     max_active: int = 256
+    max_wait_s: float = 4.0
 
 
 class SideCore:
@@ -105,6 +106,7 @@
             dispatcher=self.dispatcher,
             out=self.out,
             max_active=cfg.max_active,
+            max_wait_s=cfg.max_wait_s,
         )
         order = make_order(cfg.order)
         self.gates = {
--- a/wisteriastair/daemons/side.py
+++ b/wisteriastair/daemons/side.py
@@ -78,6 +78,7 @@
                 GateLimits(cfg.running, cfg.kv_tokens, cfg.queued),
                 EngineModel(cfg.prefill_tokens_s),
                 cfg.max_active,
+                cfg.max_wait_s,
             )
         )
         self.transport = Transport(self.member, self._on_message)
--- a/wisteriastair/main.py
+++ b/wisteriastair/main.py
@@ -32,6 +32,7 @@
 from .standins.faults import faults
 from .standins.load import load
 from .standins.main import standin_engine, standin_platform, standin_service
+from .standins.measure import measure
 
 EXIT_BAD_SETTING: Final = 2
 
@@ -126,6 +127,7 @@
     queued: int = 64,
     kv_tokens: int = 200_000,
     max_active: int = 256,
+    max_wait_s: float = 4.0,
     prefill_tokens_s: float = 8_000.0,
     log_level: str = "info",
     trace_file: str = "",
@@ -153,7 +155,7 @@
     router : str
         cost, round-robin, least-load or affinity.
     order : str
-        program or fifo.
+        program, attained or fifo.
     running : int
         Calls at once in a backend server.
     queued : int
@@ -162,6 +164,8 @@
         Tokens at once in a model engine.
     max_active : int
         Programs under way at once on this process.
+    max_wait_s : float
+        Predicted wait over which a new program is refused; 0 for none.
     prefill_tokens_s : float
         Prompt tokens a second that one engine computes.
     log_level : str
@@ -182,6 +186,7 @@
         queued,
         kv_tokens,
         max_active,
+        max_wait_s,
         prefill_tokens_s,
     )
     bad = check_side(cfg)
@@ -238,6 +243,7 @@
     "demo": demo,
     "faults": faults,
     "load": load,
+    "measure": measure,
     "standin-platform": standin_platform,
     "standin-engine": standin_engine,
     "standin-service": standin_service,
--- a/wisteriastair/options.py
+++ b/wisteriastair/options.py
@@ -67,6 +67,8 @@
         Tokens that a gate lets into its server at once.
     max_active : int
         Programs under way at once on this process.
+    max_wait_s : float
+        Predicted seconds of waiting over which a new program is refused; 0 for none.
     prefill_tokens_s : float
         Prompt tokens a second that one engine computes, for comparing costs.
     """
@@ -80,6 +82,7 @@
     queued: int = 64
     kv_tokens: int = 200_000
     max_active: int = 256
+    max_wait_s: float = 4.0
     prefill_tokens_s: float = 8_000.0
 
 
@@ -159,6 +162,8 @@
         if number <= 0:
             flag = "--" + name.replace("_", "-")
             return BadSetting(flag, str(number), "a number greater than 0")
+    if cfg.max_wait_s < 0:
+        return BadSetting("--max-wait-s", str(cfg.max_wait_s), "seconds, or 0")
     return None
 
 
--- a/wisteriastair/standins/deployment.py
+++ b/wisteriastair/standins/deployment.py
@@ -72,6 +72,7 @@
         self.backends: dict[str, str] = {}
         self.platform_url = ""
         self.slots = int(example.get("slots", 16))
+        self.extra_bare_sides = 0
         self.extra_side: tuple[str, ...] = ()
         self._command = command
         self._client = httpx.Client(timeout=10.0)
@@ -86,6 +87,8 @@
             self.start_backend(server)
         for server in self.example["servers"]:
             self.start_side(server)
+        for number in range(self.extra_bare_sides):
+            self._start_bare_side(number)
         for number in range(entries):
             self.start_entry(f"entry-{number + 1}")
         self.wait_placed()
@@ -119,6 +122,16 @@
         self.list_instance(name, "side", address, server["domain"], servers)
         return name
 
+    def _start_bare_side(self, number: int) -> None:
+        """Start a side process with no backend server, to see what a fleet costs."""
+        name = f"side-bare-{number}"
+        address, http = free_address(), free_address()
+        domains = self.example["domains"]
+        domain = domains[(number + 1) % len(domains)]
+        args = ["--domain", domain, *self.extra_side]
+        self._start_daemon(name, "side", address, http, args)
+        self.list_instance(name, "side", address, domain, [])
+
     def start_entry(self, name: str) -> None:
         """Start an entry."""
         address, http = free_address(), free_address()
--- a/wisteriastair/standins/load.py
+++ b/wisteriastair/standins/load.py
@@ -41,13 +41,19 @@
 LONGEST_PAUSE_S: Final = 20.0
 DRAIN_S: Final = 900.0
 HIGHEST_MS: Final = 3_600_000
+NO_LIMIT: Final = 0.0
+MAX_WAIT_S: Final = 4.0
+# Router, order, and the predicted wait over which a new program is refused.
 POLICIES: Final = {
-    "round robin, fifo": ("round-robin", "fifo"),
-    "least load, fifo": ("least-load", "fifo"),
-    "affinity, fifo": ("affinity", "fifo"),
-    "cost, program": ("cost", "program"),
+    "round robin, fifo": ("round-robin", "fifo", NO_LIMIT),
+    "least load, fifo": ("least-load", "fifo", NO_LIMIT),
+    "affinity, fifo": ("affinity", "fifo", NO_LIMIT),
+    "cost, fifo": ("cost", "fifo", NO_LIMIT),
+    "cost, attained": ("cost", "attained", NO_LIMIT),
+    "cost, program": ("cost", "program", NO_LIMIT),
+    "chosen": ("cost", "program", MAX_WAIT_S),
 }
-CHOSEN: Final = "cost, program"
+CHOSEN: Final = "chosen"
 
 
 class Run(NamedTuple):
@@ -85,7 +91,7 @@
 
 def deployment_for(workload: Workload, policy: str, seed: int) -> VirtualDeployment:
     """Start a deployment for a workload under a policy."""
-    router, order = POLICIES[policy]
+    router, order, max_wait_s = POLICIES[policy]
     speed = EngineSpeed()
     deployment = VirtualDeployment(
         VirtualOptions(
@@ -97,6 +103,7 @@
             gate=GateLimits(speed.batch, speed.cache_tokens, 64),
             router=router,
             order=order,
+            max_wait_s=max_wait_s,
         )
     )
     for server in workload.servers:
@@ -118,10 +125,13 @@
 class _Caller:
     """Gathers what callers see in one run."""
 
-    def __init__(self, deployment: VirtualDeployment, workload: Workload) -> None:
+    def __init__(
+        self, deployment: VirtualDeployment, workload: Workload, window_s: float
+    ) -> None:
         self.deployment = deployment
         self.workload = workload
         self.waiting = 0
+        self.window_s = window_s
         self.latency = HdrHistogram(1, HIGHEST_MS, 3)
         self.total_s = 0.0
         self.finished = 0
@@ -148,18 +158,18 @@
         def ended(event: CallerEvent) -> None:
             self.waiting -= 1
             del self.deployment.events[request]
+            done = isinstance(event, Done) and event.outcome.status == "done"
+            began_s = window_end - self.window_s
+            self.in_window += done and began_s <= self.deployment.now <= window_end
             if count:
-                self._count(event, arrival, began, window_end)
+                self._count(event, arrival, began)
 
         self.deployment.on_last[request] = ended
 
-    def _count(
-        self, event: CallerEvent, arrival: Arrival, began: float, window_end: float
-    ) -> None:
+    def _count(self, event: CallerEvent, arrival: Arrival, began: float) -> None:
         taken = self.deployment.now - began
         if isinstance(event, Done) and event.outcome.status == "done":
             self.finished += 1
-            self.in_window += self.deployment.now <= window_end
             self.total_s += taken
             self.latency.record_value(max(1, int(taken * 1000)))
             self.by_customer.setdefault(arrival.customer, []).append(taken)
@@ -183,7 +193,7 @@
     """Make one run."""
     workload = workload_of(run.user)
     deployment = deployment_for(workload, run.policy, run.seed)
-    caller = _Caller(deployment, workload)
+    caller = _Caller(deployment, workload, run.seconds - WARM_UP_S)
     begin = deployment.now
     window_end = begin + run.seconds
     for arrival in arrivals(workload, run.rate_s, run.seconds, run.seed):
--- a/wisteriastair/standins/virtual.py
+++ b/wisteriastair/standins/virtual.py
@@ -115,6 +115,7 @@
     router: str = "cost"
     order: str = "program"
     max_active: int = 256
+    max_wait_s: float = 4.0
 
 
 # Extra delays of the copies of a message that arrive; none for a lost one.
@@ -261,6 +262,7 @@
                 cfg.gate,
                 cfg.engine,
                 cfg.max_active,
+                cfg.max_wait_s,
             )
         )
         self.instances[name] = Instance(
