Shared beginnings and slow servers in the choice of a server

Cause: what a first call finds cached was remembered by service, so the 40 rights chains of one service overwrote each other's; and a slow server with a short queue looked cheap. Change: remembered by the prompt's first 256 characters, with two preferred servers for a beginning not seen yet; a penalty for servers twice as slow as the middle one; recomputed prompt seconds weigh 1 + 6 w.

--- a/wisteriastair/core/carrier.py
+++ b/wisteriastair/core/carrier.py
@@ -378,7 +378,6 @@
             intent.repeatable,
             max(0, intent.reserved - bound),
             self._service(run).priority,
-            program.spent,
             self._now - start.started_at,
             bound,
             self._remaining_s(run) if model else limits.tool_s,
--- a/wisteriastair/core/dispatch.py
+++ b/wisteriastair/core/dispatch.py
@@ -9,12 +9,21 @@
 from typing import Final, NamedTuple
 
 from .config import Config, Service
+from .hashing import hash_word, rank
 from .peers import Peers
 from .program import Program
 from .routing import Call, Candidate, Router
 from .wire import CallResult, ServerLoad
 
 LOAD_MAX_AGE_S: Final = 10.0
+PREFIX_CHARS: Final = 256
+PREFERRED: Final = 2
+SMOOTHING: Final = 0.2
+MIN_COMPARED: Final = 3
+SLOW_FACTOR: Final = 2.0
+# Prompt tokens that an engine computes in the time of one output token, roughly.
+PREFILL_PER_DECODE: Final = 200
+MAX_PREFIXES: Final = 4_096
 
 
 class Place(NamedTuple):
@@ -32,6 +41,8 @@
         self.load: ServerLoad | None = None
         self.load_at = 0.0
         self.sent_since = 0
+        self.token_s = 0.0
+        self.call_s = 0.0
 
 
 class Dispatcher:
@@ -49,7 +60,8 @@
         self._router = router
         self._peers = peers
         self._views: dict[str, _ServerView] = {}
-        self._shared: dict[tuple[str, str], int] = {}
+        self._shared: dict[tuple[int, str], int] = {}
+        self._shared_tokens: dict[str, int] = {}
         self._sequence = 0
 
     def place_model(
@@ -98,7 +110,22 @@
         view = self._views.setdefault(server, _ServerView())
         fresh = now - view.load_at <= LOAD_MAX_AGE_S
         load = view.load if fresh else None
-        return Candidate(server, 0, load, view.sent_since)
+        extra_s = self._extra_s(view) if fresh else 0.0
+        return Candidate(server, 0, load, view.sent_since, extra_s)
+
+    def _extra_s(self, view: _ServerView) -> float:
+        """Seconds by which a server has lately been slower than the middle one.
+
+        A server that answers slowly need not have a long queue.  The penalty ends
+        when its last report is old, so that it is tried again now and then.
+        """
+        known = sorted(v.token_s for v in self._views.values() if v.token_s > 0)
+        if len(known) < MIN_COMPARED or view.token_s <= 0:
+            return 0.0
+        middle = known[len(known) // 2]
+        if view.token_s < SLOW_FACTOR * middle:
+            return 0.0
+        return view.call_s * (1.0 - middle / view.token_s)
 
     def _servers(
         self, config: Config, kind: str, target: str, avoid: str, now: float
@@ -136,21 +163,32 @@
             service.waste_weight,
             self._sequence,
         )
+        preferred = rank(f"prefix {_prefix_of(program)}", servers)[:PREFERRED]
         candidates = [
-            self._candidate(program, service.name, name, now)
-            for name in sorted(servers)
+            self._candidate(program, name, preferred, now) for name in sorted(servers)
         ]
         chosen = self._router.choose(call, candidates).server
         self._views.setdefault(chosen, _ServerView()).sent_since += 1
         return Place(chosen, servers[chosen], target)
 
     def _candidate(
-        self, program: Program, service: str, server: str, now: float
+        self, program: Program, server: str, preferred: list[str], now: float
     ) -> Candidate:
-        cached = self._shared.get((service, server), 0)
+        """Describe a server to the router.
+
+        For a first call, what other programs with the same beginning had cached there
+        is the estimate; until this process has seen one, the servers that all
+        processes prefer for that beginning are taken to have it.
+        """
+        candidate = self._load_of(server, now)
+        if program.last_tokens == 0:
+            cached = self._shared.get((_prefix_of(program), server))
+            if cached is None and server in preferred:
+                cached = self._shared_tokens.get(program.start.service, 0)
+            return candidate._replace(cached_tokens=cached or 0)
         if server == program.last_server:
-            cached = program.last_tokens
-        return self._load_of(server, now)._replace(cached_tokens=cached)
+            return candidate._replace(cached_tokens=program.last_tokens)
+        return candidate
 
     def learn(self, program: Program, result: CallResult, now: float) -> None:
         """Take a server's load and what it had cached from a result."""
@@ -160,7 +198,36 @@
         # The report was made when the call ended; calls sent since then that are
         # still under way are in it, so counting them again would scare callers off.
         view.sent_since = 0
-        first = program.last_tokens == 0
-        if first and result.status == "ok":
-            key = (program.start.service, result.server)
-            self._shared[key] = result.cached_tokens
+        if result.status == "ok" and program.call is not None:
+            _learn_speed(view, result, now - program.call.intended_at)
+        if program.last_tokens == 0 and result.status == "ok":
+            self._learn_prefix(program, result)
+
+    def _learn_prefix(self, program: Program, result: CallResult) -> None:
+        service = program.start.service
+        known = self._shared_tokens.get(service, 0)
+        self._shared_tokens[service] = max(known, result.cached_tokens)
+        # After this call the server has at least the shared beginning cached.
+        tokens = max(result.cached_tokens, self._shared_tokens[service])
+        key = (_prefix_of(program), result.server)
+        self._shared.pop(key, None)
+        self._shared[key] = tokens
+        if len(self._shared) > MAX_PREFIXES:
+            del self._shared[next(iter(self._shared))]
+
+
+def _learn_speed(view: _ServerView, result: CallResult, taken_s: float) -> None:
+    """Smooth the time of a call, whole and for each token that it computed."""
+    if result.completion_tokens == 0:
+        return
+    computed = result.prompt_tokens - result.cached_tokens
+    work = result.completion_tokens + computed / PREFILL_PER_DECODE
+    token_s = taken_s / work
+    share = SMOOTHING if view.token_s > 0 else 1.0
+    view.token_s += share * (token_s - view.token_s)
+    view.call_s += share * (taken_s - view.call_s)
+
+
+def _prefix_of(program: Program) -> int:
+    """Tell programs that begin alike, and so share a cached prefix, by a hash."""
+    return hash_word("prefix", program.start.prompt[:PREFIX_CHARS])
--- a/wisteriastair/core/gate.py
+++ b/wisteriastair/core/gate.py
@@ -292,7 +292,6 @@
         request = known.call
         waiting = Waiting(
             request.priority,
-            request.attained,
             known.since,
             request.prompt_tokens,
             known.since - request.age_s,
--- a/wisteriastair/core/routing.py
+++ b/wisteriastair/core/routing.py
@@ -18,6 +18,10 @@
 from .wire import ServerLoad
 
 CROWD_SHARE: Final = 0.1
+# Seconds of computing a prompt again count more than seconds of waiting, since they
+# also slow every other call on that server.  Measured: docs/design/policy.md.
+WASTE_BASE: Final = 1.0
+WASTE_SLOPE: Final = 6.0
 
 
 class EngineModel(NamedTuple):
@@ -49,12 +53,15 @@
         Newest report; None if there is none or it is too old.
     sent_since : int
         Calls this process has sent since that report and not had back.
+    extra_s : float
+        Seconds that a call has lately taken longer here than on the middle server.
     """
 
     server: str
     cached_tokens: int
     load: ServerLoad | None
     sent_since: int
+    extra_s: float = 0.0
 
 
 class Call(NamedTuple):
@@ -126,11 +133,12 @@
         engine = self.engine
         missing = max(0, call.prompt_tokens - candidate.cached_tokens)
         prefill_s = missing / engine.prefill_tokens_s
-        waste_factor = 0.5 + call.waste_weight
+        waste_factor = WASTE_BASE + WASTE_SLOPE * call.waste_weight
         # A fuller batch slows each call a little before any has to wait.
         calls = min(_calls_at(candidate), engine.slots)
         crowd_s = CROWD_SHARE * engine.call_s * calls / engine.slots
-        return self.wait_s(candidate) + crowd_s + waste_factor * prefill_s
+        busy_s = self.wait_s(candidate) + crowd_s + candidate.extra_s
+        return busy_s + waste_factor * prefill_s
 
 
 def _calls_at(candidate: Candidate) -> int:
--- a/wisteriastair/core/wire.py
+++ b/wisteriastair/core/wire.py
@@ -148,8 +148,8 @@
         Whether the call may run twice.
     max_tokens : int
         Completion tokens the reservation covers.
-    priority, attained : int
-        Service priority (higher first) and tokens the program has had so far.
+    priority : int
+        Service priority; higher goes first.
     age_s : float
         Seconds since the program started.
     prompt_tokens : int
@@ -174,7 +174,6 @@
     repeatable: bool
     max_tokens: int
     priority: int
-    attained: int
     age_s: float
     prompt_tokens: int
     timeout_s: float
--- a/wisteriastair/main.py
+++ b/wisteriastair/main.py
@@ -155,7 +155,7 @@
     router : str
         cost, round-robin, least-load or affinity.
     order : str
-        program, attained or fifo.
+        program or fifo.
     running : int
         Calls at once in a backend server.
     queued : int
--- a/wisteriastair/standins/load.py
+++ b/wisteriastair/standins/load.py
@@ -38,6 +38,8 @@
 SATURATION: Final = 4.0
 FIRST_GUESS_S: Final = {"office": 6.0, "ben-ammar": 1.0}
 WARM_UP_S: Final = 60.0
+SLOWNESS: Final = 4.0
+FAULTS: Final = ("", "slow", "lost")
 LONGEST_PAUSE_S: Final = 20.0
 DRAIN_S: Final = 900.0
 HIGHEST_MS: Final = 3_600_000
@@ -49,7 +51,6 @@
     "least load, fifo": ("least-load", "fifo", NO_LIMIT),
     "affinity, fifo": ("affinity", "fifo", NO_LIMIT),
     "cost, fifo": ("cost", "fifo", NO_LIMIT),
-    "cost, attained": ("cost", "attained", NO_LIMIT),
     "cost, program": ("cost", "program", NO_LIMIT),
     "chosen": ("cost", "program", MAX_WAIT_S),
 }
@@ -65,6 +66,7 @@
     rate_s: float
     seconds: float
     seed: int
+    fault: str = ""
 
 
 class Result(NamedTuple):
@@ -203,6 +205,7 @@
             caller.send(a, c, window_end)
 
         deployment.after(arrival.at, send)
+    _schedule_fault(deployment, run)
     deployment.run(run.seconds)
     deployment.run_until(lambda: caller.waiting == 0, DRAIN_S)
     ledger = deployment.ledger
@@ -223,6 +226,20 @@
     )
 
 
+def _schedule_fault(deployment: VirtualDeployment, run: Run) -> None:
+    """Make a server slow, or lose one, a third into the run."""
+    at = run.seconds / 3
+    first = deployment.cfg.servers[0].name
+    match run.fault:
+        case "slow":
+            engine = deployment.engines[first]
+            deployment.after(at, lambda: setattr(engine, "slow_factor", SLOWNESS))
+        case "lost":
+            deployment.after(at, lambda: deployment.kill(f"side-{first}"))
+        case _:
+            pass
+
+
 def capacity_of(user: str, seconds: float) -> float:
     """Programs a second that the chosen policy finishes when offered too many."""
     rate = FIRST_GUESS_S[user]
@@ -237,6 +254,7 @@
     seeds: int = 3,
     seconds: float = 360.0,
     jobs: int = 4,
+    fault: str = "",
     plot: str = "",
 ) -> int:
     """Compare policies on the users' workloads in virtual time.
@@ -253,6 +271,8 @@
         Virtual seconds of arrivals.
     jobs : int
         Runs at once.
+    fault : str
+        slow or lost: what happens to one model server a third into each run.
     plot : str
         File for the results as JSON lines; empty for none.
     """
@@ -260,7 +280,7 @@
         found = pool.map(capacity_of, users, [seconds] * len(users))
         capacities = dict(zip(users, found, strict=True))
         runs = [
-            Run(user, policy, share, share * capacities[user], seconds, seed)
+            Run(user, policy, share, share * capacities[user], seconds, seed, fault)
             for user in users
             for share in loads
             for policy in POLICIES
