--- /dev/null
+++ b/tests/daemons/test_deployment.py
@@ -0,0 +1,144 @@
+"""The daemons as real processes: the path, the operators' client, traces, a stop."""
+
+from __future__ import annotations
+
+import json
+import signal
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import httpx
+import pytest
+
+from wisteriastair.standins.deployment import (
+    CALLER_TOKEN,
+    OPERATOR_TOKEN,
+    Deployment,
+    read_example,
+)
+from wisteriastair.standins.script import final_answer
+
+EXAMPLE = Path(__file__).parents[2] / "examples" / "office.toml"
+TIMEOUT_S = 60.0
+
+
+@pytest.fixture(scope="module")
+def deployment(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Deployment]:
+    found = Deployment(read_example(EXAMPLE), tmp_path_factory.mktemp("office"))
+    try:
+        found.start()
+        found.wait_revision(found.configure())
+        yield found
+    finally:
+        found.stop()
+
+
+def post_program(deployment: Deployment, key: str, entry: int = 0) -> Any:
+    program = deployment.example["program"]
+    answer = httpx.post(
+        f"{deployment.entries()[entry]}/v1/programs",
+        json={"service": program["service"], "prompt": program["prompt"]},
+        headers={
+            "authorization": f"Bearer {CALLER_TOKEN}",
+            "idempotency-key": key,
+        },
+        timeout=TIMEOUT_S,
+    )
+    return answer.json()
+
+
+def ctl(deployment: Deployment, *words: str) -> subprocess.CompletedProcess[str]:
+    flags = ["--url", deployment.entries()[0], "--token", OPERATOR_TOKEN]
+    return subprocess.run(
+        [sys.executable, "-m", "wisteriastair", "ctl", *flags, *words],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+def test_program_is_answered_whole_through_both_entries(
+    deployment: Deployment,
+) -> None:
+    expected = final_answer(deployment.example["program"]["prompt"])
+    first = post_program(deployment, "k1")
+    assert first["answer"] == expected
+    assert post_program(deployment, "k1", entry=1) == first
+
+
+def test_each_hop_has_a_span_in_one_trace(deployment: Deployment) -> None:
+    post_program(deployment, "k2")
+    lines = (deployment.folder / "spans.jsonl").read_text("utf-8").splitlines()
+    spans = [json.loads(line) for line in lines]
+    by_trace: dict[str, set[str]] = {}
+    for span in spans:
+        by_trace.setdefault(span["trace"], set()).add(span["name"])
+    wanted = {"entry start", "carrier", "gate engine", "gate service"}
+    assert any(wanted <= names for names in by_trace.values())
+
+
+def test_ctl_prints_tables_json_and_errors(deployment: Deployment) -> None:
+    table = ctl(deployment, "show", "servers")
+    assert table.returncode == 0
+    assert "jigsaw-1" in table.stdout
+    as_json = ctl(deployment, "show", "config", "--json")
+    assert json.loads(as_json.stdout)["columns"][0] == "revision"
+    wrong = ctl(deployment, "show", "everything")
+    assert wrong.returncode == 1
+    assert "     ^" in wrong.stderr
+    stale = ctl(deployment, "set", "service", "appraisal", "budget", "9", "if",
+                "revision", "1")  # fmt: skip
+    assert stale.returncode == 1
+    assert "conflict" in stale.stderr
+
+
+def test_planned_stop_of_a_side_process_ends_by_itself(
+    deployment: Deployment,
+) -> None:
+    """A fourth side process takes over slots; the first leaves and exits with 0."""
+    server = deployment.example["servers"][0]
+    victim = f"side-{server['name']}"
+    deployment.start_bare_side(server["domain"])
+    deployment.signal(victim, signal.SIGTERM)
+    popen = deployment.processes[victim].popen
+    assert popen.wait(TIMEOUT_S) == 0
+    deployment.unlist(victim)
+    del deployment.processes[victim]
+    expected = final_answer(deployment.example["program"]["prompt"])
+    assert post_program(deployment, "k3")["answer"] == expected
+
+
+@pytest.mark.parametrize(
+    ("flag", "value", "allowed"),
+    [
+        ("--listen", "here", "IP:PORT"),
+        ("--platform-url", "kv", "http(s)://"),
+        ("--slots", "0", "1 to"),
+        ("--router", "magic", "cost, round-robin"),
+        ("--models", "m1", "NAME=http"),
+    ],
+)
+def test_wrong_setting_ends_with_one_clear_line(
+    flag: str, value: str, allowed: str
+) -> None:
+    args = {
+        "--listen": "127.0.0.1:7001",
+        "--http": "127.0.0.1:7002",
+        "--domain": "lac",
+        "--platform-url": "http://127.0.0.1:7003",
+    }
+    args[flag] = value
+    words = [word for pair in args.items() for word in pair]
+    ended = subprocess.run(
+        [sys.executable, "-m", "wisteriastair", "side", *words],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert ended.returncode == 2
+    assert len(ended.stderr.splitlines()) == 1
+    assert flag in ended.stderr
+    assert allowed in ended.stderr
--- a/wisteriastair/standins/deployment.py
+++ b/wisteriastair/standins/deployment.py
@@ -88,7 +88,8 @@
         for server in self.example["servers"]:
             self.start_side(server)
         for number in range(self.extra_bare_sides):
-            self._start_bare_side(number)
+            domains = self.example["domains"]
+            self.start_bare_side(domains[(number + 1) % len(domains)])
         for number in range(entries):
             self.start_entry(f"entry-{number + 1}")
         self.wait_placed()
@@ -122,12 +123,11 @@
         self.list_instance(name, "side", address, server["domain"], servers)
         return name
 
-    def _start_bare_side(self, number: int) -> None:
-        """Start a side process with no backend server, to see what a fleet costs."""
+    def start_bare_side(self, domain: str) -> None:
+        """Start a side process with no backend server."""
+        number = len([name for name in self.processes if name.startswith("side-bare")])
         name = f"side-bare-{number}"
         address, http = free_address(), free_address()
-        domains = self.example["domains"]
-        domain = domains[(number + 1) % len(domains)]
         args = ["--domain", domain, *self.extra_side]
         self._start_daemon(name, "side", address, http, args)
         self.list_instance(name, "side", address, domain, [])
--- a/wisteriastair/standins/measure.py
+++ b/wisteriastair/standins/measure.py
@@ -158,16 +158,14 @@
 def _first_token_s(url: str, headers: dict[str, str], body: Any, mark: str) -> float:
     """Seconds from the request to the first output."""
     began = time.perf_counter()
+    taken = 0.0
     with httpx.stream(
         "POST", url, json=body, headers=headers, timeout=TIMEOUT_S
     ) as answer:
         for line in answer.iter_lines():
-            if line.startswith("data: ") and mark in line:
+            if not taken and line.startswith("data: ") and mark in line:
                 taken = time.perf_counter() - began
-                for _ in answer.iter_lines():
-                    pass
-                return taken
-    return TIMEOUT_S
+    return taken or TIMEOUT_S
 
 
 def _report_first_token() -> None:
