--- a/tests/core/deployments.py
+++ b/tests/core/deployments.py
@@ -73,8 +73,8 @@
         core = node.core
         if name.startswith("side") and node.alive and not node.drained:
             assert isinstance(core, SideCore)
-            if program in core.carrier.running and core.slots.is_open(
-                core.carrier.running[program].slot
+            if program in core.programs.by_name and core.slots.is_open(
+                core.programs.by_name[program].slot
             ):
                 return name
     return ""
--- a/tests/sessions/test_sessions.py
+++ b/tests/sessions/test_sessions.py
@@ -210,7 +210,7 @@
 def unused(session: Session, name: str) -> None:
     for node in session.deployment.nodes.values():
         if isinstance(node.core, SideCore):
-            for run in node.core.carrier.running.values():
+            for run in node.core.programs.by_name.values():
                 assert name not in run.program.servers
 
 
--- a/wisteriastair/core/admission.py
+++ b/wisteriastair/core/admission.py
@@ -18,7 +18,7 @@
 from .program import EndStep, Program
 from .records import Action, Limits, ProgramStarted
 from .replica import Role
-from .running import Running, Subscriber
+from .running import Running, RunningPrograms, Subscriber
 from .slots import Slots
 from .wire import (
     ListPrograms,
@@ -44,7 +44,7 @@
     ----------
     me : str
         Member id, for the operators' listing.
-    carrier, slots, dispatcher, out
+    carrier, programs, slots, dispatcher, out
         The parts it works with.
     max_active : int
         Programs under way at once on this carrier.
@@ -57,6 +57,7 @@
         me: str,
         *,
         carrier: Carrier,
+        programs: RunningPrograms,
         slots: Slots,
         dispatcher: Dispatcher,
         out: Outbox,
@@ -67,6 +68,7 @@
         self.stopping = False
         self._me = me
         self._carrier = carrier
+        self._programs = programs
         self._slots = slots
         self._dispatcher = dispatcher
         self._out = out
@@ -80,7 +82,7 @@
         """Start a program, or join the one that the same key started."""
         if not self._is_here(sender, start.request, start.slot):
             return
-        run = self._carrier.running.get(start.program)
+        run = self._programs.by_name.get(start.program)
         if run is None:
             failure = self._refusal(start, now)
             if failure is not None:
@@ -109,7 +111,7 @@
         if start.slot in self._carrier.lost_slots:
             detail = "this key's earlier state was lost; a new key runs it for certain"
             return Failure(Code.OUTCOME_UNKNOWN, detail, "unknown")
-        config = self._carrier.config
+        config = self._programs.config
         failure = _check_plain(start, config)
         if not start.operation:
             failure = self._check_program(start, config)
@@ -123,9 +125,9 @@
         self, start: ProgramStart, config: Config, now: float
     ) -> Failure | None:
         """Refuse what would only wait, so that what has begun can finish."""
-        if self._carrier.active >= self._max_active:
+        if self._programs.active >= self._max_active:
             self.refused += 1
-            detail = f"{self._carrier.active} programs under way here"
+            detail = f"{self._programs.active} programs under way here"
             return Failure(Code.OVERLOADED, detail, "no", self._come_back_s())
         service = config.services.get(start.service)
         if start.operation or service is None or self._max_wait_s <= 0:
@@ -151,7 +153,7 @@
 
     def _come_back_s(self) -> float:
         """Seconds until a place is likely to be free, from the recent rate."""
-        excess = max(1, self._carrier.active - self._max_active + 1)
+        excess = max(1, self._programs.active - self._max_active + 1)
         if self._rate <= 0:
             return 5.0
         return min(60.0, max(0.5, excess / self._rate))
@@ -163,7 +165,7 @@
             limits = Limits(1, 1, 1, PLAIN_WALL_S, PLAIN_TOOL_S)
             plain: Action | None = Action(start.operation, start.prompt)
         else:
-            service = self._carrier.config.services[start.service]
+            service = self._programs.config.services[start.service]
             limits = new_limits(service, start.budget)
             plain = None
         return ProgramStarted(
@@ -205,7 +207,7 @@
         """Subscribe a request to an existing program."""
         if not self._is_here(sender, attach.request, attach.slot):
             return
-        run = self._carrier.running.get(attach.program)
+        run = self._programs.by_name.get(attach.program)
         if run is None or run.program.start.customer != attach.customer:
             failure = self._not_found(attach.slot)
             self._fail(sender, attach.request, attach.program, failure)
@@ -233,7 +235,7 @@
         """End a program at its caller's wish."""
         if not self._is_here(sender, cancel.request, cancel.slot):
             return
-        run = self._carrier.running.get(cancel.program)
+        run = self._programs.by_name.get(cancel.program)
         if run is None or run.program.start.customer != cancel.customer:
             failure = self._not_found(cancel.slot)
             self._fail(sender, cancel.request, cancel.program, failure)
@@ -248,7 +250,7 @@
         """List the programs carried here."""
         rows = [
             self._row(run, now)
-            for _, run in sorted(self._carrier.running.items())
+            for _, run in sorted(self._programs.by_name.items())
             if not question.customer or run.program.start.customer == question.customer
         ]
         limited = tuple(rows[: question.limit])
--- a/wisteriastair/core/running.py
+++ b/wisteriastair/core/running.py
@@ -1,4 +1,4 @@
-"""What a carrier keeps of a program beside its committed state.
+"""The programs on their carrier, and what it keeps beside their committed state.
 
 Nothing here outlives the carrier: a successor starts with an empty `Running` and asks
 the gates.
@@ -8,8 +8,11 @@
 
 from typing import Final
 
+from .config import EMPTY_CONFIG, Config, Service
 from .outbox import Outbox
 from .program import Program
+from .records import Record
+from .slots import Slots
 from .wire import ProgramOutcome, ProgramPending, ProgramText
 
 SUBSCRIPTION_S: Final = 10.0
@@ -124,3 +127,62 @@
             program.spent,
             program.turns,
         )
+
+
+class RunningPrograms:
+    """All programs carried here, and the log below them.
+
+    Attributes
+    ----------
+    config : Config
+        The configuration in force.
+    now : float
+        Time of the present step in seconds.
+    by_name : dict of str to Running
+        Every program, under way or kept for late askers.
+    live : dict of str to None
+        Names of those under way, in the order in which they came.
+    """
+
+    def __init__(self) -> None:
+        self.config: Config = EMPTY_CONFIG
+        self.now = 0.0
+        self.by_name: dict[str, Running] = {}
+        self.live: dict[str, None] = {}
+        self._slots: Slots
+
+    @property
+    def active(self) -> int:
+        """Programs under way."""
+        return len(self.live)
+
+    def bind(self, slots: Slots) -> None:
+        """Connect the replication below (the two know each other)."""
+        self._slots = slots
+
+    def may_append(self, run: Running) -> bool:
+        """Whether records can be added to a program's slot now."""
+        return self._slots.may_append(run.slot)
+
+    def epoch(self, run: Running) -> int:
+        """Epoch under which a program is carried."""
+        return self._slots.epoch(run.slot)
+
+    def append(
+        self, run: Running, record: Record, *, new_program: bool = False
+    ) -> None:
+        """Add a record; it takes effect when it is committed."""
+        if not new_program:
+            run.uncommitted += 1
+        self._slots.append(run.slot, record.program, record)
+
+    def forget(self, run: Running) -> None:
+        """Drop a program from the log and from here."""
+        name = run.program.start.program
+        self._slots.append(run.slot, name, None)
+        del self.by_name[name]
+
+    def service(self, run: Running) -> Service:
+        """Return a program's service as configured now, or as it was at its start."""
+        definition = run.program.start.definition
+        return self.config.services.get(definition.name, definition)
--- a/wisteriastair/core/side.py
+++ b/wisteriastair/core/side.py
@@ -10,6 +10,7 @@
 
 from .admission import Admission
 from .balance import Balance
+from .calls import Calls
 from .carrier import Carrier
 from .config import CONFIG_KEY, decode_config
 from .dispatch import Dispatcher
@@ -37,6 +38,7 @@
 from .peers import Peers
 from .placement import Placement
 from .routing import EngineModel, make_router
+from .running import RunningPrograms
 from .slots import Slots
 from .wire import (
     Acknowledge,
@@ -91,7 +93,9 @@
         self.peers = Peers(me, cfg.domain, self.docs, self.out)
         self.placement = Placement(me, cfg.slots, cfg.segments)
         self.dispatcher = Dispatcher(make_router(cfg.router, cfg.engine), self.peers)
-        self.carrier = Carrier(self.dispatcher, self.peers, self.out)
+        self.programs = RunningPrograms()
+        self.calls = Calls(self.programs, self.dispatcher, self.peers, self.out)
+        self.carrier = Carrier(self.programs, self.calls, self.out)
         self.slots = Slots(
             me,
             placement=self.placement,
@@ -99,13 +103,14 @@
             out=self.out,
             listener=self.carrier,
         )
-        self.carrier.bind(self.slots)
+        self.programs.bind(self.slots)
         self.balance = Balance(
             me, slots=self.slots, placement=self.placement, peers=self.peers
         )
         self.admission = Admission(
             me,
             carrier=self.carrier,
+            programs=self.programs,
             slots=self.slots,
             dispatcher=self.dispatcher,
             out=self.out,
@@ -123,7 +128,7 @@
 
     def step(self, event: Event, now: float) -> list[Effect]:
         """Take one event; return what the shell must do."""
-        self.carrier.set_time(now)
+        self.programs.now = now
         match event:
             case Received(sender, message):
                 self._receive(sender, message, now)
@@ -170,7 +175,7 @@
             return
         self.out.extend(self.docs.spread(key))
         if key == CONFIG_KEY:
-            self.carrier.config = decode_config(value)
+            self.programs.config = decode_config(value)
             self._mark_leaving()
             self.out.note(f"configuration {revision} in force")
         elif self.placement.owns(key):
@@ -183,7 +188,7 @@
         A router that has not heard yet still sends calls here; the gate's refusal is
         what makes the promise independent of how fast the news travels.
         """
-        servers = self.carrier.config.servers
+        servers = self.programs.config.servers
         for name, gate in self.gates.items():
             server = servers.get(name)
             declared = server is not None and server.state == "leaving"
@@ -211,11 +216,11 @@
             case CopyEnd():
                 self.slots.copies.on_copy_end(sender, message)
             case CallText():
-                self.carrier.on_text(sender, message)
+                self.calls.on_text(sender, message)
             case CallResult():
-                self.carrier.on_result(message)
+                self.calls.on_result(message)
             case CallPending():
-                self.carrier.on_pending(message)
+                self.calls.on_pending(message)
             case ProgramStart():
                 self.admission.on_start(sender, message, now)
             case ProgramAttach():
--- a/wisteriastair/metrics.py
+++ b/wisteriastair/metrics.py
@@ -48,7 +48,7 @@
         core = self._shell.core
         yield from _transport_metrics(self._shell.transport.counts)
         yield _gauge("slots_held", "Slots carried or copied", core.slots.count())
-        yield _gauge("programs_active", "Programs under way", core.carrier.active)
+        yield _gauge("programs_active", "Programs under way", core.programs.active)
         yield _counter("programs_ended", "Programs ended", core.carrier.finished)
         yield _counter("programs_refused", "Starts refused", core.admission.refused)
         yield _counter("table_writes", "Slot table writes", core.placement.writes)
@@ -106,7 +106,7 @@
                 "member": shell.member,
                 "slots": core.slots.count(),
                 "carried": len(core.slots.carried()),
-                "active": core.carrier.active,
+                "active": core.programs.active,
                 "revisions": core.docs.revisions(),
                 "holds": {name: gate.holds() for name, gate in core.gates.items()},
                 "draining": core.peers.draining,
