Bound of a planned stop; silent connections proved over sockets

Change: stop-s bounds the wait and says what was held; a second signal ends the process at once. The transport's answer to a connection that goes silent is tested through a forwarder that forgets open connections. Conclusion: a stop ends, and tells what it could not do.

--- a/tests/core/test_failures.py
+++ b/tests/core/test_failures.py
@@ -6,6 +6,7 @@
 
 from tests.core.deployments import (
     ANSWER,
+    SERVERS,
     all_ended,
     all_paired,
     answers,
@@ -17,7 +18,7 @@
 )
 from wisteriastair.core.entry import Done
 from wisteriastair.core.hashing import program_id
-from wisteriastair.standins.virtual import VirtualDeployment
+from wisteriastair.standins.virtual import VirtualDeployment, VirtualOptions
 
 
 def run_all(deployment: VirtualDeployment, requests: list[str]) -> None:
@@ -216,3 +217,19 @@
     assert reserved(deployment) <= 8
     for request in requests:
         streamed(deployment, request)
+
+
+def test_stop_that_cannot_hand_over_ends_at_its_limit() -> None:
+    """The platform is down, so no slot can move; the stop ends at its bound.
+
+    Without a bound the process would wait for ever, and its operator would kill it
+    without knowing what it held.
+    """
+    deployment = office(VirtualOptions(SERVERS, stop_s=20.0))
+    deployment.kv.up = False
+    deployment.stop_side("side-m1")
+    deployment.run(15.0)
+    assert not deployment.nodes["side-m1"].drained
+    deployment.run(10.0)
+    assert deployment.nodes["side-m1"].drained
+    assert any("stop limit reached" in note for note in deployment.notes)
--- /dev/null
+++ b/tests/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the transport between our processes."""
--- /dev/null
+++ b/tests/peers/test_transport.py
@@ -0,0 +1,120 @@
+"""The transport over real sockets: delivery, silent connections, old incarnations."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import anyio
+from anyio.abc import SocketStream
+
+from wisteriastair.core.wire import DocPull, Message
+from wisteriastair.peers.transport import Transport
+from wisteriastair.standins.deployment import free_address
+
+LIMIT_S = 30.0
+
+
+class Forwarder:
+    """Forwards connections, and can forget the open ones while new ones work."""
+
+    def __init__(self, target: str) -> None:
+        self.address = free_address()
+        self.accepted = 0
+        self._target = target
+        self._forgotten = 0
+
+    def forget_open_connections(self) -> None:
+        self._forgotten = self.accepted
+
+    async def run(self) -> None:
+        host, port = self.address.split(":")
+        listener = await anyio.create_tcp_listener(
+            local_host=host, local_port=int(port)
+        )
+        await listener.serve(self._serve)
+
+    async def _serve(self, client: SocketStream) -> None:
+        self.accepted += 1
+        number = self.accepted
+        host, port = self._target.split(":")
+        server = await anyio.connect_tcp(host, int(port))
+        async with client, server, anyio.create_task_group() as group:
+            group.start_soon(self._pump, client, server, number)
+            group.start_soon(self._pump, server, client, number)
+
+    async def _pump(self, source: SocketStream, to: SocketStream, number: int) -> None:
+        try:
+            async for data in source:
+                if number > self._forgotten:
+                    await to.send(data)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            return
+
+
+class Inbox:
+    """Collects what arrives."""
+
+    def __init__(self) -> None:
+        self.messages: list[Message] = []
+
+    def take(self, sender: str, message: Message) -> None:
+        self.messages.append(message)
+
+
+async def wait_for(condition: Callable[[], bool]) -> None:
+    with anyio.fail_after(LIMIT_S):
+        while not condition():
+            await anyio.sleep(0.02)
+
+
+async def send_through_a_silent_connection() -> None:
+    inbox = Inbox()
+    listen = free_address()
+    forwarder = Forwarder(listen)
+    receiver = Transport(f"{forwarder.address}#1", inbox.take, listen)
+    sender = Transport(f"{free_address()}#1", Inbox().take)
+    async with anyio.create_task_group() as group:
+        group.start_soon(forwarder.run)
+        group.start_soon(receiver.run)
+        group.start_soon(sender.run)
+        sender.send(forwarder.address, DocPull({"first": 1}))
+        await wait_for(lambda: bool(inbox.messages))
+        forwarder.forget_open_connections()
+
+        def repeat_until_heard() -> bool:
+            sender.send(forwarder.address, DocPull({"second": 2}))
+            return DocPull({"second": 2}) in inbox.messages
+
+        await wait_for(repeat_until_heard)
+        assert sender.counts.redials >= 1
+        group.cancel_scope.cancel()
+
+
+def test_silent_connection_is_replaced() -> None:
+    """A sender gets through although its connection has gone silent for good.
+
+    Something between the two ends forgets the open connection: writes succeed and
+    nothing arrives.  Frames are not echoed, the socket is replaced, and what the state
+    machines repeat arrives over the new connection.
+    """
+    anyio.run(send_through_a_silent_connection)
+
+
+async def send_to_an_earlier_incarnation() -> None:
+    inbox = Inbox()
+    address = free_address()
+    receiver = Transport(f"{address}#2", inbox.take)
+    sender = Transport(f"{free_address()}#1", Inbox().take)
+    async with anyio.create_task_group() as group:
+        group.start_soon(receiver.run)
+        group.start_soon(sender.run)
+        sender.send(f"{address}#1", DocPull({"for the old": 1}))
+        sender.send(f"{address}#2", DocPull({"for the new": 2}))
+        await wait_for(lambda: bool(inbox.messages))
+        group.cancel_scope.cancel()
+    assert inbox.messages == [DocPull({"for the new": 2})]
+
+
+def test_message_for_an_earlier_incarnation_is_dropped() -> None:
+    """What was meant for a process that has died does not reach its successor."""
+    anyio.run(send_to_an_earlier_incarnation)
--- a/wisteriastair/core/side.py
+++ b/wisteriastair/core/side.py
@@ -81,6 +81,7 @@
     engine: EngineModel = EngineModel()
     max_active: int = 256
     max_wait_s: float = 4.0
+    stop_s: float = 0.0
 
 
 class SideCore:
@@ -123,6 +124,7 @@
         }
         self._me = me
         self._stop_at = 0.0
+        self._stop_limit_s = cfg.stop_s
         self._drained = False
         self._leaving = False
 
@@ -276,6 +278,14 @@
         if not self._stop_at or self._drained or now - self._stop_at < DRAIN_NOTICE_S:
             return
         idle = all(gate.idle for gate in self.gates.values())
-        if idle and self.slots.count() == 0:
+        held = self.slots.count()
+        if idle and held == 0:
             self._drained = True
             self.out.add(Drained())
+        elif 0 < self._stop_limit_s < now - self._stop_at:
+            # The operator's choice: with no other process able to take over, a stop
+            # would otherwise wait for ever.
+            self._drained = True
+            text = f"stop limit reached with {held} slots held; exiting all the same"
+            self.out.note(text, level="warning")
+            self.out.add(Drained())
--- a/wisteriastair/daemons/side.py
+++ b/wisteriastair/daemons/side.py
@@ -79,6 +79,7 @@
                 EngineModel(cfg.prefill_tokens_s),
                 cfg.max_active,
                 cfg.max_wait_s,
+                cfg.stop_s,
             )
         )
         self.transport = Transport(self.member, self._on_message)
@@ -196,6 +197,10 @@
     async def _watch_signals(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for _ in signals:
+                if self.core.peers.draining:
+                    text = "second signal: exiting without handing over"
+                    log.warning(text, extra={"member": self.member})
+                    self._stop.set()
                 log.info("planned stop", extra={"member": self.member})
                 self.deliver(StopRequested())
 
--- a/wisteriastair/main.py
+++ b/wisteriastair/main.py
@@ -128,6 +128,7 @@
     kv_tokens: int = 200_000,
     max_active: int = 256,
     max_wait_s: float = 4.0,
+    stop_s: float = 0.0,
     prefill_tokens_s: float = 8_000.0,
     log_level: str = "info",
     trace_file: str = "",
@@ -166,6 +167,8 @@
         Programs under way at once on this process.
     max_wait_s : float
         Predicted wait over which a new program is refused; 0 for none.
+    stop_s : float
+        Seconds after which a planned stop exits all the same; 0 for no limit.
     prefill_tokens_s : float
         Prompt tokens a second that one engine computes.
     log_level : str
@@ -187,6 +190,7 @@
         kv_tokens,
         max_active,
         max_wait_s,
+        stop_s,
         prefill_tokens_s,
     )
     bad = check_side(cfg)
--- a/wisteriastair/options.py
+++ b/wisteriastair/options.py
@@ -69,6 +69,9 @@
         Programs under way at once on this process.
     max_wait_s : float
         Predicted seconds of waiting over which a new program is refused; 0 for none.
+    stop_s : float
+        Seconds after which a planned stop that cannot hand over exits all the same;
+        0 to wait without limit.
     prefill_tokens_s : float
         Prompt tokens a second that one engine computes, for comparing costs.
     """
@@ -83,6 +86,7 @@
     kv_tokens: int = 200_000
     max_active: int = 256
     max_wait_s: float = 4.0
+    stop_s: float = 0.0
     prefill_tokens_s: float = 8_000.0
 
 
@@ -162,8 +166,11 @@
         if number <= 0:
             flag = "--" + name.replace("_", "-")
             return BadSetting(flag, str(number), "a number greater than 0")
-    if cfg.max_wait_s < 0:
-        return BadSetting("--max-wait-s", str(cfg.max_wait_s), "seconds, or 0")
+    for name in ("max_wait_s", "stop_s"):
+        seconds = getattr(cfg, name)
+        if seconds < 0:
+            flag = "--" + name.replace("_", "-")
+            return BadSetting(flag, str(seconds), "seconds, or 0")
     return None
 
 
--- a/wisteriastair/peers/transport.py
+++ b/wisteriastair/peers/transport.py
@@ -109,16 +109,18 @@
         Member id of this process; its address part is listened on.
     handler : callable
         Takes the sender's member id and each message.
+    listen : str
+        Address to listen on if it differs from the one that peers dial.
     """
 
-    def __init__(self, member: str, handler: Handler) -> None:
+    def __init__(self, member: str, handler: Handler, listen: str = "") -> None:
         self.counts = TransportCounts()
         self._member = member
         self._handler = handler
         self._links: dict[str, _Link] = {}
         self._dirty = anyio.Event()
         self._inbox = pynng.Pull0(recv_max_size=MAX_FRAME_BYTES)
-        self._inbox.listen(f"tcp://{address_of(member)}")
+        self._inbox.listen(f"tcp://{listen or address_of(member)}")
 
     def send(self, to: str, message: Message) -> None:
         """Queue a message for a member or an address; it may be lost."""
--- a/wisteriastair/standins/measure.py
+++ b/wisteriastair/standins/measure.py
@@ -34,6 +34,8 @@
 from .deployment import CALLER_TOKEN, Deployment, default_folder
 
 REST_S: Final = 10.0
+QUIET_S: Final = 6.0
+SETTLE_TRIES: Final = 20
 PAIRS: Final = 60
 TURNS: Final = 65
 TIMEOUT_S: Final = 30.0
@@ -85,6 +87,17 @@
     return total
 
 
+def _settle(deployment: Deployment) -> None:
+    """Wait until slots have stopped moving: no write for a while."""
+    seen = -1
+    for _ in range(SETTLE_TRIES):
+        writes = deployment.records(deployment.platform_url)["counts"]["writes"]
+        if writes == seen:
+            return
+        seen = writes
+        time.sleep(QUIET_S)
+
+
 def _report_rest(deployment: Deployment, sides: int) -> None:
     """Print what daemons cost at rest."""
     counts = deployment.records(deployment.platform_url)["counts"]
@@ -147,7 +160,7 @@
     for sides in counts:
         deployment = _deployment(f"measure-{sides}", sides, slots)
         try:
-            time.sleep(3.0)
+            _settle(deployment)
             _report_rest(deployment, sides)
             _report_config(deployment, sides)
             _report_failure(deployment, sides)
--- a/wisteriastair/standins/virtual.py
+++ b/wisteriastair/standins/virtual.py
@@ -116,6 +116,7 @@
     order: str = "program"
     max_active: int = 256
     max_wait_s: float = 4.0
+    stop_s: float = 0.0
 
 
 # Extra delays of the copies of a message that arrive; none for a lost one.
@@ -263,6 +264,7 @@
                 cfg.engine,
                 cfg.max_active,
                 cfg.max_wait_s,
+                cfg.stop_s,
             )
         )
         self.instances[name] = Instance(
