Frames name their deployment; fewer looks at strangers

Cause: processes left over from a measuring run went on sending to addresses that a new deployment had been given; its slot table never came to rest (3 writes in 10 s). Their documents had higher revisions and replaced its own. Change: every frame names its deployment and others are dropped. At rest the instance list is read every 2 s, a random peer asked every 5 s, a stranger's load every 3 s. Figures: the new transport test fails without the name (the foreign message arrives) and passes with it. Conclusion: addresses are no identity.

--- a/tests/peers/test_transport.py
+++ b/tests/peers/test_transport.py
@@ -61,6 +61,12 @@
         self.messages.append(message)
 
 
+def transport(
+    member: str, inbox: Inbox, *, deployment: str = "ours", listen: str = ""
+) -> Transport:
+    return Transport(member, inbox.take, deployment=deployment, listen=listen)
+
+
 async def wait_for(condition: Callable[[], bool]) -> None:
     with anyio.fail_after(LIMIT_S):
         while not condition():
@@ -71,8 +77,8 @@
     inbox = Inbox()
     listen = free_address()
     forwarder = Forwarder(listen)
-    receiver = Transport(f"{forwarder.address}#1", inbox.take, listen)
-    sender = Transport(f"{free_address()}#1", Inbox().take)
+    receiver = transport(f"{forwarder.address}#1", inbox, listen=listen)
+    sender = transport(f"{free_address()}#1", Inbox())
     async with anyio.create_task_group() as group:
         group.start_soon(forwarder.run)
         group.start_soon(receiver.run)
@@ -103,8 +109,8 @@
 async def send_to_an_earlier_incarnation() -> None:
     inbox = Inbox()
     address = free_address()
-    receiver = Transport(f"{address}#2", inbox.take)
-    sender = Transport(f"{free_address()}#1", Inbox().take)
+    receiver = transport(f"{address}#2", inbox)
+    sender = transport(f"{free_address()}#1", Inbox())
     async with anyio.create_task_group() as group:
         group.start_soon(receiver.run)
         group.start_soon(sender.run)
@@ -118,3 +124,29 @@
 def test_message_for_an_earlier_incarnation_is_dropped() -> None:
     """What was meant for a process that has died does not reach its successor."""
     anyio.run(send_to_an_earlier_incarnation)
+
+
+async def send_from_another_deployment() -> None:
+    inbox = Inbox()
+    address = free_address()
+    receiver = transport(f"{address}#2", inbox)
+    foreign = transport(f"{free_address()}#1", Inbox(), deployment="theirs")
+    sender = transport(f"{free_address()}#1", Inbox())
+    async with anyio.create_task_group() as group:
+        for each in (receiver, foreign, sender):
+            group.start_soon(each.run)
+        foreign.send(address, DocPull({"theirs": 1}))
+        await wait_for(lambda: receiver.counts.foreign > 0)
+        sender.send(address, DocPull({"ours": 2}))
+        await wait_for(lambda: bool(inbox.messages))
+        group.cancel_scope.cancel()
+    assert inbox.messages == [DocPull({"ours": 2})]
+
+
+def test_message_of_another_deployment_is_dropped() -> None:
+    """A process of another deployment still sends to an address that is ours now.
+
+    Its documents may carry higher revisions than ours; taking them would replace our
+    configuration and slot table.  Its frames name another deployment and are dropped.
+    """
+    anyio.run(send_from_another_deployment)
--- a/wisteriastair/core/balance.py
+++ b/wisteriastair/core/balance.py
@@ -18,6 +18,8 @@
 from .slots import Slots
 
 BALANCE_S: Final = 1.0
+# Each look at a process outside the partners opens a connection, so it is rare.
+SAMPLE_S: Final = 3.0
 LEAD_GAP: Final = 2
 HOLD_GAP: Final = 3
 PLACE_DELAY_S: Final = 1.0
@@ -44,6 +46,7 @@
         self._placement = placement
         self._peers = peers
         self._balance_at = 0.0
+        self._sample_at = 0.0
         self._place_at = 0.0
         self._place_since = 0.0
         self._lost_since: dict[int, float] = {}
@@ -55,6 +58,8 @@
         if now >= self._balance_at:
             self._balance_at = now + BALANCE_S
             self._even_leads()
+        if now >= self._sample_at:
+            self._sample_at = now + SAMPLE_S
             self._even_copies(now)
         if now >= self._place_at:
             self._place_at = now + PLACE_DELAY_S
--- a/wisteriastair/core/docs.py
+++ b/wisteriastair/core/docs.py
@@ -21,7 +21,8 @@
 from .wire import DocPull, DocPush
 
 FANOUT: Final = 3
-PULL_EVERY_S: Final = 1.0
+PULL_EVERY_S: Final = 5.0
+PULL_EMPTY_S: Final = 1.0
 WATCHERS_PER_DOMAIN: Final = 1
 
 
@@ -113,7 +114,8 @@
         """Ask a random peer now and then; this also serves a fresh process."""
         if now < self._next_pull:
             return []
-        self._next_pull = now + PULL_EVERY_S
+        # A process that has just started knows nothing and asks more often.
+        self._next_pull = now + (PULL_EVERY_S if self.held else PULL_EMPTY_S)
         pull = DocPull(self.revisions())
         return [Send(peer, pull) for peer in self._some_peers("pull", 1)]
 
--- a/wisteriastair/daemons/entry.py
+++ b/wisteriastair/daemons/entry.py
@@ -71,7 +71,9 @@
                 cfg.patience_s,
             )
         )
-        self.transport = Transport(self.member, self._on_message)
+        self.transport = Transport(
+            self.member, self._on_message, deployment=common.deployment
+        )
         self._cfg = cfg
         self._tracer = make_tracer(common.trace_file)
         self._key_value = make_key_value(common.platform_url)
--- a/wisteriastair/daemons/platform_link.py
+++ b/wisteriastair/daemons/platform_link.py
@@ -25,7 +25,7 @@
 from ..platform.instances import InstanceList
 from ..platform.kv import KeyValue
 
-INSTANCES_EVERY_S: Final = 1.0
+INSTANCES_EVERY_S: Final = 2.0
 WATCH_RETRY_S: Final = 0.5
 START_TRIES: Final = 3
 START_RETRY_S: Final = 0.3
--- a/wisteriastair/daemons/side.py
+++ b/wisteriastair/daemons/side.py
@@ -82,7 +82,9 @@
                 cfg.stop_s,
             )
         )
-        self.transport = Transport(self.member, self._on_message)
+        self.transport = Transport(
+            self.member, self._on_message, deployment=common.deployment
+        )
         self.busy_s = 0.0
         self._cfg = cfg
         self._tracer = make_tracer(common.trace_file)
--- a/wisteriastair/main.py
+++ b/wisteriastair/main.py
@@ -45,6 +45,7 @@
     platform_url: str,
     caller_tokens: list[str],
     operator_tokens: list[str],
+    deployment: str = "default",
     slots: int = 64,
     segments: int = 4,
     patience_s: float = 20.0,
@@ -70,6 +71,8 @@
         CUSTOMER=TOKEN, one for each customer.
     operator_tokens : list[str]
         OPERATOR=TOKEN, one for each operator.
+    deployment : str
+        Name of the deployment; the same everywhere.
     slots : int
         Slots of the table; the same everywhere.
     segments : int
@@ -88,7 +91,15 @@
         File for spans.
     """
     common = CommonOptions(
-        listen, http, domain, platform_url, slots, segments, log_level, trace_file
+        listen,
+        http,
+        domain,
+        platform_url,
+        deployment,
+        slots,
+        segments,
+        log_level,
+        trace_file,
     )
     cfg = EntryOptions(
         common,
@@ -119,6 +130,7 @@
     platform_url: str,
     models: list[str] = [],  # noqa: B006
     plain: list[str] = [],  # noqa: B006
+    deployment: str = "default",
     slots: int = 64,
     segments: int = 4,
     router: str = "cost",
@@ -149,6 +161,8 @@
         NAME=URL of each model engine behind this gate.
     plain : list[str]
         NAME=URL of each plain service behind this gate.
+    deployment : str
+        Name of the deployment; the same everywhere.
     slots : int
         Slots of the table; the same everywhere.
     segments : int
@@ -177,7 +191,15 @@
         File for spans.
     """
     common = CommonOptions(
-        listen, http, domain, platform_url, slots, segments, log_level, trace_file
+        listen,
+        http,
+        domain,
+        platform_url,
+        deployment,
+        slots,
+        segments,
+        log_level,
+        trace_file,
     )
     cfg = SideOptions(
         common,
--- a/wisteriastair/metrics.py
+++ b/wisteriastair/metrics.py
@@ -37,6 +37,7 @@
     yield _counter("messages_received", "Messages of peers", counts.messages_received)
     yield _counter("peer_bytes_sent", "Bytes to peers", counts.bytes_sent)
     yield _counter("peer_redials", "Silent connections replaced", counts.redials)
+    yield _counter("frames_foreign", "Frames of others dropped", counts.foreign)
     yield _counter("messages_dropped", "Messages over the queue", counts.dropped)
 
 
--- a/wisteriastair/options.py
+++ b/wisteriastair/options.py
@@ -34,6 +34,9 @@
         Failure domain of this instance.
     platform_url : str
         Base URL of the platform's key-value service and instance list.
+    deployment : str
+        Name of the deployment; the same in every process, and in no other deployment
+        that shares addresses with it.
     slots, segments : int
         Size of the slot table; the same in every process, fixed for a deployment.
     log_level : str
@@ -46,6 +49,7 @@
     http: str
     domain: str
     platform_url: str
+    deployment: str = "default"
     slots: int = 64
     segments: int = 4
     log_level: str = "info"
@@ -133,6 +137,8 @@
         value = getattr(cfg, name)
         if not _is_address(value):
             return BadSetting(f"--{name}", value, "IP:PORT, such as 127.0.0.1:7001")
+    if not cfg.deployment:
+        return BadSetting("--deployment", cfg.deployment, "a name")
     if not cfg.domain:
         return BadSetting("--domain", cfg.domain, "the name of a failure domain")
     if not _is_url(cfg.platform_url):
--- a/wisteriastair/peers/transport.py
+++ b/wisteriastair/peers/transport.py
@@ -43,6 +43,10 @@
 
     Attributes
     ----------
+    deployment : str
+        Name of the deployment.  Addresses are reused: a process of another deployment
+        may still send to one that is ours now, and its newer-looking documents would
+        replace ours.  Frames of another name are dropped.
     sender, target : str
         Member ids; an empty target accepts any incarnation.
     number : int
@@ -53,6 +57,7 @@
         Encoded messages.
     """
 
+    deployment: str
     sender: str
     target: str
     number: int
@@ -74,6 +79,7 @@
         self.dropped = 0
         self.redials = 0
         self.malformed = 0
+        self.foreign = 0
 
 
 class _Link:
@@ -109,12 +115,17 @@
         Member id of this process; its address part is listened on.
     handler : callable
         Takes the sender's member id and each message.
+    deployment : str
+        Name of the deployment; see `Frame`.
     listen : str
         Address to listen on if it differs from the one that peers dial.
     """
 
-    def __init__(self, member: str, handler: Handler, listen: str = "") -> None:
+    def __init__(
+        self, member: str, handler: Handler, *, deployment: str, listen: str = ""
+    ) -> None:
         self.counts = TransportCounts()
+        self._deployment = deployment
         self._member = member
         self._handler = handler
         self._links: dict[str, _Link] = {}
@@ -163,6 +174,9 @@
             except (msgspec.DecodeError, IndexError):
                 self.counts.malformed += 1
                 continue
+            if frame.deployment != self._deployment:
+                self.counts.foreign += 1
+                continue
             self._take(frame, messages)
 
     def _take(self, frame: Frame, messages: list[Message]) -> None:
@@ -197,7 +211,7 @@
         while link.queues:
             target, messages = next(iter(link.queues.items()))
             number = link.number + 1
-            frame = Frame(self._member, target, number, link.heard, tuple(messages))
+            frame = self._frame(link, target, number, tuple(messages))
             if not self._transmit(link, frame):
                 return
             del link.queues[target]
@@ -206,6 +220,13 @@
             link.unechoed_since = link.unechoed_since or now
             self.counts.messages_sent += len(messages)
 
+    def _frame(
+        self, link: _Link, target: str, number: int, messages: tuple[bytes, ...]
+    ) -> Frame:
+        return Frame(
+            self._deployment, self._member, target, number, link.heard, messages
+        )
+
     def _transmit(self, link: _Link, frame: Frame) -> bool:
         data = msgspec.msgpack.encode(frame)
         try:
@@ -226,7 +247,7 @@
 
     def _check_link(self, link: _Link, now: float) -> None:
         if link.echo_due and now >= link.echo_due:
-            self._transmit(link, Frame(self._member, "", 0, link.heard, ()))
+            self._transmit(link, self._frame(link, "", 0, ()))
             link.echo_due = 0.0
         if link.queues:
             self._flush_link(link, now)
--- a/wisteriastair/standins/deployment.py
+++ b/wisteriastair/standins/deployment.py
@@ -13,6 +13,7 @@
 import sys
 import time
 import tomllib
+import uuid
 from pathlib import Path
 from typing import Any, Final, NamedTuple
 
@@ -74,6 +75,7 @@
         self.slots = int(example.get("slots", 16))
         self.extra_bare_sides = 0
         self.extra_side: tuple[str, ...] = ()
+        self._name = uuid.uuid4().hex
         self._command = command
         self._client = httpx.Client(timeout=10.0)
 
@@ -149,6 +151,7 @@
     ) -> None:
         common = ["--listen", address, "--http", http]
         common += ["--platform-url", self.platform_url, "--slots", str(self.slots)]
+        common += ["--deployment", self._name]
         common += ["--trace-file", str(self.folder / "spans.jsonl")]
         self._spawn(name, kind, [*common, *args], address, http)
         self._wait_http(f"http://{http}/healthz")
--- a/wisteriastair/standins/measure.py
+++ b/wisteriastair/standins/measure.py
@@ -283,7 +283,12 @@
     )
 
 
-def measure(*, sides: list[int] = [3, 15, 30, 60], slots: int = 64) -> int:  # noqa: B006
+def measure(
+    *,
+    sides: list[int] = [3, 15, 30, 60],  # noqa: B006
+    slots: int = 64,
+    fleet_only: bool = False,
+) -> int:
     """Measure what docs/CAPACITY.md is worked out from.
 
     Parameters
@@ -292,11 +297,16 @@
         Numbers of side processes.
     slots : int
         Slots of the table.
+    fleet_only : bool
+        Leave out the first token and the program.
     """
-    print("first token")
-    _report_first_token()
-    print("fleet")
+    if not fleet_only:
+        print("first token", flush=True)
+        _report_first_token()
+    print("fleet", flush=True)
     _report_fleet(sides, slots)
+    if fleet_only:
+        return 0
     print("program")
     _report_memory()
     _report_turn_cost()
