--- a/tests/core/test_failures.py
+++ b/tests/core/test_failures.py
@@ -18,7 +18,8 @@
 )
 from wisteriastair.core.entry import Done
 from wisteriastair.core.hashing import program_id
-from wisteriastair.standins.virtual import VirtualDeployment, VirtualOptions
+from wisteriastair.standins.virtual import VirtualDeployment
+from wisteriastair.standins.virtual_parts import VirtualOptions
 
 
 def run_all(deployment: VirtualDeployment, requests: list[str]) -> None:
--- a/tests/operators/test_changes.py
+++ b/tests/operators/test_changes.py
@@ -18,7 +18,7 @@
 from wisteriastair.operators import changes
 from wisteriastair.operators.changes import Accepted, make_change
 from wisteriastair.platform.kv import KeyValue
-from wisteriastair.standins.virtual import VirtualKv
+from wisteriastair.standins.virtual_parts import VirtualKv
 
 
 class FakeKv(KeyValue):
--- a/wisteriastair/standins/load.py
+++ b/wisteriastair/standins/load.py
@@ -25,7 +25,8 @@
 from ..core.hashing import hash_word
 from ..core.wire import GateCall
 from .engine_model import EngineSpeed
-from .virtual import VirtualDeployment, VirtualOptions
+from .virtual import VirtualDeployment
+from .virtual_parts import VirtualOptions
 from .workload import (
     Arrival,
     Workload,
--- a/wisteriastair/standins/workload.py
+++ b/wisteriastair/standins/workload.py
@@ -14,7 +14,7 @@
 
 from ..core.config import Service, Tool
 from .script import BYTES_PER_TOKEN
-from .virtual import VirtualServer
+from .virtual_parts import VirtualServer
 
 OFFICE_MODEL: Final = "jigsaw-7b@3"
 LABEL_MODEL: Final = "lyric-13b@2"
