Slots are placed once the instance list has come to rest

Cause: with 15 processes that start one after another, the first two held 36 and 34 of 128 memberships after a minute; 26 writes in 15 s were still moving them. Change: the placing process waits until the list has not changed for 3 s; a look at a process that holds little may move several copies. Ruled out: oscillation (no slot went back to a member it had left).

--- a/wisteriastair/core/balance.py
+++ b/wisteriastair/core/balance.py
@@ -1,8 +1,8 @@
 """Which process holds what: placing slots and keeping the load even.
 
 Slots without a row, or whose members are all gone, are placed by one process.  After
-that, carriers move their own slots, one at a time: the lead to a standby that leads
-clearly fewer, and the copy to a process that holds clearly fewer.  Of the processes it
+that, carriers move their own slots: the lead to a standby that leads clearly fewer, one
+at a time, and copies to a process that holds clearly fewer.  Of the processes it
 does not share a slot with, a carrier looks at one at a time, chosen at random, so the
 cost does not grow with the fleet and not all move to the same one.
 """
@@ -24,6 +24,7 @@
 HOLD_GAP: Final = 3
 PLACE_DELAY_S: Final = 1.0
 PLACE_PATIENCE_S: Final = 5.0
+PLACE_QUIET_S: Final = 3.0
 LOST_S: Final = 6.0
 
 
@@ -49,6 +50,8 @@
         self._sample_at = 0.0
         self._place_at = 0.0
         self._place_since = 0.0
+        self._listed: list[str] = []
+        self._listed_at = 0.0
         self._lost_since: dict[int, float] = {}
 
     def tick(self, now: float) -> None:
@@ -82,7 +85,7 @@
                 return
 
     def _even_copies(self, now: float) -> None:
-        """Move one copy to a process that holds clearly fewer than its standby.
+        """Move copies to a process that holds clearly fewer than their standby.
 
         Processes that came after the slots were placed would otherwise stay empty.
         """
@@ -97,7 +100,7 @@
             standby = self._peers.held_of(replica.peer)
             if standby is not None and theirs + HOLD_GAP <= standby:
                 self._slots.copy_to(number, member, now)
-                return
+                theirs += HOLD_GAP
 
     def _place_slots(self, now: float) -> None:
         """Place slots that have no row, or whose members are all gone.
@@ -110,6 +113,12 @@
         own = address_of(self._me)
         if own not in addresses or rank("place", addresses)[0] != own:
             return
+        if addresses != self._listed:
+            # A fleet that is starting: what is placed now would have to move again.
+            self._listed = addresses
+            self._listed_at = now
+        if now - self._listed_at < PLACE_QUIET_S:
+            return
         wanted = [n for n in range(self._placement.slots) if self._unplaced(n, now)]
         if not wanted:
             self._place_since = 0.0
