A planned stop of a daemon exits with 0

Cause: the first test of a real planned stop found exit status 1: hypercorn was cancelled in its own shutdown (InvalidStateError), and, once that was mended, left a cancellation pending in the daemon's main task. Change: the daemon waits for the server's end and runs it in a task of its own. Ruled out: slots that could not be handed over (the drain had completed). Conclusion: what the virtual tests call drained, the process now shows.

--- a/tests/daemons/test_deployment.py
+++ b/tests/daemons/test_deployment.py
@@ -142,3 +142,12 @@
     assert len(ended.stderr.splitlines()) == 1
     assert flag in ended.stderr
     assert allowed in ended.stderr
+
+
+def test_planned_stop_of_an_entry_ends_by_itself(deployment: Deployment) -> None:
+    """An entry that is told to stop exits with 0; the other one serves on."""
+    deployment.signal("entry-2", signal.SIGTERM)
+    assert deployment.processes["entry-2"].popen.wait(TIMEOUT_S) == 0
+    del deployment.processes["entry-2"]
+    expected = final_answer(deployment.example["program"]["prompt"])
+    assert post_program(deployment, "k4")["answer"] == expected
--- a/wisteriastair/daemons/side.py
+++ b/wisteriastair/daemons/side.py
@@ -107,16 +107,14 @@
             group.start_soon(self._tick)
             group.start_soon(self._watch_signals)
             group.start_soon(self._reconcile)
-            group.start_soon(self._serve)
             log.info("side process started", extra={"member": self.member})
-            await self._stop.wait()
+            # The server ends by itself once the stop is set.  Cancelling it in its own
+            # shutdown makes it raise, and a planned stop would look like a crash.
+            app = make_side_app(self)
+            await serve_http(app, self._cfg.common.http, self._stop)
             group.cancel_scope.cancel()
         log.info("side process stopped", extra={"member": self.member})
 
-    async def _serve(self) -> None:
-        app = make_side_app(self)
-        await serve_http(app, self._cfg.common.http, self._stop)
-
     def deliver(self, event: Event) -> None:
         """Feed one event to the core and carry out the effects."""
         began = time.perf_counter()
--- a/wisteriastair/daemons/web.py
+++ b/wisteriastair/daemons/web.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import Any
 
 import anyio
@@ -29,4 +30,7 @@
         cfg.certfile = tls_cert
         cfg.keyfile = tls_key
     application: Any = app
-    await serve(application, cfg, shutdown_trigger=stop.wait)
+    # A task of its own: at its end the server leaves a cancellation pending in the task
+    # that it runs in, which would make a planned stop of the daemon look like a crash.
+    async with anyio.create_task_group() as group:
+        group.start_soon(partial(serve, application, cfg, shutdown_trigger=stop.wait))
