An ended program is dropped once

Cause: the load tool ended with a KeyError 600 virtual seconds after a program's end: the split of the carrier had left the removal in two places, so every daemon would have died ten minutes after its first program ended. No test ran that long. Change: one removal; a test that lets the time pass. Figures: the test failed with the KeyError and passes. Conclusion: times kept are part of what has to be tested.

--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 
 binary: $(STAMP)
 	$(BIN)/pyinstaller --onefile --name wisteriastair --distpath dist \
-	    --workpath build --specpath build --log-level ERROR \
+	    --workpath build --specpath build --log-level ERROR --paths . \
 	    --collect-all pockets --collect-all sphinxcontrib.napoleon \
 	    --collect-data wisteriastair --copy-metadata opentelemetry-api \
 	    --copy-metadata opentelemetry-sdk tools/binary.py
--- a/tests/core/test_failures.py
+++ b/tests/core/test_failures.py
@@ -16,8 +16,10 @@
     start,
     streamed,
 )
-from wisteriastair.core.entry import Done
+from wisteriastair.core.carrier import RETAIN_S
+from wisteriastair.core.entry import Ask, Done
 from wisteriastair.core.hashing import program_id
+from wisteriastair.core.side import SideCore
 from wisteriastair.standins.virtual import VirtualDeployment
 from wisteriastair.standins.virtual_parts import VirtualOptions
 
@@ -234,3 +236,28 @@
     deployment.run(10.0)
     assert deployment.nodes["side-m1"].drained
     assert any("stop limit reached" in note for note in deployment.notes)
+
+
+def test_ended_program_is_dropped_after_its_time() -> None:
+    """Ten minutes after its end a program's id is unknown, and nothing else changes.
+
+    Carrier and standby both drop it from their logs; asking for it is answered
+    "unknown program, may have run", and new programs go on as before.
+    """
+    deployment = office()
+    request = deployment.ask(start("k"))
+    run_all(deployment, [request])
+    deployment.run(RETAIN_S + 30.0)
+    program = program_id("citizens", "k")
+    for node in deployment.nodes.values():
+        if isinstance(node.core, SideCore):
+            assert program not in node.core.programs.by_name
+            assert not node.core.slots.holds(program)
+    late = deployment.ask(Ask("attach", "citizens", program=program))
+    run_all(deployment, [late])
+    last = deployment.last(late)
+    assert isinstance(last, Done)
+    assert (last.outcome.status, last.outcome.ran) == ("unknown_program", "unknown")
+    again = deployment.ask(start("other"))
+    run_all(deployment, [again])
+    assert answers(deployment, [again]) == [ANSWER]
--- a/wisteriastair/core/carrier.py
+++ b/wisteriastair/core/carrier.py
@@ -281,7 +281,6 @@
                 if not self._programs.may_append(run):
                     return
                 self._programs.forget(run)
-                del self._programs.by_name[name]
             self._kept.popleft()
 
 
--- a/wisteriastair/core/slots.py
+++ b/wisteriastair/core/slots.py
@@ -102,6 +102,10 @@
         slot = self._slots.get(number)
         return 0 if slot is None else slot.replica.epoch
 
+    def holds(self, program: str) -> bool:
+        """Whether any log here has entries of a program."""
+        return any(program in slot.log.programs for slot in self._slots.values())
+
     def is_open(self, number: int) -> bool:
         """Whether the programs of a slot run here."""
         slot = self._slots.get(number)
