--- a/tests/core/test_chaos.py
+++ b/tests/core/test_chaos.py
@@ -9,12 +9,14 @@
 
 from tests.core.chaos import FAULT_COLUMNS, Report, run_chaos
 from tests.core.deployments import office, start
+from wisteriastair.core.carrier import RETAIN_S
 from wisteriastair.core.config import CONFIG_KEY, EMPTY_CONFIG, encode_config
 from wisteriastair.core.docs import Doc, Docs
 from wisteriastair.core.events import Received
 from wisteriastair.core.gate import Gate
 from wisteriastair.core.program import Program
 from wisteriastair.core.records import CallIntended
+from wisteriastair.core.side import SideCore
 from wisteriastair.core.wire import DocPush, GateCall, Message
 
 SEEDS = range(1, 7)
@@ -129,3 +131,15 @@
 
 def test_docs_that_take_any_revision_revert() -> None:
     assert revision_change_of_a_stale_push(broken=True) < 0
+
+
+def test_nothing_is_kept_for_ever() -> None:
+    """After all that has gone wrong, every daemon forgets what has ended."""
+    report, chaos = run_chaos(4)
+    assert not any(faults_of(report).values())
+    chaos.deployment.run(RETAIN_S + 200.0)
+    for node in chaos.deployment.nodes.values():
+        if isinstance(node.core, SideCore) and node.alive and not node.drained:
+            assert not node.core.programs.by_name
+            assert all(not gate.holds() for gate in node.core.gates.values())
+            assert all(gate.remembered == 0 for gate in node.core.gates.values())
--- a/wisteriastair/core/gate.py
+++ b/wisteriastair/core/gate.py
@@ -127,6 +127,11 @@
         """Programs for which the engine may hold memory."""
         return sorted(self._holds)
 
+    @property
+    def remembered(self) -> int:
+        """Calls known here, under way or ended."""
+        return len(self._calls)
+
     @property
     def idle(self) -> bool:
         """Whether nothing waits or runs."""
@@ -333,7 +338,7 @@
             self._expire(call, now)
         while self._ended and now - self._ended[0][0] > MEMORY_S:
             _, call = self._ended.popleft()
-            del self._calls[call]
+            self._calls.pop(call, None)
         self._pump(now)
 
     def _expire(self, call: CallId, now: float) -> None:
--- a/wisteriastair/standins/faults.py
+++ b/wisteriastair/standins/faults.py
@@ -215,6 +215,7 @@
             "silent engine": self._silence,
             "lost service answer": self._lose_service_answer,
             "planned stop": self._planned_stop,
+            "kill entry": self._kill_entry,
         }
         while self.working:
             await anyio.sleep(1.0 + 2.0 * self.random.random())
@@ -251,12 +252,19 @@
         with anyio.move_on_after(60.0):
             while process.poll() is None:
                 await anyio.sleep(0.1)
-        if process.poll() is None:
-            self.faults["planned stop hung"] += 1
+        if process.poll() != 0:
+            self.faults["planned stop without a clean exit"] += 1
         self.deployment.kill(name)
         await anyio.to_thread.run_sync(self.deployment.start_side, server)
         await self._settle()
 
+    async def _kill_entry(self) -> None:
+        """Kill one of two entries; callers reconnect through the other."""
+        self.deployment.kill("entry-2")
+        self.deployment.unlist("entry-2")
+        await anyio.sleep(1.0 + 2.0 * self.random.random())
+        await anyio.to_thread.run_sync(self.deployment.start_entry, "entry-2")
+
     async def _outage(self) -> None:
         await self._control(self.deployment.platform_url, mode="down")
         await anyio.sleep(1.0 + 5.0 * self.random.random())
