Read as a newcomer: doubled request handling, unused fields, module list

Cause: the duplicates listing showed the same ten lines in two routes and in two requests at the carrier; Waiting carried a field that no order uses. Conclusion: no behaviour changed.

--- a/wisteriastair/callers/api.py
+++ b/wisteriastair/callers/api.py
@@ -17,7 +17,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from math import ceil
 from typing import Any, Final
 
@@ -36,6 +36,7 @@
 POSITION: Final = re.compile(r"^(\d{1,6})\.(\d{1,9})$")
 PROGRAM: Final = re.compile(r"^[0-9a-f]{32}(\.[0-9.\-]{1,64})?$")
 MAX_KEY: Final = 256
+ReadAsk = Callable[[Request, str, bytes], Ask | Failure]
 NAME: Final = re.compile(r"^[A-Za-z0-9_\-]{1,64}$")
 
 
@@ -76,13 +77,20 @@
 
     async def start(self, http: Request) -> Response:
         """Start a program."""
+        return await self._post(http, _start_ask)
+
+    async def call(self, http: Request) -> Response:
+        """Call a plain service."""
+        return await self._post(http, _call_ask)
+
+    async def _post(self, http: Request, read: ReadAsk) -> Response:
         customer = owner_of_token(http, self._tokens)
         if not customer:
             return _refusal(_unauthorized())
         body = await read_body(http, self._max_body)
         if isinstance(body, Failure):
             return _refusal(body)
-        ask = _start_ask(http, customer, body)
+        ask = read(http, customer, body)
         if isinstance(ask, Failure):
             return _refusal(ask)
         return await self._respond(http, ask)
@@ -119,19 +127,6 @@
         stream = kind == "attach" and _wants_events(http)
         return Ask(kind, customer, program=program, stream=stream)
 
-    async def call(self, http: Request) -> Response:
-        """Call a plain service."""
-        customer = owner_of_token(http, self._tokens)
-        if not customer:
-            return _refusal(_unauthorized())
-        body = await read_body(http, self._max_body)
-        if isinstance(body, Failure):
-            return _refusal(body)
-        ask = _call_ask(http, customer, body)
-        if isinstance(ask, Failure):
-            return _refusal(ask)
-        return await self._respond(http, ask)
-
     async def _respond(self, http: Request, ask: Ask) -> Response:
         if ask.stream:
             return StreamingResponse(self._events(http, ask), media_type=EVENT_STREAM)
--- a/wisteriastair/core/__init__.py
+++ b/wisteriastair/core/__init__.py
@@ -19,11 +19,17 @@
     The operators' configuration as a fold of changes.
 ``docs``
     Spreading the configuration and the slot table.
-``replica``, ``placement``, ``slotlog``
+``peers``
+    Liveness, incarnations and failure domains of other processes.
+``replica``, ``slotlog``, ``slotstate``, ``slots``, ``copies``
     Who carries a slot, and the copy of its log.
-``program``, ``carrier``
-    The steps of a program and the process that carries them.
-``gate``
+``placement``, ``balance``
+    Changing the slot table, and what for.
+``program``, ``running``, ``carrier``, ``calls``, ``admission``
+    The steps of a program, and the process that carries them.
+``dispatch``, ``routing``
+    Which server gets a call.
+``gate``, ``ordering``
     The one way to a backend server.
 ``side``, ``entry``
     The two daemons, composed of the above.
--- a/wisteriastair/core/admission.py
+++ b/wisteriastair/core/admission.py
@@ -205,12 +205,8 @@
 
     def on_attach(self, sender: str, attach: ProgramAttach, now: float) -> None:
         """Subscribe a request to an existing program."""
-        if not self._is_here(sender, attach.request, attach.slot):
-            return
-        run = self._programs.by_name.get(attach.program)
-        if run is None or run.program.start.customer != attach.customer:
-            failure = self._not_found(attach.slot)
-            self._fail(sender, attach.request, attach.program, failure)
+        run = self._find(sender, attach)
+        if run is None:
             return
         self._subscribe(
             sender,
@@ -223,6 +219,19 @@
         )
         self._greet(sender, run, attach.request)
 
+    def _find(
+        self, sender: str, message: ProgramAttach | ProgramCancel
+    ) -> Running | None:
+        """Return the customer's program; without one, the sender is told."""
+        if not self._is_here(sender, message.request, message.slot):
+            return None
+        run = self._programs.by_name.get(message.program)
+        if run is None or run.program.start.customer != message.customer:
+            failure = self._not_found(message.slot)
+            self._fail(sender, message.request, message.program, failure)
+            return None
+        return run
+
     def _not_found(self, slot: int) -> Failure:
         if slot in self._carrier.lost_slots:
             detail = "the slot's earlier state was lost"
@@ -233,12 +242,8 @@
 
     def on_cancel(self, sender: str, cancel: ProgramCancel, now: float) -> None:
         """End a program at its caller's wish."""
-        if not self._is_here(sender, cancel.request, cancel.slot):
-            return
-        run = self._programs.by_name.get(cancel.program)
-        if run is None or run.program.start.customer != cancel.customer:
-            failure = self._not_found(cancel.slot)
-            self._fail(sender, cancel.request, cancel.program, failure)
+        run = self._find(sender, cancel)
+        if run is None:
             return
         self._subscribe(sender, run, cancel.request, 0, 0, False, now)
         if self._slots.may_append(cancel.slot):
--- a/wisteriastair/core/carrier.py
+++ b/wisteriastair/core/carrier.py
@@ -37,9 +37,7 @@
 )
 from .running import Running, RunningPrograms
 from .slots import SlotListener
-from .wire import (
-    Entry,
-)
+from .wire import Entry
 
 RENEW_S: Final = 4.0
 RETAIN_S: Final = 600.0
--- a/wisteriastair/core/docs.py
+++ b/wisteriastair/core/docs.py
@@ -95,7 +95,7 @@
         return [Send(peer, message) for peer in self._some_peers(key, FANOUT)]
 
     def on_pull(self, sender: str, pull: DocPull) -> list[Effect]:
-        """Answer with what the asker lacks, and ask for what it has newer."""
+        """Answer with the documents that the asker lacks."""
         effects: list[Effect] = []
         for key, doc in self.held.items():
             if pull.revisions.get(key, 0) < doc.revision:
--- a/wisteriastair/core/gate.py
+++ b/wisteriastair/core/gate.py
@@ -295,12 +295,8 @@
         known = self._calls[call]
         assert known.call is not None, "a queued call has its request"
         request = known.call
-        waiting = Waiting(
-            request.priority,
-            known.since,
-            request.prompt_tokens,
-            known.since - request.age_s,
-        )
+        began = known.since - request.age_s
+        waiting = Waiting(request.priority, known.since, began)
         return self._order.key(waiting, now)
 
     # Holds
--- a/wisteriastair/core/ordering.py
+++ b/wisteriastair/core/ordering.py
@@ -17,7 +17,6 @@
 
     priority: int
     queued_at: float
-    prompt_tokens: int
     program_since: float
 
 
