Loss of both members is tested; bursts in the load tool

Cause: what is told after a double loss stood in the docs without a test. Conclusion: the answer is truthful; the slot is marked as lost.

--- a/tests/core/test_failures.py
+++ b/tests/core/test_failures.py
@@ -20,6 +20,7 @@
 from wisteriastair.core.entry import Ask, Done
 from wisteriastair.core.hashing import program_id
 from wisteriastair.core.side import SideCore
+from wisteriastair.standins.script import final_answer
 from wisteriastair.standins.virtual import VirtualDeployment
 from wisteriastair.standins.virtual_parts import VirtualOptions
 
@@ -261,3 +262,32 @@
     again = deployment.ask(start("other"))
     run_all(deployment, [again])
     assert answers(deployment, [again]) == [ANSWER]
+
+
+def test_both_members_lost_together_is_told_as_unknown() -> None:
+    """The caller is told "unknown", never "not run", when carrier and standby die.
+
+    Both go at the same moment, so nobody has the history.  The slot is placed anew and
+    marked as lost; asking again with the same key is answered the same, because what
+    ran under it cannot be known.  Other keys go on.
+    """
+    deployment = office()
+    request = deployment.ask(start("k"))
+    deployment.run(0.6)
+    program = program_id("citizens", "k")
+    row = rows_of(deployment)[_slot(deployment, program)]
+    for member in (row.carrier, row.standby):
+        deployment.kill(member.split(":")[0])
+    run_all(deployment, [request])
+    again = deployment.ask(start("k"), 2)
+    run_all(deployment, [again])
+    for asked in (request, again):
+        last = deployment.last(asked)
+        assert isinstance(last, Done)
+        assert (last.outcome.status, last.outcome.ran) == ("outcome_unknown", "unknown")
+    assert reserved(deployment) <= 1
+    assert rows_of(deployment)[row.slot].lost
+    prompt = "Is it complete? words=9"
+    others = [deployment.ask(start(f"n{n}", prompt=prompt)) for n in range(6)]
+    run_all(deployment, others)
+    assert answers(deployment, others).count(final_answer(prompt)) >= 4
--- a/wisteriastair/standins/load.py
+++ b/wisteriastair/standins/load.py
@@ -40,7 +40,8 @@
 FIRST_GUESS_S: Final = {"office": 6.0, "ben-ammar": 1.0}
 WARM_UP_S: Final = 60.0
 SLOWNESS: Final = 4.0
-FAULTS: Final = ("", "slow", "lost")
+BURST_S: Final = 60.0
+LATE_SHARE: Final = 0.75
 LONGEST_PAUSE_S: Final = 20.0
 DRAIN_S: Final = 900.0
 HIGHEST_MS: Final = 3_600_000
@@ -85,6 +86,7 @@
     goodput_s: float
     slowest_refusal_s: float
     fairness: float
+    late_p95_s: float
 
 
 def workload_of(user: str) -> Workload:
@@ -136,6 +138,8 @@
         self.waiting = 0
         self.window_s = window_s
         self.latency = HdrHistogram(1, HIGHEST_MS, 3)
+        self.late = HdrHistogram(1, HIGHEST_MS, 3)
+        self.late_from = 0.0
         self.total_s = 0.0
         self.finished = 0
         self.in_window = 0
@@ -175,6 +179,8 @@
             self.finished += 1
             self.total_s += taken
             self.latency.record_value(max(1, int(taken * 1000)))
+            if began >= self.late_from:
+                self.late.record_value(max(1, int(taken * 1000)))
             self.by_customer.setdefault(arrival.customer, []).append(taken)
         elif isinstance(event, Done) and event.outcome.ran != "no":
             self.failed += 1
@@ -198,8 +204,12 @@
     deployment = deployment_for(workload, run.policy, run.seed)
     caller = _Caller(deployment, workload, run.seconds - WARM_UP_S)
     begin = deployment.now
+    caller.late_from = begin + LATE_SHARE * run.seconds
     window_end = begin + run.seconds
-    for arrival in arrivals(workload, run.rate_s, run.seconds, run.seed):
+    programs = arrivals(workload, run.rate_s, run.seconds, run.seed)
+    if run.fault == "burst":
+        programs += _burst(workload, run)
+    for arrival in programs:
         counted = arrival.at >= WARM_UP_S
 
         def send(a: Arrival = arrival, c: bool = counted) -> None:
@@ -224,9 +234,17 @@
         caller.in_window / (run.seconds - WARM_UP_S),
         caller.slowest_refusal_s,
         caller.fairness(),
+        caller.late.get_value_at_percentile(95) / 1000,
     )
 
 
+def _burst(workload: Workload, run: Run) -> list[Arrival]:
+    """Extra programs that make the rate three times as high for a while."""
+    extra = arrivals(workload, 2 * run.rate_s, BURST_S, run.seed + 1_000)
+    begin = run.seconds / 3
+    return [a._replace(at=begin + a.at, key=f"burst {a.key}") for a in extra]
+
+
 def _schedule_fault(deployment: VirtualDeployment, run: Run) -> None:
     """Make a server slow, or lose one, a third into the run."""
     at = run.seconds / 3
@@ -273,7 +291,8 @@
     jobs : int
         Runs at once.
     fault : str
-        slow or lost: what happens to one model server a third into each run.
+        What happens a third into each run: slow or lost (one model server), burst
+        (three times the arrivals for a minute).
     plot : str
         File for the results as JSON lines; empty for none.
     """
@@ -306,7 +325,8 @@
 
 _HEADER: Final = (
     f"{'load':>5} {'policy':<18} {'mean s':>8} {'p50 s':>7} {'p95 s':>15} {'p99 s':>7} "
-    f"{'wasted %':>15} {'goodput':>8} {'refused':>8} {'failed':>6} {'fair':>5}"
+    f"{'wasted %':>15} {'goodput':>8} {'refused':>8} {'failed':>6} {'fair':>5} "
+    f"{'late p95':>8}"
 )
 
 
@@ -325,7 +345,7 @@
         f"{share:>5} {policy:<18} {mid('mean_s'):>8.1f} {mid('p50_s'):>7.1f} "
         f"{spread('p95_s'):>15} {mid('p99_s'):>7.1f} {spread('wasted', 100):>15} "
         f"{mid('goodput_s') / capacity:>8.2f} {refused:>8.1%} {failed:>6} "
-        f"{mid('fairness'):>5.2f}"
+        f"{mid('fairness'):>5.2f} {mid('late_p95_s'):>8.1f}"
     )
 
 
