--- a/wisteriastair/standins/demo.py
+++ b/wisteriastair/standins/demo.py
@@ -8,32 +8,41 @@
 
 import httpx
 
-from .deployment import CALLER_TOKEN, Deployment, default_folder, read_example
+from .deployment import (
+    CALLER_TOKEN,
+    Deployment,
+    command_for,
+    default_folder,
+    read_example,
+)
 from .script import final_answer
 
 EXAMPLES: Final = ("office", "ben-ammar")
 TIMEOUT_S: Final = 60.0
 
 
-def demo(*, examples: str = "examples") -> int:
+def demo(*, examples: str = "examples", binary: str = "") -> int:
     """Show the whole path with both users' settings, on stand-ins.
 
     Parameters
     ----------
     examples : str
         Folder of the deployments.
+    binary : str
+        Path of a built binary to run instead of this interpreter.
     """
     wrong = 0
     for name in EXAMPLES:
-        wrong += _show(read_example(Path(examples) / f"{name}.toml"))
+        example = read_example(Path(examples) / f"{name}.toml")
+        wrong += _show(example, command_for(binary))
     print("everything as expected" if wrong == 0 else f"{wrong} things went wrong")
     return 0 if wrong == 0 else 1
 
 
-def _show(example: dict[str, Any]) -> int:
+def _show(example: dict[str, Any], command: tuple[str, ...]) -> int:
     name = example["name"]
     print(f"\n=== {name}: {', '.join(example['domains'])} ===")
-    deployment = Deployment(example, default_folder() / f"demo-{name}")
+    deployment = Deployment(example, default_folder() / f"demo-{name}", command)
     try:
         deployment.start()
         print(f"{len(deployment.processes)} processes run, slots are placed")
--- a/wisteriastair/standins/deployment.py
+++ b/wisteriastair/standins/deployment.py
@@ -27,6 +27,9 @@
 OPERATOR_TOKEN: Final = "operator-token"
 
 
+INTERPRETED: Final = (sys.executable, "-m", "wisteriastair")
+
+
 class Process(NamedTuple):
     """One process of the deployment."""
 
@@ -43,6 +46,11 @@
         return f"{HOST}:{probe.getsockname()[1]}"
 
 
+def command_for(binary: str) -> tuple[str, ...]:
+    """How to run the program: a built binary, or this interpreter without one."""
+    return (binary,) if binary else INTERPRETED
+
+
 def read_example(path: Path) -> dict[str, Any]:
     """Read the description of a deployment."""
     return tomllib.loads(path.read_text("utf-8"))
@@ -65,7 +73,7 @@
         self,
         example: dict[str, Any],
         folder: Path,
-        command: tuple[str, ...] = (sys.executable, "-m", "wisteriastair"),
+        command: tuple[str, ...] = INTERPRETED,
     ) -> None:
         self.example = example
         self.folder = folder
--- a/wisteriastair/standins/faults.py
+++ b/wisteriastair/standins/faults.py
@@ -10,7 +10,6 @@
 
 import base64
 import signal
-import sys
 import time
 import tomllib
 from collections import Counter
@@ -23,7 +22,13 @@
 import httpx
 
 from ..core.config import decode_config
-from .deployment import CALLER_TOKEN, OPERATOR_TOKEN, Deployment, default_folder
+from .deployment import (
+    CALLER_TOKEN,
+    OPERATOR_TOKEN,
+    Deployment,
+    command_for,
+    default_folder,
+)
 from .script import final_answer
 
 CALL_TIMEOUT_S: Final = 60.0
@@ -388,8 +393,7 @@
     binary : str
         Path of a built binary to run instead of this interpreter.
     """
-    command = (binary,) if binary else (sys.executable, "-m", "wisteriastair")
-    run = FaultRun(seed, programs, command)
+    run = FaultRun(seed, programs, command_for(binary))
     try:
         table = anyio.run(run.run)
     finally:
--- a/wisteriastair/standins/measure.py
+++ b/wisteriastair/standins/measure.py
@@ -103,13 +103,17 @@
     counts = deployment.records(deployment.platform_url)["counts"]
     sent = _metric(deployment, "side", "peer_bytes_sent_total")
     before = _usage(deployment, "side")
+    entries = _usage(deployment, "entry")
     time.sleep(REST_S)
     after = _usage(deployment, "side")
+    entries_after = _usage(deployment, "entry")
     sent = _metric(deployment, "side", "peer_bytes_sent_total") - sent
     later = deployment.records(deployment.platform_url)["counts"]
     cpu = median((b[0] - a[0]) / REST_S for a, b in zip(before, after, strict=True))
     rss = median(b[1] for b in after)
     calls = {k: later[k] - counts[k] for k in ("reads", "writes", "watches")}
+    entry_cpu = (entries_after[0][0] - entries[0][0]) / REST_S
+    print(f"  an entry at rest: {100 * entry_cpu:.2f} % of a core")
     print(
         f"  {sides:>3} sides at rest: {100 * cpu:.2f} % of a core, {rss:.1f} MB, "
         f"{sent / REST_S / sides / 1000:.2f} KB/s each; "
@@ -188,6 +192,7 @@
     try:
         engine = f"{deployment.backends['m1']}/v1/chat/completions"
         entry = f"{deployment.entries()[0]}/v1/programs"
+        idle = {role: _usage(deployment, role) for role in ("entry", "side")}
         for number in range(PAIRS):
             prompt = f"shared: x\nitem {number}. words=10"
             chat = {
@@ -218,6 +223,9 @@
     )
     for role, found in usage.items():
         print(f"  {role}: {max(rss for _, rss in found):.1f} MB resident")
+    for role, before in idle.items():
+        spent = sum(a for a, _ in usage[role]) - sum(b for b, _ in before)
+        print(f"  {role}: {1000 * spent / PAIRS:.1f} ms of processor a program, all")
 
 
 def _program_records(turns: int, tokens: int) -> list[bytes]:
