--- a/wisteriastair/standins/measure.py
+++ b/wisteriastair/standins/measure.py
@@ -17,6 +17,7 @@
 from statistics import median, quantiles
 from typing import Any, Final
 
+import anyio
 import httpx
 import psutil
 
@@ -38,6 +39,7 @@
 SETTLE_TRIES: Final = 20
 PAIRS: Final = 60
 TURNS: Final = 65
+WORKERS: Final = 40
 TIMEOUT_S: Final = 30.0
 MEGABYTE: Final = 1e6
 BASE: Final = """
@@ -228,6 +230,57 @@
         print(f"  {role}: {1000 * spent / PAIRS:.1f} ms of processor a program, all")
 
 
+async def _keep_busy(url: str, until: float, counts: list[int]) -> None:
+    """Run one program after another until a time (seconds, monotonic)."""
+    worker = len(counts)
+    counts.append(0)
+    async with httpx.AsyncClient(timeout=TIMEOUT_S) as http:
+        while time.monotonic() < until:
+            number = counts[worker]
+            prompt = f"shared: x\nworker {worker} item {number}. words=20"
+            headers = {
+                "authorization": f"Bearer {CALLER_TOKEN}",
+                "idempotency-key": f"busy-{worker}-{number}",
+                "accept": "text/event-stream",
+            }
+            body = {"service": "s", "prompt": prompt}
+            answer = await http.post(url, json=body, headers=headers)
+            counts[worker] += "event: end" in answer.text
+
+
+async def _run_load(urls: list[str], counts: list[int]) -> None:
+    until = time.monotonic() + REST_S
+    async with anyio.create_task_group() as group:
+        for number in range(WORKERS):
+            group.start_soon(_keep_busy, urls[number % len(urls)], until, counts)
+
+
+def _report_loaded() -> None:
+    """Print processor and memory of each role under many programs at once."""
+    deployment = _deployment("measure-load", 3, 16)
+    counts: list[int] = []
+    try:
+        _settle(deployment)
+        urls = [f"{url}/v1/programs" for url in deployment.entries()]
+        before = {role: _usage(deployment, role) for role in ("entry", "side")}
+        began = time.monotonic()
+        anyio.run(_run_load, urls, counts)
+        taken = time.monotonic() - began
+        after = {role: _usage(deployment, role) for role in before}
+    finally:
+        deployment.stop()
+    print(f"  {sum(counts) / taken:.1f} programs/s, {WORKERS} at once, streamed")
+    for role, then in before.items():
+        shares = [
+            100 * (b[0] - a[0]) / taken for a, b in zip(then, after[role], strict=True)
+        ]
+        rss = max(size for _, size in after[role])
+        print(
+            f"  {role}: {min(shares):.0f} to {max(shares):.0f} % of a core each, "
+            f"{rss:.1f} MB"
+        )
+
+
 def _program_records(turns: int, tokens: int) -> list[bytes]:
     """Make the records of a program of so many turns and tokens a turn."""
     text = "lyric " * (tokens * 4 // 6)
@@ -311,6 +364,8 @@
     if not fleet_only:
         print("first token", flush=True)
         _report_first_token()
+        print("loaded", flush=True)
+        _report_loaded()
     print("fleet", flush=True)
     _report_fleet(sides, slots)
     if fleet_only:
