The operators' page is parsed by the tests

Cause: the page's examples could drift from the grammar unnoticed. Conclusion: an example that is no command fails the suite.

--- a/tests/operators/test_language.py
+++ b/tests/operators/test_language.py
@@ -9,6 +9,7 @@
 from wisteriastair.operators.language import parse
 
 GOLDEN = Path(__file__).parent / "golden" / "language.txt"
+PAGE = Path(__file__).parents[2] / "docs" / "operators" / "language.md"
 
 
 def parse_and_format(text: str) -> str:
@@ -20,3 +21,21 @@
 
 def test_golden_language() -> None:
     check_cases(GOLDEN, parse_and_format)
+
+
+def documented_commands() -> list[str]:
+    """Commands that the operators' page shows; a deeper line goes on with one."""
+    commands: list[str] = []
+    for line in PAGE.read_text("utf-8").splitlines():
+        if line.startswith("        ") and commands:
+            commands[-1] += " " + line.strip()
+        elif line.startswith("    "):
+            commands.append(line.strip())
+    return commands
+
+
+def test_documented_examples_are_commands() -> None:
+    commands = documented_commands()
+    assert len(commands) > 10
+    for command in commands:
+        assert not isinstance(parse(command), Failure), command
