--- a/tests/peers/test_transport.py
+++ b/tests/peers/test_transport.py
@@ -8,7 +8,7 @@
 from anyio.abc import SocketStream
 
 from wisteriastair.core.wire import DocPull, Message
-from wisteriastair.peers.transport import Transport
+from wisteriastair.peers.transport import CORE_CODEC, Transport
 from wisteriastair.standins.deployment import free_address
 
 LIMIT_S = 30.0
@@ -63,8 +63,10 @@
 
 def transport(
     member: str, inbox: Inbox, *, deployment: str = "ours", listen: str = ""
-) -> Transport:
-    return Transport(member, inbox.take, deployment=deployment, listen=listen)
+) -> Transport[Message]:
+    return Transport(
+        member, inbox.take, deployment=deployment, codec=CORE_CODEC, listen=listen
+    )
 
 
 async def wait_for(condition: Callable[[], bool]) -> None:
--- /dev/null
+++ b/wisteriastair/core/choice.py
@@ -0,0 +1,80 @@
+"""Which backend server gets a request.
+
+The load pattern: several relays choose at once for the same servers, each knowing its
+own requests and reports that are some answers old.  The cost of a server is the share
+of its places that are taken, plus what it lacks of the prompt, plus the way to another
+failure domain.  Costs that are nearly equal are decided by a draw, so that relays with
+the same reports do not all go to the same server.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from .fleet import ServerState
+
+# Share of a server's places that a detour to another failure domain is worth.  Small:
+# the delay between domains is about a hundredth of a request's time.
+OTHER_DOMAIN: Final = 0.06
+# Worth of having read a part of the prompt before, at most, and for its last part,
+# which belongs to the program's own line and grows with every turn.
+PARTS_KNOWN: Final = 0.35
+# Costs closer than this are decided by a draw.
+NEARLY_EQUAL: Final = 0.08
+# A server that is slower than the mean of its service counts as fuller by this times
+# its excess share.
+SLOWNESS: Final = 0.5
+
+
+class Want(NamedTuple):
+    """What the choice needs to know of a request.
+
+    Attributes
+    ----------
+    domain : str
+        Failure domain of this process.
+    parts : tuple of str
+        Parts of the prompt, those shared most first.
+    tried : frozenset of str
+        Servers that have refused this request.
+    """
+
+    domain: str
+    parts: tuple[str, ...]
+    tried: frozenset[str]
+
+
+def choose(
+    servers: list[ServerState], want: Want, draw: Callable[[int], int], now: float
+) -> ServerState | None:
+    """Choose a server, or None if there is none left to try.
+
+    Parameters
+    ----------
+    draw : callable
+        Draws a number below the one given.
+    """
+    left = [state for state in servers if state.server.id not in want.tried]
+    if not left:
+        return None
+    times = [state.mean_s for state in left if state.mean_s > 0]
+    mean_s = sum(times) / len(times) if times else 0.0
+    costs = [(_cost(state, want, mean_s, now), state) for state in left]
+    least = min(cost for cost, _ in costs)
+    near = [state for cost, state in costs if cost <= least + NEARLY_EQUAL]
+    return near[draw(len(near))]
+
+
+def _cost(state: ServerState, want: Want, mean_s: float, now: float) -> float:
+    cost = (state.busy(now) + 1) / state.server.slots
+    if state.server.domain != want.domain:
+        cost += OTHER_DOMAIN
+    if want.parts:
+        known = sum(part in state.parts for part in want.parts) / len(want.parts)
+        cost += PARTS_KNOWN * (1 - known)
+    if mean_s > 0 and state.mean_s > mean_s:
+        cost += SLOWNESS * (state.mean_s / mean_s - 1)
+    if state.full_until > now:
+        cost += 1.0
+    return cost
--- /dev/null
+++ b/wisteriastair/core/keeper.py
@@ -0,0 +1,318 @@
+"""What a keeper of the ledger decides, without input or output.
+
+The shell feeds in messages and the time, writes batches to disk, and sends what
+`take_outbox` returns.  Every answer waits for the sync of the batch that it stands on,
+so nothing is acknowledged that a power loss could take back.  The view belongs to that:
+a replica that forgot at a restart which view it had adopted would accept writes under
+an older one, after a new replica had copied from it.
+"""
+
+from __future__ import annotations
+
+from typing import Final, NamedTuple
+
+from .ledger import Attempt, Entry, Ledger
+from .ledgerwire import Copy, CopyReply, LedgerMessage, Ping, Verdict, Write, WriteReply
+from .membership import SLOTS, Member, View, Wishes, must_copy, slot_of_program
+
+# Heartbeats between keepers, in seconds.
+PING_S: Final = 0.4
+# A member that was heard from within this time counts as there.
+HEARD_S: Final = 1.5
+# A member silent for this long is taken as lost.  Longer than a restart or a short loss
+# of power, which bring the disk back; a successor still becomes a full replica within
+# five seconds of its start.
+SILENT_S: Final = 4.0
+# A request to copy is sent again after this time without an answer.
+COPY_AGAIN_S: Final = 0.4
+COPY_PART_BYTES: Final = 256 * 1024
+RECORD_BYTES: Final = 200
+
+
+class Batch(NamedTuple):
+    """What is to be synced together, and the answers that wait for it."""
+
+    entries: list[Entry]
+    view: View | None
+    answers: list[tuple[str, Write | Copy]]
+
+
+class _Source(NamedTuple):
+    """Progress of a copy from one old replica."""
+
+    member: Member
+    slots: tuple[int, ...]
+    after: str
+    op: int
+    asked_at: float
+    done: bool
+
+
+class KeeperCore:
+    """State of one keeper.
+
+    Parameters
+    ----------
+    me : Member
+        This instance and its disk.
+    losses : int
+        Members that may be lost at once.
+    view : View
+        The newest view that the disk held.
+    entries : list of Entry
+        Records that the disk held.
+    now : float
+        Seconds of a clock that never goes back.
+    """
+
+    def __init__(
+        self, me: Member, losses: int, *, view: View, entries: list[Entry], now: float
+    ) -> None:
+        self.me = me
+        self.view = view
+        self.ledger = Ledger()
+        self.leaving: frozenset[str] = frozenset()
+        self.stale_refused = 0
+        self.batches_synced = 0
+        self._losses = losses
+        self._started = now
+        self._heard: dict[str, float] = {}
+        self._pinged_by: dict[str, float] = {}
+        self._outbox: list[tuple[str, LedgerMessage]] = []
+        self._entries: list[Entry] = []
+        self._view_dirty = False
+        self._answers: list[tuple[str, Write | Copy]] = []
+        self._sources: dict[str, _Source] = {}
+        self._copied: set[str] = set()
+        self._copy_number = 0
+        self._op = 0
+        self._next_ping = now
+        self._syncing = False
+        for entry in entries:
+            self.ledger.merge(entry, now)
+        self._plan_copy(now)
+
+    # Messages
+
+    def receive(self, sender: str, message: LedgerMessage, now: float) -> None:
+        """Take a message; answers appear in a batch or in the outbox."""
+        match message:
+            case Write():
+                self._on_write(sender, message, now)
+            case Ping(disk, view):
+                self._heard[disk] = now
+                self._pinged_by[sender.partition("#")[0]] = now
+                self.adopt(view, now)
+            case Copy():
+                self._on_copy(sender, message)
+            case CopyReply():
+                self._on_copy_reply(message, now)
+            case WriteReply():
+                pass
+
+    def _on_write(self, sender: str, write: Write, now: float) -> None:
+        verdict = self._verdict(write.view)
+        if verdict is not Verdict.DONE:
+            view = self.view if verdict is Verdict.STALE_VIEW else None
+            reply = WriteReply(write.op, self.me.disk, verdict, view=view)
+            self._outbox.append((sender, reply))
+            return
+        new = self.ledger.merge(write.entry, now)
+        if new is not None:
+            self._entries.append(new)
+        self._answers.append((sender, write))
+
+    def _verdict(self, number: int) -> Verdict:
+        if number < self.view.number:
+            self.stale_refused += 1
+            return Verdict.STALE_VIEW
+        member = self.me in self.view.members or self.me in self.view.old
+        if number > self.view.number or not member:
+            return Verdict.NOT_NOW
+        return Verdict.DONE
+
+    def _on_copy(self, sender: str, copy: Copy) -> None:
+        if self._verdict(copy.view) is Verdict.DONE:
+            self._answers.append((sender, copy))
+            return
+        reply = CopyReply(copy.op, self.me.disk, Verdict.NOT_NOW)
+        self._outbox.append((sender, reply))
+
+    # Batches
+
+    def take_batch(self) -> Batch | None:
+        """Take what waits for a sync, or None."""
+        if not self._entries and not self._view_dirty and not self._answers:
+            return None
+        view = self.view if self._view_dirty else None
+        batch = Batch(self._entries, view, self._answers)
+        self._entries = []
+        self._answers = []
+        self._view_dirty = False
+        self._syncing = True
+        return batch
+
+    def synced(self, batch: Batch) -> None:
+        """Answer what waited for a batch, now that it is durable."""
+        self._syncing = False
+        self.batches_synced += 1
+        for sender, request in batch.answers:
+            if isinstance(request, Write):
+                self._outbox.append((sender, self._write_reply(request)))
+            else:
+                self._outbox.append((sender, self._copy_part(request)))
+
+    def not_synced(self, batch: Batch) -> None:
+        """Refuse what waited for a batch that the disk did not take.
+
+        Its records are in memory, so a request sent again would not find them new;
+        they go into the next batch.
+        """
+        self._syncing = False
+        self._entries = batch.entries + self._entries
+        self._view_dirty = self._view_dirty or batch.view is not None
+        for sender, request in batch.answers:
+            reply: LedgerMessage = CopyReply(request.op, self.me.disk, Verdict.NOT_NOW)
+            if isinstance(request, Write):
+                reply = WriteReply(request.op, self.me.disk, Verdict.NOT_NOW)
+            self._outbox.append((sender, reply))
+
+    def take_outbox(self) -> list[tuple[str, LedgerMessage]]:
+        """Take messages to send."""
+        outbox = self._outbox
+        self._outbox = []
+        return outbox
+
+    def _write_reply(self, write: Write) -> WriteReply:
+        account = self.ledger.accounts.get(write.entry.program)
+        attempts: dict[str, Attempt] = {}
+        chain = []
+        if account is not None:
+            attempts = dict(account.attempts)
+            chain = account.chain(write.chain)
+        turns = chain if write.with_turns else []
+        return WriteReply(
+            write.op, self.me.disk, Verdict.DONE, attempts, bool(chain), turns
+        )
+
+    def _copy_part(self, copy: Copy) -> CopyReply:
+        wanted = set(copy.slots)
+        programs = sorted(p for p in self.ledger.accounts if p > copy.after)
+        entries: list[Entry] = []
+        size = 0
+        for program in programs:
+            if slot_of_program(program) not in wanted:
+                continue
+            if size >= COPY_PART_BYTES:
+                return CopyReply(copy.op, self.me.disk, Verdict.DONE, entries, False)
+            entry = self.ledger.accounts[program].whole()
+            entries.append(entry)
+            size += RECORD_BYTES + sum(len(turn.said) for turn in entry.turns)
+        return CopyReply(copy.op, self.me.disk, Verdict.DONE, entries, True)
+
+    def rewrite(self, programs: set[str]) -> int:
+        """Write accounts again, whole, with the next batch; return its number."""
+        for program in programs & self.ledger.accounts.keys():
+            self._entries.append(self.ledger.accounts[program].whole())
+        self._view_dirty = True
+        return self.batches_synced + (2 if self._syncing else 1)
+
+    # Views
+
+    def adopt(self, view: View, now: float) -> bool:
+        """Take a view if it is newer than the one known."""
+        known = (self.view.number, len(self.view.synced))
+        if (view.number, len(view.synced)) <= known:
+            return False
+        renumbered = view.number > self.view.number
+        self.view = view
+        self._view_dirty = True
+        if renumbered:
+            self._plan_copy(now)
+        return True
+
+    def wishes(self, now: float) -> Wishes:
+        """Tell what this member knows when it considers a change of the view."""
+        heard = {d for d, at in self._heard.items() if now - at <= HEARD_S}
+        silent = {
+            member.disk
+            for member in (*self.view.members, *self.view.old)
+            if now - self._heard.get(member.disk, self._started) > SILENT_S
+            and member.disk != self.me.disk
+        }
+        return Wishes(
+            self.me, frozenset(heard | {self.me.disk}), frozenset(silent), self.leaving
+        )
+
+    def has_copied(self) -> bool:
+        """Whether all that the present change needs of this member is durable here."""
+        if not self.view.old or self.me not in self.view.members:
+            return False
+        return (
+            self._copy_number == self.view.number
+            and self._copy_complete()
+            and not self._entries
+            and not self._syncing
+            and self.me.disk not in self.view.synced
+        )
+
+    # Copying
+
+    def _plan_copy(self, now: float) -> None:
+        """Work out what to copy from whom under the present view."""
+        self._sources = {}
+        self._copied = {self.me.disk}
+        self._copy_number = self.view.number
+        slots: dict[Member, list[int]] = {}
+        for slot in range(SLOTS):
+            old = must_copy(self.view, self.me, slot, self._losses)
+            for member in old.members if old else ():
+                if member != self.me:
+                    slots.setdefault(member, []).append(slot)
+        for member, wanted in slots.items():
+            self._ask(_Source(member, tuple(wanted), "", 0, now, False), now)
+
+    def _ask(self, source: _Source, now: float) -> None:
+        self._op += 1
+        copy = Copy(self._op, self.view.number, list(source.slots), source.after)
+        self._sources[source.member.disk] = source._replace(op=self._op, asked_at=now)
+        self._outbox.append((source.member.address, copy))
+
+    def _on_copy_reply(self, reply: CopyReply, now: float) -> None:
+        source = self._sources.get(reply.disk)
+        if source is None or source.op != reply.op or source.done:
+            return
+        if reply.verdict is not Verdict.DONE:
+            return
+        for entry in reply.entries:
+            new = self.ledger.merge(entry, now)
+            if new is not None:
+                self._entries.append(new)
+        if reply.last:
+            self._sources[reply.disk] = source._replace(done=True)
+            self._copied.add(reply.disk)
+            return
+        self._ask(source._replace(after=reply.entries[-1].program), now)
+
+    def _copy_complete(self) -> bool:
+        for slot in range(SLOTS):
+            old = must_copy(self.view, self.me, slot, self._losses)
+            if old is not None and not old.readable(self._copied):
+                return False
+        return True
+
+    # Time
+
+    def tick(self, now: float) -> None:
+        """Send heartbeats, and ask again where an answer is missing."""
+        if now >= self._next_ping:
+            self._next_ping = now + PING_S
+            ping = Ping(self.me.disk, self.view)
+            addresses = {m.address for m in (*self.view.members, *self.view.old)}
+            # A newcomer is in no view yet, but must hear the members to propose itself.
+            addresses |= {a for a, at in self._pinged_by.items() if now - at <= HEARD_S}
+            for address in sorted(addresses - {self.me.address}):
+                self._outbox.append((address, ping))
+        for source in list(self._sources.values()):
+            if not source.done and now - source.asked_at > COPY_AGAIN_S:
+                self._ask(source, now)
--- /dev/null
+++ b/wisteriastair/core/ledger.py
@@ -0,0 +1,167 @@
+"""The ledger: what is kept for a program, and how copies of it are merged.
+
+An account holds the program's attempts and, where the route keeps history, its turns.
+An attempt first reserves the most tokens that it can generate, and is settled with
+what was handed to the caller.  Both grow only: an attempt is never removed while the
+account lives, a settled one never changes, a turn never changes.  Copies that saw the
+same records in another order, or twice, are therefore equal, and merging two copies
+loses nothing.
+
+A reservation is made durable before the request is sent to a server.  What is not
+settled stays reserved: after the death of the process that ran the attempt nobody knows
+how much its caller was handed, and counting the most keeps the budget.
+"""
+
+from __future__ import annotations
+
+from typing import Final, NamedTuple
+
+import msgspec
+
+# Added to the retention that the operators ask for, in seconds: clocks of processes
+# start to count at different moments, and a restart counts from its own start.
+RETENTION_SLACK_S: Final = 5.0
+
+
+class Attempt(NamedTuple):
+    """Tokens of one attempt: the most it can take, or what it took once settled."""
+
+    tokens: int
+    settled: bool
+
+
+class Turn(msgspec.Struct, frozen=True, array_like=True):
+    """One whole turn.
+
+    Attributes
+    ----------
+    previous : str
+        The turn that it continues; empty at the start of a chain.
+    said : bytes
+        Its input followed by the output, as the next turn is to repeat them.
+    """
+
+    id: str
+    previous: str
+    said: bytes
+
+
+class Entry(msgspec.Struct, frozen=True, array_like=True):
+    """Records of one program, as they are sent, written to disk and merged.
+
+    Attributes
+    ----------
+    keep_s : float
+        Seconds for which the account is kept after its last record.
+    """
+
+    program: str
+    keep_s: float
+    attempts: dict[str, Attempt] = {}
+    turns: list[Turn] = []
+
+
+class Account:
+    """What is kept for one program."""
+
+    def __init__(self, program: str, now: float) -> None:
+        self.program = program
+        self.keep_s = 0.0
+        self.touched = now
+        self.attempts: dict[str, Attempt] = {}
+        self.turns: dict[str, Turn] = {}
+
+    def merge(self, entry: Entry, now: float) -> Entry | None:
+        """Take records; return those that were new, or None.
+
+        A reservation that arrives after its settlement, late or sent again, is
+        dropped: it would take the tokens a second time.
+        """
+        self.keep_s = max(self.keep_s, entry.keep_s)
+        self.touched = now
+        attempts: dict[str, Attempt] = {}
+        for attempt_id, attempt in entry.attempts.items():
+            known = self.attempts.get(attempt_id)
+            if known is None or (attempt.settled and not known.settled):
+                self.attempts[attempt_id] = attempt
+                attempts[attempt_id] = attempt
+        turns = [turn for turn in entry.turns if turn.id not in self.turns]
+        for turn in turns:
+            self.turns[turn.id] = turn
+        if not attempts and not turns:
+            return None
+        return Entry(self.program, self.keep_s, attempts, turns)
+
+    def whole(self) -> Entry:
+        """All records of the account."""
+        return Entry(
+            self.program, self.keep_s, dict(self.attempts), list(self.turns.values())
+        )
+
+    def chain(self, turn_id: str) -> list[Turn]:
+        """Return a chain, the oldest turn first; empty if one of them is missing."""
+        found: list[Turn] = []
+        while turn_id:
+            turn = self.turns.get(turn_id)
+            if turn is None or len(found) > len(self.turns):
+                return []
+            found.append(turn)
+            turn_id = turn.previous
+        found.reverse()
+        return found
+
+    def expired(self, now: float) -> bool:
+        """Whether the account has not been used for its retention."""
+        return now - self.touched > self.keep_s + RETENTION_SLACK_S
+
+
+class Ledger:
+    """All accounts of one replica."""
+
+    def __init__(self) -> None:
+        self.accounts: dict[str, Account] = {}
+        self.held_bytes = 0
+
+    def merge(self, entry: Entry, now: float) -> Entry | None:
+        """Take records of a program; return those that were new, or None."""
+        account = self.accounts.get(entry.program)
+        if account is None:
+            account = self.accounts[entry.program] = Account(entry.program, now)
+        new = account.merge(entry, now)
+        if new is not None:
+            self.held_bytes += sum(len(turn.said) for turn in new.turns)
+        return new
+
+    def expire(self, now: float) -> list[str]:
+        """Drop accounts that are past their retention; return their programs."""
+        gone = [a for a in self.accounts.values() if a.expired(now)]
+        for account in gone:
+            del self.accounts[account.program]
+            self.held_bytes -= sum(len(t.said) for t in account.turns.values())
+        return [account.program for account in gone]
+
+    def longest_retention_s(self) -> float:
+        """Seconds after which every record written so far was used again or expired."""
+        keep_s = max((a.keep_s for a in self.accounts.values()), default=0.0)
+        return keep_s + RETENTION_SLACK_S
+
+
+def merged_attempts(replies: list[dict[str, Attempt]]) -> dict[str, Attempt]:
+    """Merge the attempts that several replicas know of one program."""
+    merged: dict[str, Attempt] = {}
+    for attempts in replies:
+        for attempt_id, attempt in attempts.items():
+            known = merged.get(attempt_id)
+            if known is None or attempt.settled:
+                merged[attempt_id] = attempt
+    return merged
+
+
+def fits_budget(attempts: dict[str, Attempt], mine: str, budget: int) -> bool:
+    """Whether an attempt that is among the reserved ones keeps the budget.
+
+    Two attempts that reserve at the same moment see each other and may both be
+    refused; that is the safe side, and each frees its reservation at once.
+    """
+    assert mine in attempts, "an attempt reserves before it asks"
+    return sum(attempt.tokens for attempt in attempts.values()) <= budget
--- /dev/null
+++ b/wisteriastair/core/ledgerwire.py
@@ -0,0 +1,117 @@
+"""Messages between relays and keepers of the ledger, and among keepers.
+
+Each request names the view under which it was sent.  Every message may be lost, doubled
+or late: requests are idempotent and are sent again until enough replicas have answered.
+"""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import Final
+
+import msgspec
+
+from .ledger import Attempt, Entry, Turn
+from .membership import View
+
+
+class Verdict(IntEnum):
+    """How a replica takes a request."""
+
+    DONE = 0
+    # The request names an older view than the replica knows; its view comes along.
+    STALE_VIEW = 1
+    # The replica does not know the view yet, or cannot write.
+    NOT_NOW = 2
+
+
+class Write(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """Sync records of a program, then answer with what is known of it.
+
+    Attributes
+    ----------
+    chain : str
+        A turn whose chain is wanted as well; empty for none.
+    with_turns : bool
+        Whether the turns themselves are wanted, or only whether they are there.
+    """
+
+    op: int
+    view: int
+    entry: Entry
+    chain: str = ""
+    with_turns: bool = False
+
+
+class WriteReply(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """Answer to `Write`.
+
+    Attributes
+    ----------
+    disk : str
+        The disk that holds the records.
+    has_chain : bool
+        Whether the whole chain is here.
+    """
+
+    op: int
+    disk: str
+    verdict: Verdict
+    attempts: dict[str, Attempt] = {}
+    has_chain: bool = False
+    turns: list[Turn] = []
+    view: View | None = None
+
+
+class Ping(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """Heartbeat between keepers; carries the sender's view."""
+
+    disk: str
+    view: View
+
+
+class Copy(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """Ask an old replica for the accounts of slots, a part at a time.
+
+    Attributes
+    ----------
+    after : str
+        The last program of the part before; empty for the first part.
+    """
+
+    op: int
+    view: int
+    slots: list[int]
+    after: str = ""
+
+
+class CopyReply(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """Answer to `Copy`; `last` is set on the last part."""
+
+    op: int
+    disk: str
+    verdict: Verdict
+    entries: list[Entry] = []
+    last: bool = False
+
+
+LedgerMessage = Write | WriteReply | Ping | Copy | CopyReply
+
+_ENCODER: Final = msgspec.msgpack.Encoder()
+_DECODER: Final = msgspec.msgpack.Decoder(LedgerMessage)
+
+
+def encode_ledger(message: LedgerMessage) -> bytes:
+    """Encode a message."""
+    return _ENCODER.encode(message)
+
+
+def decode_ledger(data: bytes) -> LedgerMessage:
+    """Decode a message.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        If it is not one.
+    """
+    return _DECODER.decode(data)
--- /dev/null
+++ b/wisteriastair/core/membership.py
@@ -0,0 +1,224 @@
+"""Which instances keep the ledger, and how that changes without losing a record.
+
+The ledger is a set of records that only grows: reservations, settlements and turns.
+Every program belongs to a slot, and every slot has a set of replicas, computed alike by
+everyone from the list of members.  With `t` losses to be borne, a slot has 2t + 1
+replicas; a write counts when t + 1 have synced it, and a reader that hears n - t of
+them sees every write that counted.  There is no leader, and nothing to take over.
+
+The list of members (a *view*) is one value in the platform's store, changed by
+compare-and-swap; any member may propose.  A change goes through a joint view with the
+old and the new list.  While it lasts, reads and writes need a quorum of both, and new
+replicas copy from a read quorum of the old.  Once all have said so the old list is
+dropped. Every request names the number of its view.  A replica that knows a higher
+number refuses it, so nobody can write to a list that has been copied from already.
+
+The list of members only says which disks count: reads and writes never ask the store.
+"""
+
+from __future__ import annotations
+
+from functools import lru_cache
+from typing import Final, NamedTuple
+
+from .hashing import hash_word, rank
+
+SLOTS: Final = 64
+
+
+class Member(NamedTuple):
+    """An instance with a disk.
+
+    Attributes
+    ----------
+    disk : str
+        Drawn when an empty disk is first used.  An instance that lost its disk comes
+        back with another one, and so cannot vouch for what the lost one held.
+    """
+
+    name: str
+    disk: str
+    address: str
+    domain: str
+
+
+class View(NamedTuple):
+    """Who keeps the ledger.
+
+    Attributes
+    ----------
+    number : int
+        Grows with each change.
+    members : tuple of Member
+        The list in force, or the one that is to come into force.
+    old : tuple of Member
+        The list before, while the change lasts; otherwise empty.
+    synced : tuple of str
+        Disks of members that hold all they need for the change to end.
+    """
+
+    number: int = 0
+    members: tuple[Member, ...] = ()
+    old: tuple[Member, ...] = ()
+    synced: tuple[str, ...] = ()
+
+
+class ReplicaSet(NamedTuple):
+    """The replicas of one slot in one list, and the sizes of its quorums."""
+
+    members: tuple[Member, ...]
+    write: int
+    read: int
+
+    def written(self, disks: set[str]) -> bool:
+        """Whether enough replicas have synced a write."""
+        return self._count(disks) >= self.write
+
+    def readable(self, disks: set[str]) -> bool:
+        """Whether enough replicas have answered to see all earlier writes."""
+        return self._count(disks) >= self.read
+
+    def _count(self, disks: set[str]) -> int:
+        return sum(member.disk in disks for member in self.members)
+
+
+def slot_of_program(program: str) -> int:
+    """Slot of a program."""
+    return hash_word("ledger", program) % SLOTS
+
+
+@lru_cache(maxsize=4096)
+def replica_set(members: tuple[Member, ...], slot: int, losses: int) -> ReplicaSet:
+    """Compute the replicas of a slot.
+
+    One replica a failure domain comes first, in the order of rendezvous hashing, so
+    that the t + 1 copies of a write lie in different domains where there are as many.
+
+    Parameters
+    ----------
+    losses : int
+        Members that may be lost at once (t).
+    """
+    by_name = {member.name: member for member in members}
+    order = [by_name[name] for name in rank(f"slot {slot}", by_name)]
+    wanted = 2 * losses + 1
+    chosen: list[Member] = []
+    while len(chosen) < min(wanted, len(order)):
+        domains: set[str] = set()
+        for member in order:
+            if member not in chosen and member.domain not in domains:
+                chosen.append(member)
+                domains.add(member.domain)
+    chosen = chosen[:wanted]
+    write = losses + 1
+    return ReplicaSet(tuple(chosen), write, max(1, len(chosen) - write + 1))
+
+
+def replica_sets(view: View, slot: int, losses: int) -> tuple[ReplicaSet, ...]:
+    """Return the sets whose quorums a request needs: one, or two during a change."""
+    sets = [replica_set(view.members, slot, losses)]
+    if view.old:
+        sets.append(replica_set(view.old, slot, losses))
+    return tuple(sets)
+
+
+def must_copy(view: View, me: Member, slot: int, losses: int) -> ReplicaSet | None:
+    """Return the old replicas that a member has to copy a slot from, if any.
+
+    A member that was a replica before needs no copy while the set does not shrink: a
+    read quorum of the new set then holds a replica that copied, or meets every write
+    quorum of the old set by its size alone.  In a smaller set it may be read alone.
+    """
+    if not view.old:
+        return None
+    new = replica_set(view.members, slot, losses)
+    old = replica_set(view.old, slot, losses)
+    if me not in new.members:
+        return None
+    if me in old.members and len(new.members) >= len(old.members):
+        return None
+    return old
+
+
+class Wishes(NamedTuple):
+    """What one member knows when it considers a change.
+
+    Attributes
+    ----------
+    me : Member
+        The member that considers.
+    heard : frozenset of str
+        Disks of members heard from a short while ago, its own included.
+    silent : frozenset of str
+        Disks of members not heard from for so long that they are taken as lost.
+    leaving : frozenset of str
+        Names of instances that are to be emptied.
+    """
+
+    me: Member
+    heard: frozenset[str]
+    silent: frozenset[str]
+    leaving: frozenset[str]
+
+
+def next_view(view: View, wishes: Wishes, losses: int) -> View | None:
+    """Propose the next view, or None if nothing is to change.
+
+    Only a member that hears most of the others proposes: one that is cut off would
+    otherwise drop the very members that go on serving.
+    """
+    if _finished(view, losses):
+        return View(view.number + 1, view.members)
+    wanted = _wanted(view, wishes, losses)
+    if wanted == view.members or not _hears_most(view, wishes):
+        return None
+    if len(view.members) <= losses and not view.old:
+        # Too few members to have counted a write: there is nothing to copy.
+        return View(view.number + 1, wanted)
+    return View(view.number + 1, wanted, view.old or view.members)
+
+
+def _finished(view: View, losses: int) -> bool:
+    if not view.old:
+        return False
+    needed = [
+        member
+        for member in view.members
+        if any(must_copy(view, member, slot, losses) for slot in range(SLOTS))
+    ]
+    return all(member.disk in view.synced for member in needed)
+
+
+def _wanted(view: View, wishes: Wishes, losses: int) -> tuple[Member, ...]:
+    members = [m for m in view.members if m.name != wishes.me.name]
+    was_here = wishes.me in view.members
+    if wishes.me.name not in wishes.leaving or was_here:
+        members.append(wishes.me)
+    members = _without_leaving(members, wishes, losses)
+    full = 2 * losses + 1
+    for member in list(members):
+        if member.disk in wishes.silent and len(members) > full:
+            members.remove(member)
+    return tuple(sorted(members))
+
+
+def _without_leaving(
+    members: list[Member], wishes: Wishes, losses: int
+) -> list[Member]:
+    """Leave out who is to be emptied, as long as writes can still count."""
+    kept = list(members)
+    for member in members:
+        if member.name in wishes.leaving and len(kept) > losses + 1:
+            kept.remove(member)
+    return kept
+
+
+def _hears_most(view: View, wishes: Wishes) -> bool:
+    others = [m for m in view.members if m.name != wishes.me.name]
+    heard = sum(member.disk in wishes.heard for member in others)
+    return 2 * heard >= len(others)
+
+
+def holder_order(members: tuple[Member, ...], domain: str) -> list[Member]:
+    """Order members for a read: those in the reader's domain first."""
+    return sorted(members, key=lambda m: (m.domain != domain, hash_word(m.name)))
--- a/wisteriastair/daemons/entry.py
+++ b/wisteriastair/daemons/entry.py
@@ -43,7 +43,7 @@
 from ..operators.api import OperatorApi
 from ..operators.changes import make_change
 from ..options import EntryOptions, split_pairs
-from ..peers.transport import Transport
+from ..peers.transport import CORE_CODEC, Transport
 from ..platform.instances import make_instance_list
 from ..platform.kv import make_key_value
 from ..tracing import make_tracer, start_span, traceparent_of
@@ -72,7 +72,10 @@
             )
         )
         self.transport = Transport(
-            self.member, self._on_message, deployment=common.deployment
+            self.member,
+            self._on_message,
+            deployment=common.deployment,
+            codec=CORE_CODEC,
         )
         self._cfg = cfg
         self._tracer = make_tracer(common.trace_file)
--- a/wisteriastair/daemons/side.py
+++ b/wisteriastair/daemons/side.py
@@ -38,7 +38,7 @@
 from ..engines.client import make_engine
 from ..metrics import make_side_app
 from ..options import SideOptions, split_pairs
-from ..peers.transport import Transport
+from ..peers.transport import CORE_CODEC, Transport
 from ..platform.instances import make_instance_list
 from ..platform.kv import make_key_value
 from ..services.client import make_plain_service
@@ -83,7 +83,10 @@
             )
         )
         self.transport = Transport(
-            self.member, self._on_message, deployment=common.deployment
+            self.member,
+            self._on_message,
+            deployment=common.deployment,
+            codec=CORE_CODEC,
         )
         self.busy_s = 0.0
         self._cfg = cfg
--- a/wisteriastair/errors.py
+++ b/wisteriastair/errors.py
@@ -37,6 +37,16 @@
     CANCELLED = "cancelled"
     STOPPING = "stopping"
     TIMED_OUT = "timed_out"
+    UNKNOWN_ROUTE = "unknown_route"
+    UNKNOWN_TURN = "unknown_turn"
+    BUDGET_SPENT = "budget_spent"
+    SLOW_REQUEST = "slow_request"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    NOT_CONFIGURED = "not_configured"
+    LEDGER_AWAY = "ledger_away"
+    SERVERS_FULL = "servers_full"
+    SERVER_LOST = "server_lost"
+    TOO_LATE = "too_late"
 
 
 HTTP_STATUS: Final[dict[Code, int]] = {
@@ -57,6 +67,16 @@
     Code.NO_SERVER: 503,
     Code.STOPPING: 503,
     Code.TIMED_OUT: 504,
+    Code.UNKNOWN_ROUTE: 404,
+    Code.UNKNOWN_TURN: 404,
+    Code.BUDGET_SPENT: 402,
+    Code.SLOW_REQUEST: 408,
+    Code.HEADERS_TOO_LARGE: 431,
+    Code.NOT_CONFIGURED: 503,
+    Code.LEDGER_AWAY: 503,
+    Code.SERVERS_FULL: 503,
+    Code.TOO_LATE: 503,
+    Code.SERVER_LOST: 502,
 }
 
 # A program that ended short of its answer is a well-formed result of the request.
--- /dev/null
+++ b/wisteriastair/http1/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 connections with exact control over what was sent and when they end."""
--- /dev/null
+++ b/wisteriastair/keeper/daemon.py
@@ -0,0 +1,271 @@
+"""The keeper's shell: sockets, disk, store and time around `KeeperCore`.
+
+Everything runs on one loop and one thread, but for the write and sync of a batch: those
+wait for the disk, so they run on a worker thread while messages go on gathering for the
+next batch.  One batch is written at a time.
+"""
+
+from __future__ import annotations
+
+import logging
+import os
+import signal
+import time
+import uuid
+from typing import Final
+
+import anyio
+import anyio.to_thread
+import msgspec
+from anyio.abc import TaskGroup
+
+from ..core.keeper import Batch, KeeperCore
+from ..core.ledger import Entry
+from ..core.ledgerwire import LedgerMessage, decode_ledger, encode_ledger
+from ..core.membership import Member, View, next_view
+from ..nodeoptions import NodeOptions
+from ..peers.transport import Codec, Transport
+from ..platform.documents import (
+    OWN,
+    RETIRE,
+    RETIRE_DONE,
+    RETIRE_RUNNING,
+    RETIRE_STATUS,
+    VIEW_KEY,
+)
+from ..platform.mirror import Mirror
+from ..platform.store import Item, Store, StoreTrouble, Swapped
+from .log import Log
+
+TICK_S: Final = 0.1
+# Pause before another proposal after one that did not take effect, in seconds.
+PROPOSE_PAUSE_S: Final = 0.3
+EXPIRE_S: Final = 5.0
+# Messages gather only while the loop is busy anyway: a turn waits for two of them.
+LEDGER_GATHER_S: Final = 0.0
+
+LEDGER_CODEC: Final[Codec[LedgerMessage]] = Codec(encode_ledger, decode_ledger)
+DEPLOYMENT: Final = "ledger"
+
+log = logging.getLogger(__name__)
+
+
+class Keeper:
+    """Runs a `KeeperCore` with real time, sockets and a disk."""
+
+    def __init__(self, cfg: NodeOptions) -> None:
+        self._cfg = cfg
+        self._log = Log(os.path.join(cfg.data_dir, "ledger"))
+        self._store = Store(cfg.store)
+        self._wake = anyio.Event()
+        self._stop = anyio.Event()
+        self._view_revision = 0
+        self._retire_done: set[str] = set()
+        self._leaving: set[str] = set()
+        self._core: KeeperCore
+        self._transport: Transport[LedgerMessage]
+
+    async def run(self) -> None:
+        """Run until told to stop."""
+        now = time.monotonic()
+        loaded = self._log.load(now)
+        me = Member(
+            self._cfg.name, self._log.disk, self._cfg.internal, self._cfg.domain
+        )
+        self._core = KeeperCore(
+            me,
+            self._cfg.tolerated_losses,
+            view=loaded.view,
+            entries=loaded.entries,
+            now=now,
+        )
+        log.info(
+            "keeper started",
+            extra={
+                "disk": me.disk,
+                "accounts": len(self._core.ledger.accounts),
+                "view": loaded.view.number,
+                "cut_bytes": loaded.cut_bytes,
+                "damaged": loaded.damaged,
+                "first_start": self._cfg.first_start,
+            },
+        )
+        self._transport = Transport(
+            f"{self._cfg.internal}#{uuid.uuid4().hex[:8]}",
+            self._on_message,
+            deployment=DEPLOYMENT,
+            codec=LEDGER_CODEC,
+            gather_s=LEDGER_GATHER_S,
+        )
+        async with anyio.create_task_group() as group:
+            self._start(group)
+            await self._stop.wait()
+            group.cancel_scope.cancel()
+        self._log.close()
+        log.info("keeper stopped", extra={"disk": me.disk})
+
+    def _start(self, group: TaskGroup) -> None:
+        for prefix in (OWN, RETIRE):
+            mirror = Mirror(self._store, prefix, self._on_item, lambda present: None)
+            group.start_soon(mirror.run)
+        group.start_soon(self._transport.run)
+        group.start_soon(self._sync_batches)
+        group.start_soon(self._tick)
+        group.start_soon(self._look_after_view)
+        group.start_soon(self._expire)
+        group.start_soon(self._watch_signals)
+
+    async def _watch_signals(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                log.info("stopping")
+                self._stop.set()
+
+    # Messages and batches
+
+    def _on_message(self, sender: str, message: LedgerMessage) -> None:
+        self._core.receive(sender, message, time.monotonic())
+        self._send()
+        self._wake.set()
+
+    def _send(self) -> None:
+        for to, message in self._core.take_outbox():
+            self._transport.send(to, message)
+
+    async def _sync_batches(self) -> None:
+        while True:
+            batch = self._core.take_batch()
+            if batch is None:
+                self._wake = anyio.Event()
+                await self._wake.wait()
+                continue
+            await self._sync(batch)
+            self._send()
+
+    async def _sync(self, batch: Batch) -> None:
+        if not batch.entries and batch.view is None:
+            self._core.synced(batch)
+            return
+        try:
+            await self._append(batch.entries, batch.view)
+        except OSError as exc:
+            log.error("disk refused a batch", extra={"reason": repr(exc)})
+            self._core.not_synced(batch)
+            await anyio.sleep(PROPOSE_PAUSE_S)
+            return
+        self._core.synced(batch)
+
+    async def _append(self, entries: list[Entry], view: View | None) -> None:
+        await anyio.to_thread.run_sync(
+            self._log.append, entries, view, time.monotonic()
+        )
+
+    # Time
+
+    async def _tick(self) -> None:
+        while True:
+            self._core.tick(time.monotonic())
+            self._send()
+            await anyio.sleep(TICK_S)
+
+    async def _expire(self) -> None:
+        """Drop expired accounts, and move living ones out of the oldest segment."""
+        while True:
+            await anyio.sleep(EXPIRE_S)
+            now = time.monotonic()
+            self._core.ledger.expire(now)
+            oldest = self._log.oldest()
+            longest_s = self._core.ledger.longest_retention_s()
+            if oldest is None or now - oldest.started <= longest_s:
+                continue
+            batch = self._core.rewrite(oldest.programs)
+            self._wake.set()
+            while self._core.batches_synced < batch:
+                await anyio.sleep(TICK_S)
+            self._log.remove_oldest()
+
+    # The view and requests to empty an instance
+
+    def _on_item(self, item: Item) -> None:
+        if item.key == VIEW_KEY and item.value is not None:
+            self._take_view(item.revision, item.value)
+        elif item.key.startswith(RETIRE):
+            name = item.key.removeprefix(RETIRE)
+            (self._leaving.discard if item.value is None else self._leaving.add)(name)
+            self._core.leaving = frozenset(self._leaving)
+            log.info("instances to be emptied", extra={"names": sorted(self._leaving)})
+
+    def _take_view(self, revision: int, value: bytes) -> None:
+        try:
+            view = msgspec.json.decode(value, type=View)
+        except msgspec.DecodeError as exc:
+            log.error(
+                "value in the store does not decode",
+                extra={"key": VIEW_KEY, "reason": str(exc)},
+            )
+            return
+        self._view_revision = max(self._view_revision, revision)
+        if self._core.adopt(view, time.monotonic()):
+            log.info("view adopted", extra=_describe(view))
+            self._send()
+            self._wake.set()
+
+    async def _look_after_view(self) -> None:
+        while True:
+            await anyio.sleep(TICK_S)
+            core = self._core
+            now = time.monotonic()
+            proposal = next_view(
+                core.view, core.wishes(now), self._cfg.tolerated_losses
+            )
+            if proposal is None and core.has_copied():
+                proposal = core.view._replace(synced=(*core.view.synced, core.me.disk))
+            if proposal is not None:
+                await self._propose(proposal)
+            await self._report_emptied()
+
+    async def _propose(self, view: View) -> None:
+        """Write a view if the store still holds the one that it is based on.
+
+        A lost answer needs no care: the watch tells what the store holds, and what to
+        propose is worked out from that again.
+        """
+        base = self._view_revision
+        outcome = await self._store.swap(VIEW_KEY, base, msgspec.json.encode(view))
+        if isinstance(outcome, Swapped):
+            log.info("view proposed", extra=_describe(view))
+            self._take_view(outcome.revision, msgspec.json.encode(view))
+            return
+        reason = outcome.reason if isinstance(outcome, StoreTrouble) else "raced"
+        log.info("view not written", extra={"reason": reason, "base": base})
+        await anyio.sleep(PROPOSE_PAUSE_S)
+
+    async def _report_emptied(self) -> None:
+        """Tell the operators how far the emptying of an instance is.
+
+        One of the members does so, the first by name that stays.
+        """
+        view = self._core.view
+        staying = [m for m in view.members if m.name not in self._leaving]
+        if not staying or staying[0] != self._core.me:
+            return
+        for name in sorted(self._leaving - self._retire_done):
+            held = any(m.name == name for m in (*view.members, *view.old))
+            status = RETIRE_RUNNING if held else RETIRE_DONE
+            outcome = await self._store.put(RETIRE_STATUS + name, status)
+            log.info(
+                "told that an instance is emptied" if not held else "emptying",
+                extra={"name_of_instance": name, "outcome": str(outcome)},
+            )
+            if not held and isinstance(outcome, Swapped):
+                self._retire_done.add(name)
+            await anyio.sleep(PROPOSE_PAUSE_S)
+
+
+def _describe(view: View) -> dict[str, object]:
+    return {
+        "view": view.number,
+        "members": [m.name for m in view.members],
+        "old": [m.name for m in view.old],
+        "synced": len(view.synced),
+    }
--- a/wisteriastair/logs.py
+++ b/wisteriastair/logs.py
@@ -1,17 +1,29 @@
-"""Structured logs: one JSON object a line on standard error."""
+"""Structured logs: one JSON object a line.
+
+A daemon must never wait for who reads its logs.  Lines are handed to a file descriptor
+that does not block; what it does not take is dropped and counted, and the next line
+that gets through says how many were lost.
+"""
 
 from __future__ import annotations
 
-import json
 import logging
+import os
 import sys
 from typing import Any, Final
 
-FIELDS: Final = ("member", "request", "program", "operator")
+import msgspec
+
+# Attributes of every log record; whatever else a record has was given as ``extra``.
+STANDARD: Final = frozenset(
+    vars(logging.LogRecord("", 0, "", 0, "", (), None)).keys()
+) | {"message", "asctime", "taskName"}
+# Bytes of a pipe that are written at once or not at all, so that lines stay whole.
+PIPE_BYTES: Final = 4096
 
 
 class JsonFormatter(logging.Formatter):
-    """Formats a record as JSON with the ids that were given as ``extra``."""
+    """Formats a record as JSON with the fields that were given as ``extra``."""
 
     def format(self, record: logging.LogRecord) -> str:
         """Format one record."""
@@ -21,18 +33,52 @@
             "logger": record.name,
             "text": record.getMessage(),
         }
-        for name in FIELDS:
-            value = getattr(record, name, "")
-            if value:
+        for name, value in vars(record).items():
+            if name not in STANDARD and value not in ("", None):
                 line[name] = value
         if record.exc_info:
             line["exception"] = self.formatException(record.exc_info)
-        return json.dumps(line, ensure_ascii=False)
+        return msgspec.json.encode(line, enc_hook=str).decode()
+
+
+class NeverBlockingHandler(logging.Handler):
+    """Writes lines to a descriptor; drops and counts what it does not take."""
+
+    def __init__(self, fd: int) -> None:
+        super().__init__()
+        self.dropped = 0
+        self._fd = fd
+        self._untold = 0
+        os.set_blocking(fd, False)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one line."""
+        if self._untold:
+            record.dropped_before = self._untold
+        data = (self.format(record) + "\n").encode()[:PIPE_BYTES]
+        try:
+            os.write(self._fd, data)
+        except (BlockingIOError, BrokenPipeError):
+            self.dropped += 1
+            self._untold += 1
+            return
+        self._untold = 0
 
 
 def set_up_logs(level: str) -> None:
     """Send all logs to standard error as JSON lines."""
     handler = logging.StreamHandler(sys.stderr)
+    _install(handler, level)
+
+
+def set_up_daemon_logs(level: str) -> NeverBlockingHandler:
+    """Send all logs to standard output as JSON lines, without ever blocking."""
+    handler = NeverBlockingHandler(sys.stdout.fileno())
+    _install(handler, level)
+    return handler
+
+
+def _install(handler: logging.Handler, level: str) -> None:
     handler.setFormatter(JsonFormatter())
     root = logging.getLogger()
     root.handlers = [handler]
--- a/wisteriastair/main.py
+++ b/wisteriastair/main.py
@@ -18,6 +18,7 @@
 from .daemons.entry import EntryShell
 from .daemons.side import SideShell
 from .logs import set_up_logs
+from .nodes import EXIT_BAD_SETTING, keeper, relay
 from .operators.ctl import run_command
 from .options import (
     ENV_PREFIX,
@@ -34,8 +35,6 @@
 from .standins.main import standin_engine, standin_platform, standin_service
 from .standins.measure import measure
 
-EXIT_BAD_SETTING: Final = 2
-
 
 def entry(
     *,
@@ -265,6 +264,8 @@
 COMMANDS: Final[dict[str, Callable[..., int]]] = {
     "entry": entry,
     "side": side,
+    "relay": relay,
+    "keeper": keeper,
     "ctl": ctl,
     "demo": demo,
     "faults": faults,
--- /dev/null
+++ b/wisteriastair/nodeoptions.py
@@ -0,0 +1,76 @@
+"""Settings of the processes that run on the users' platform.
+
+One typed object holds what a relay or a keeper needs to know.  It is filled from the
+platform's settings file by `platform.settings`; nothing else reads that file.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class NodeOptions(NamedTuple):
+    """Settings of one process on one machine.
+
+    Attributes
+    ----------
+    name : str
+        Name of the instance.
+    address : str
+        IP number of the instance.
+    domain : str
+        Failure domain of the instance.
+    internal_port : int
+        Port for the other processes of the system.
+    store : str
+        ``IP:PORT`` of the platform's store.
+    callers : str
+        ``IP:PORT`` on which callers are served; empty on a keeper.
+    ready : str
+        ``IP:PORT`` on which the platform asks whether to send callers; empty on a
+        keeper.
+    data_dir : str
+        Folder on the disk; empty on a relay.
+    memory_bytes : int
+        Memory over which the process is killed.
+    tolerated_losses : int
+        Instances with a disk that may be lost at once.
+    first_start : bool
+        True if the whole system starts for the first time.
+    grace_s : float
+        Seconds between the signal to stop and the kill.
+    drain_s : float
+        Seconds for which a server that has left still serves.
+    settle_s : float
+        Seconds within which an ended turn must be settled in the ledger.
+    """
+
+    name: str
+    address: str
+    domain: str
+    internal_port: int
+    store: str
+    callers: str
+    ready: str
+    data_dir: str
+    memory_bytes: int
+    tolerated_losses: int
+    first_start: bool
+    grace_s: float
+    drain_s: float
+    settle_s: float
+
+    @property
+    def internal(self) -> str:
+        """Address for the other processes of the system."""
+        return f"{self.address}:{self.internal_port}"
+
+
+class BadNodeSetting(NamedTuple):
+    """A field of the settings file that is missing or cannot be used."""
+
+    field: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"settings file: {self.field}: {self.reason}"
--- a/wisteriastair/peers/transport.py
+++ b/wisteriastair/peers/transport.py
@@ -15,7 +15,7 @@
 
 import time
 from collections.abc import Callable
-from typing import Final, NamedTuple
+from typing import Final, Generic, NamedTuple, TypeVar
 
 import anyio
 import msgspec
@@ -35,7 +35,17 @@
 SOCKET_BUFFER: Final = 128
 MAX_FRAME_BYTES: Final = 64 * 1024 * 1024
 
-Handler = Callable[[str, Message], None]
+M = TypeVar("M")
+
+
+class Codec(NamedTuple, Generic[M]):
+    """How the messages of a transport are written as bytes."""
+
+    encode: Callable[[M], bytes]
+    decode: Callable[[bytes], M]
+
+
+CORE_CODEC: Final[Codec[Message]] = Codec(encode_message, decode_message)
 
 
 class Frame(NamedTuple):
@@ -106,7 +116,7 @@
     return socket
 
 
-class Transport:
+class Transport(Generic[M]):
     """Sends and receives messages of one process.
 
     Parameters
@@ -117,23 +127,36 @@
         Takes the sender's member id and each message.
     deployment : str
         Name of the deployment; see `Frame`.
+    codec : Codec
+        How messages are written.
     listen : str
         Address to listen on if it differs from the one that peers dial.
+    gather_s : float
+        Seconds for which messages to a peer gather before a frame is sent.
     """
 
     def __init__(
-        self, member: str, handler: Handler, *, deployment: str, listen: str = ""
+        self,
+        member: str,
+        handler: Callable[[str, M], None],
+        *,
+        deployment: str,
+        codec: Codec[M],
+        listen: str = "",
+        gather_s: float = GATHER_S,
     ) -> None:
         self.counts = TransportCounts()
         self._deployment = deployment
         self._member = member
         self._handler = handler
+        self._codec = codec
+        self._gather_s = gather_s
         self._links: dict[str, _Link] = {}
         self._dirty = anyio.Event()
         self._inbox = pynng.Pull0(recv_max_size=MAX_FRAME_BYTES)
         self._inbox.listen(f"tcp://{listen or address_of(member)}")
 
-    def send(self, to: str, message: Message) -> None:
+    def send(self, to: str, message: M) -> None:
         """Queue a message for a member or an address; it may be lost."""
         now = time.monotonic()
         address = address_of(to)
@@ -148,7 +171,7 @@
             self.counts.dropped += 1
             return
         target = to if "#" in to else ""
-        link.queues.setdefault(target, []).append(encode_message(message))
+        link.queues.setdefault(target, []).append(self._codec.encode(message))
         link.queued += 1
         link.used_at = now
         self._dirty.set()
@@ -170,7 +193,7 @@
             data = await self._inbox.arecv()
             try:
                 frame = _FRAMES.decode(data)
-                messages = [decode_message(m) for m in frame.messages]
+                messages = [self._codec.decode(m) for m in frame.messages]
             except (msgspec.DecodeError, IndexError):
                 self.counts.malformed += 1
                 continue
@@ -179,7 +202,7 @@
                 continue
             self._take(frame, messages)
 
-    def _take(self, frame: Frame, messages: list[Message]) -> None:
+    def _take(self, frame: Frame, messages: list[M]) -> None:
         now = time.monotonic()
         address = address_of(frame.sender)
         link = self._links.get(address)
@@ -202,7 +225,7 @@
         while True:
             await self._dirty.wait()
             self._dirty = anyio.Event()
-            await anyio.sleep(GATHER_S)
+            await anyio.sleep(self._gather_s)
             now = time.monotonic()
             for link in list(self._links.values()):
                 self._flush_link(link, now)
--- /dev/null
+++ b/wisteriastair/platform/documents.py
@@ -0,0 +1,168 @@
+"""Documents in the platform's store, decoded once into the project's own types.
+
+`op/config` holds the operators' configuration in full, `servers/ID` the entry of one
+backend server, `op/retire/NAME` the request to empty an instance with a disk.  A
+document that does not decode is an error with its key and reason, never an empty one.
+"""
+
+from __future__ import annotations
+
+from typing import Final, NamedTuple
+
+import msgspec
+
+from ..core.fleet import Server
+from ..core.routes import (
+    CallerLimits,
+    EngineTraits,
+    RequestKind,
+    Route,
+    RouteTable,
+    Service,
+    Share,
+)
+
+CONFIG_KEY: Final = "op/config"
+SERVERS: Final = "servers/"
+RETIRE: Final = "op/retire/"
+RETIRE_STATUS: Final = "status/retire/"
+RETIRE_DONE: Final = b'{"state":"done"}'
+RETIRE_RUNNING: Final = b'{"state":"running"}'
+# The system's own keys.
+OWN: Final = "wisteriastair/"
+VIEW_KEY: Final = OWN + "ledger-view"
+MS_PER_S: Final = 1000.0
+DEFAULT_RETENTION_S: Final = 60.0
+
+
+class BadDocument(NamedTuple):
+    """A value in the store that does not decode."""
+
+    key: str
+    reason: str
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    # The longest time that a request may be kept waiting, not a connection time-out.
+    timeout_ms: float = 0.0
+    target_latency_ms: float = 0.0
+    # A rank: 0 is the most urgent.
+    priority: int = 0
+    service: str = ""
+    split: list[_Split] = []
+    # Servers to which one request may be sent, the first included.
+    max_attempts: int = 1
+    retain_history: bool = False
+    retention_s: float = DEFAULT_RETENTION_S
+    sticky: bool = False
+    resumable: bool = False
+    target_gap_ms: float = 0.0
+
+
+class _Engine(msgspec.Struct, rename="camel"):
+    slots: int = 0
+    kv_capacity_tokens: int = 0
+    tokens_per_event: int = 1
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    name: str
+    max_conns: int = 0
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Server(msgspec.Struct, rename="camel"):
+    service: str
+    address: str
+    zone: str
+    slots: int = 1
+    state: str = "ready"
+    cold_left_ms: float = 0.0
+
+
+def decode_config(value: bytes) -> RouteTable | BadDocument:
+    """Decode the operators' configuration."""
+    try:
+        raw = msgspec.json.decode(value, type=_Config)
+        routes = tuple(_route(r) for r in raw.routes)
+    except (msgspec.DecodeError, ValueError) as exc:
+        return BadDocument(CONFIG_KEY, str(exc))
+    services = {s.name: _service(s) for s in raw.services}
+    limits = CallerLimits(
+        header_bytes=raw.limits.max_header_bytes,
+        body_bytes=raw.limits.max_body_bytes,
+        header_s=raw.limits.header_timeout_ms / MS_PER_S,
+        idle_s=raw.limits.idle_timeout_ms / MS_PER_S,
+    )
+    return RouteTable(raw.version, routes, services, limits)
+
+
+def _route(raw: _Route) -> Route:
+    shares = tuple(Share(s.service, s.weight) for s in raw.split)
+    return Route(
+        name=raw.name,
+        host=raw.host.lower(),
+        prefix=raw.prefix,
+        kind=RequestKind(raw.kind),
+        shares=shares or (Share(raw.service, 1.0),),
+        timeout_s=raw.timeout_ms / MS_PER_S,
+        aim_s=raw.target_latency_ms / MS_PER_S,
+        rank=raw.priority,
+        max_servers=max(1, raw.max_attempts),
+        keeps_history=raw.retain_history,
+        retention_s=raw.retention_s,
+        sticky=raw.sticky,
+        resumable=raw.resumable,
+        gap_s=raw.target_gap_ms / MS_PER_S,
+    )
+
+
+def _service(raw: _Service) -> Service:
+    engine = None
+    if raw.engine is not None:
+        engine = EngineTraits(
+            raw.engine.slots,
+            raw.engine.kv_capacity_tokens,
+            raw.engine.tokens_per_event,
+        )
+    return Service(raw.name, raw.max_conns, engine)
+
+
+def decode_server(key: str, value: bytes) -> Server | BadDocument:
+    """Decode the entry of a backend server; its id is the end of the key."""
+    try:
+        raw = msgspec.json.decode(value, type=_Server)
+    except msgspec.DecodeError as exc:
+        return BadDocument(key, str(exc))
+    return Server(
+        id=key.removeprefix(SERVERS),
+        service=raw.service,
+        address=raw.address,
+        domain=raw.zone,
+        slots=max(1, raw.slots),
+        draining=raw.state != "ready",
+        cold_s=raw.cold_left_ms / MS_PER_S,
+    )
--- /dev/null
+++ b/wisteriastair/platform/headers.py
@@ -0,0 +1,203 @@
+"""Headers of requests on the users' platform, decoded once and written once."""
+
+from __future__ import annotations
+
+from typing import Final, NamedTuple
+
+from ..core.fleet import Load
+from ..http1.messages import Head, Headers, Request, end_to_end, header
+
+MS_PER_S: Final = 1000.0
+REQUEST_ID: Final = b"X-Request-Id"
+RETRY_AFTER: Final = b"Retry-After"
+LAST_EVENT_ID: Final = b"Last-Event-Id"
+
+# Headers that only the system may set: a caller's own would let it hold memory of an
+# engine, go on from another's, or overtake others.
+SET_BY_SYSTEM: Final = frozenset(
+    (
+        b"x-deadline-ms",
+        b"x-expect-instance",
+        b"x-expect-version",
+        b"x-hold",
+        b"x-pin-ms",
+        b"x-kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+        b"x-request-priority",
+    )
+)
+
+
+class PromptPart(NamedTuple):
+    """A part of a prompt that may be shared with other requests."""
+
+    id: str
+    tokens: int
+
+
+class CallerRequest(NamedTuple):
+    """What a request says of itself.
+
+    Attributes
+    ----------
+    id : str
+        Names this attempt; a retry has another one.
+    host : str
+        In lower case and without a port.
+    wait_s : float or None
+        Seconds for which the caller waits; None if it does not say.
+    program, line : str
+        The program, and its line of turns; empty for a single request.
+    finish_s : float or None
+        Seconds until the whole program should be finished.
+    budget : int or None
+        Tokens that all turns of the program may generate together.
+    prompt_tokens, output_tokens : int
+        Tokens of the prompt, and the most that are generated.
+    parts : tuple of PromptPart
+        Parts of the prompt in their order.
+    previous : str
+        The turn that this one continues; empty at the start of a chain.
+    """
+
+    id: str
+    host: str
+    wait_s: float | None
+    program: str
+    line: str
+    finish_s: float | None
+    budget: int | None
+    prompt_tokens: int
+    output_tokens: int
+    parts: tuple[PromptPart, ...]
+    previous: str
+
+
+class BadHeader(NamedTuple):
+    """A header that cannot be read."""
+
+    name: str
+    value: str
+
+    def __str__(self) -> str:
+        return f"header {self.name}: {self.value!r} cannot be read"
+
+
+def decode_request(req: Request) -> CallerRequest | BadHeader:
+    """Decode the headers of a caller's request."""
+    values = {name.lower(): value.decode("latin-1") for name, value in req.headers}
+    request_id = values.get(b"x-request-id", "")
+    if not request_id:
+        return BadHeader("X-Request-Id", "")
+    try:
+        wait_ms = _number(values, b"x-deadline-ms")
+        finish_ms = _number(values, b"x-finish-ms")
+        budget = _number(values, b"x-token-budget")
+    except ValueError as exc:
+        return BadHeader("a number", str(exc))
+    try:
+        prompt, output = _usage(values.get(b"x-token-usage", ""))
+        parts = _parts(values.get(b"x-prompt-prefix", ""))
+    except ValueError as exc:
+        return BadHeader("X-Token-Usage or X-Prompt-Prefix", str(exc))
+    return CallerRequest(
+        id=request_id,
+        host=values[b"host"].partition(":")[0].lower(),
+        wait_s=None if wait_ms is None else wait_ms / MS_PER_S,
+        program=values.get(b"x-program-id", ""),
+        line=values.get(b"x-session-id", ""),
+        finish_s=None if finish_ms is None else finish_ms / MS_PER_S,
+        budget=None if budget is None else int(budget),
+        prompt_tokens=prompt,
+        output_tokens=output,
+        parts=parts,
+        previous=values.get(b"x-previous-turn", ""),
+    )
+
+
+def _number(values: dict[bytes, str], name: bytes) -> float | None:
+    value = values.get(name)
+    return None if value is None else float(value)
+
+
+def _usage(value: str) -> tuple[int, int]:
+    if not value:
+        return 0, 0
+    prompt, _, output = value.partition(",")
+    return int(prompt), int(output or 0)
+
+
+def _parts(value: str) -> tuple[PromptPart, ...]:
+    if not value:
+        return ()
+    pairs = (part.strip().partition(":") for part in value.split(","))
+    return tuple(PromptPart(name, int(tokens)) for name, _, tokens in pairs)
+
+
+def server_headers(
+    req: Request,
+    *,
+    left_s: float,
+    server_id: str,
+    body_bytes: int,
+    urgency: int | None = None,
+    last_event: str | None = None,
+) -> Headers:
+    """Headers with which a request goes to a server.
+
+    Parameters
+    ----------
+    left_s : float
+        Seconds that the caller still waits.
+    server_id : str
+        The only start of a server that may run the request; another one that has
+        got the same address refuses it.
+    urgency : int or None
+        Priority on an engine, 0 to 9 with 0 first.
+    last_event : str or None
+        Id of the event after which a stream goes on.
+    """
+    headers = [
+        (name, value)
+        for name, value in end_to_end(req.headers)
+        if name.lower() not in SET_BY_SYSTEM
+        and not (last_event is not None and name.lower() == b"last-event-id")
+    ]
+    left_ms = max(1, int(left_s * MS_PER_S))
+    headers.append((b"X-Deadline-Ms", str(left_ms).encode()))
+    headers.append((b"X-Expect-Instance", server_id.encode()))
+    if urgency is not None:
+        headers.append((b"X-Request-Priority", str(urgency).encode()))
+    if last_event is not None:
+        headers.append((LAST_EVENT_ID, last_event.encode()))
+    if body_bytes or req.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+        headers.append((b"Content-Length", str(body_bytes).encode()))
+    return headers
+
+
+def caller_headers(head: Head) -> Headers:
+    """Headers with which a server's answer goes to the caller."""
+    return end_to_end(head.headers)
+
+
+def said_not_run(head: Head) -> bool:
+    """Whether the server states that it did not run the request."""
+    return head.status == 421 or bool(header(head.headers, b"x-not-executed"))
+
+
+def is_genuine(head: Head) -> bool:
+    """Whether a success bears what every server's own answer bears."""
+    stamped = header(head.headers, b"x-server-stamp")
+    encoded = header(head.headers, b"content-encoding")
+    return bool(stamped) and not encoded
+
+
+def reported_load(head: Head) -> Load | None:
+    """Load that the server reports with an answer."""
+    value = header(head.headers, b"x-server-load")
+    try:
+        running, waiting, slots = (int(part) for part in value.split(","))
+    except ValueError:
+        return None
+    return Load(running, waiting, slots)
--- /dev/null
+++ b/wisteriastair/platform/settings.py
@@ -0,0 +1,130 @@
+"""The platform's settings file, decoded into `NodeOptions`.
+
+The file is TOML.  Fields that are not known are ignored, since new ones may come; a
+field that is missing or has the wrong type is reported by its name, and the process
+does not start.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from typing import Final
+
+import msgspec
+
+from ..nodeoptions import BadNodeSetting, NodeOptions
+
+SETTINGS_VARIABLE: Final = "WISTERIASTAIR_BOOT"
+RELAY_CLASS: Final = "front"
+BYTES_PER_MB: Final = 1024 * 1024
+MS_PER_S: Final = 1000.0
+
+
+class _Listen(msgspec.Struct):
+    front: str = ""
+    ready: str = ""
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    memory_mb: float
+
+
+class _Tolerate(msgspec.Struct):
+    machines: int
+
+
+class _Bounds(msgspec.Struct, rename="camel"):
+    drain_ms: float
+    grace_s: float
+    settle_ms: float = 1000.0
+
+
+class _Platform(msgspec.Struct):
+    address: str
+
+
+class _Settings(msgspec.Struct, rename="camel"):
+    node_name: str
+    ip: str
+    zone: str
+    internal_ports: tuple[int, int]
+    listen: _Listen
+    limits: _Limits
+    tolerate: _Tolerate
+    bounds: _Bounds
+    platform: _Platform
+    # True only when the whole system starts for the first time, on empty disks.
+    bootstrap: bool
+    data_dir: str = ""
+
+
+def load_settings(path: str) -> NodeOptions | BadNodeSetting:
+    """Read the settings file.
+
+    Parameters
+    ----------
+    path : str
+        Path of the file; empty if the environment names none.
+
+    Returns
+    -------
+    NodeOptions or BadNodeSetting
+        The settings, or the first field that cannot be used.
+    """
+    if not path:
+        return BadNodeSetting(SETTINGS_VARIABLE, "the variable is not set")
+    try:
+        with open(path, "rb") as file:
+            raw = tomllib.load(file)
+    except OSError as exc:
+        return BadNodeSetting(path, exc.strerror or str(exc))
+    except tomllib.TOMLDecodeError as exc:
+        return BadNodeSetting(path, f"not TOML: {exc}")
+    try:
+        settings = msgspec.convert(raw, type=_Settings)
+    except msgspec.ValidationError as exc:
+        return _bad_field(str(exc))
+    return _checked(settings)
+
+
+def _bad_field(text: str) -> BadNodeSetting:
+    """Name the field of a validation error, such as ``... - at `$.listen```."""
+    reason, _, where = text.partition(" - at ")
+    field = where.strip("`").removeprefix("$.") or reason
+    return BadNodeSetting(field, reason)
+
+
+def _checked(settings: _Settings) -> NodeOptions | BadNodeSetting:
+    addresses = {
+        "platform.address": settings.platform.address,
+        "listen.front": settings.listen.front,
+        "listen.ready": settings.listen.ready,
+    }
+    for field, address in addresses.items():
+        if address and not _is_address(address):
+            return BadNodeSetting(field, f"{address!r} is not IP:PORT")
+    if not settings.platform.address:
+        return BadNodeSetting("platform.address", "is empty")
+    if settings.tolerate.machines < 0:
+        return BadNodeSetting("tolerate.machines", "is below 0")
+    return NodeOptions(
+        name=settings.node_name,
+        address=settings.ip,
+        domain=settings.zone,
+        internal_port=settings.internal_ports[0],
+        store=settings.platform.address,
+        callers=settings.listen.front,
+        ready=settings.listen.ready,
+        data_dir=settings.data_dir,
+        memory_bytes=int(settings.limits.memory_mb * BYTES_PER_MB),
+        tolerated_losses=settings.tolerate.machines,
+        first_start=settings.bootstrap,
+        grace_s=settings.bounds.grace_s,
+        drain_s=settings.bounds.drain_ms / MS_PER_S,
+        settle_s=settings.bounds.settle_ms / MS_PER_S,
+    )
+
+
+def _is_address(value: str) -> bool:
+    host, _, port = value.rpartition(":")
+    return bool(host) and port.isdigit()
--- /dev/null
+++ b/wisteriastair/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Relays: entry instances that pass callers' requests on to backend servers."""
--- /dev/null
+++ b/wisteriastair/relay/answers.py
@@ -0,0 +1,43 @@
+"""The system's own answers to callers: refusals and failures.
+
+A status of 408, 421, 429 or 503 promises that the request has not run and never will.
+Everything else that the system says itself promises nothing.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+
+from ..errors import Code, Failure, error_body, http_status
+from ..http1.caller import CallerChannel
+from ..http1.messages import Headers
+from ..platform.headers import REQUEST_ID, RETRY_AFTER
+
+JSON: Final = (b"Content-Type", b"application/json")
+
+_STATUS_CODES: Final = {
+    400: Code.BAD_REQUEST,
+    404: Code.UNKNOWN_ROUTE,
+    408: Code.SLOW_REQUEST,
+    413: Code.TOO_LARGE,
+    431: Code.HEADERS_TOO_LARGE,
+}
+
+
+def fail(channel: CallerChannel, request_id: str, failure: Failure) -> int:
+    """Answer a request with a failure; return the status."""
+    status = http_status(failure.code)
+    headers: Headers = [JSON]
+    if request_id:
+        headers.append((REQUEST_ID, request_id.encode("latin-1")))
+    if failure.retry_after_s > 0:
+        headers.append((RETRY_AFTER, f"{failure.retry_after_s:.3f}".encode()))
+    channel.respond(status, headers, msgspec.json.encode(error_body(failure)))
+    return status
+
+
+def code_of(status: int) -> Code:
+    """Code of a request that could not be taken."""
+    return _STATUS_CODES[status]
--- /dev/null
+++ b/wisteriastair/relay/daemon.py
@@ -0,0 +1,283 @@
+"""The relay's shell: listens to callers, follows the store, and stops gracefully."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import time
+import uuid
+from typing import Final
+
+import anyio
+import msgspec
+from anyio.abc import TaskGroup
+
+from ..core.fleet import Fleet
+from ..core.ledgerwire import LedgerMessage
+from ..core.membership import View
+from ..core.routes import CallerLimits, RequestKind, RouteTable
+from ..errors import Code, Failure
+from ..http1.caller import CallerChannel, Handler
+from ..http1.messages import BadRequest, Request
+from ..keeper.daemon import DEPLOYMENT, LEDGER_CODEC, LEDGER_GATHER_S
+from ..nodeoptions import NodeOptions
+from ..peers.transport import Transport
+from ..platform.documents import (
+    CONFIG_KEY,
+    SERVERS,
+    VIEW_KEY,
+    BadDocument,
+    decode_config,
+    decode_server,
+)
+from ..platform.headers import BadHeader, decode_request
+from ..platform.mirror import Mirror
+from ..platform.store import Item, Store
+from .answers import code_of, fail
+from .chains import ChainCache
+from .dispatch import Dispatcher
+from .job import Job
+from .ledger import LedgerClient
+from .plain import COME_BACK_S, run_plain
+from .pool import Pool
+from .streams import StreamRelay
+
+SWEEP_S: Final = 0.25
+READY_PATH: Final = "/v1/ready"
+LISTEN_BACKLOG: Final = 1024
+# Share of the process's memory that cached chains may take.
+CHAIN_SHARE: Final = 0.12
+# After the signal to stop, idle channels of callers stay for this long, in seconds: the
+# platform needs two questions to notice that this process is leaving.
+LAME_DUCK_S: Final = 2.5
+# Before the kill that follows the grace period, in seconds.
+STOP_MARGIN_S: Final = 0.7
+
+log = logging.getLogger(__name__)
+
+
+class Relay(Handler):
+    """Answers callers' requests by the configuration in force."""
+
+    def __init__(self, cfg: NodeOptions) -> None:
+        self._cfg = cfg
+        self._store = Store(cfg.store)
+        self._table: RouteTable | None = None
+        self._fleet = Fleet()
+        self._pool = Pool(self._on_stray)
+        self._ledger = LedgerClient(cfg.domain, cfg.tolerated_losses)
+        self._dispatcher = Dispatcher(self._fleet, self._pool, cfg.domain)
+        chains = ChainCache(int(cfg.memory_bytes * CHAIN_SHARE))
+        self._streams = StreamRelay(self._dispatcher, self._ledger, chains)
+        self._channels: set[CallerChannel] = set()
+        self._stopping = False
+        self._stop = anyio.Event()
+        self._listed: set[str] = set()
+
+    async def run(self) -> None:
+        """Run until told to stop."""
+        log.info("relay started", extra={"instance": self._cfg.name})
+        transport: Transport[LedgerMessage] = Transport(
+            f"{self._cfg.internal}#{uuid.uuid4().hex[:8]}",
+            self._ledger.receive,
+            deployment=DEPLOYMENT,
+            codec=LEDGER_CODEC,
+            gather_s=LEDGER_GATHER_S,
+        )
+        async with anyio.create_task_group() as group:
+            self._ledger.start(transport, group)
+            group.start_soon(transport.run)
+            for prefix in ("op/config", SERVERS, VIEW_KEY):
+                mirror = Mirror(
+                    self._store, prefix, self._on_item, self._listed_callback(prefix)
+                )
+                group.start_soon(mirror.run)
+            group.start_soon(self._sweep)
+            group.start_soon(self._watch_signals)
+            await self._serve(group)
+            group.cancel_scope.cancel()
+        log.info("relay stopped", extra={"instance": self._cfg.name})
+
+    async def _serve(self, group: TaskGroup) -> None:
+        loop = asyncio.get_running_loop()
+        servers = []
+        for address in (self._cfg.callers, self._cfg.ready):
+            host, _, port = address.rpartition(":")
+            server = await loop.create_server(
+                lambda: CallerChannel(self, group, self._channels),
+                host,
+                int(port),
+                backlog=LISTEN_BACKLOG,
+            )
+            servers.append(server)
+        await self._stop.wait()
+        await self._drain()
+        for server in servers:
+            server.close()
+
+    # Stopping
+
+    async def _watch_signals(self) -> None:
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as signals:
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    log.info("reload asked for; nothing that may change is in the file")
+                    continue
+                log.info("stopping", extra={"channels": len(self._channels)})
+                self._stopping = True
+                self._stop.set()
+
+    async def _drain(self) -> None:
+        """Let what is under way end before the process does.
+
+        The platform goes on sending callers until it has noticed; they are served as
+        always, and each answer ends its channel.
+        """
+        began = time.monotonic()
+        last = self._cfg.grace_s - STOP_MARGIN_S
+        while (elapsed := time.monotonic() - began) < last:
+            if elapsed > LAME_DUCK_S:
+                for channel in list(self._channels):
+                    channel.finish_idle()
+                if not self._channels:
+                    return
+            await anyio.sleep(SWEEP_S / 5)
+        log.warning("stopped before all was done", extra={"left": len(self._channels)})
+
+    def closing(self) -> bool:
+        """Whether channels are to end after their next answer."""
+        return self._stopping
+
+    # Requests
+
+    def limits(self) -> CallerLimits:
+        """Limits in force."""
+        return self._table.limits if self._table else CallerLimits()
+
+    def refuse(self, bad: BadRequest, channel: CallerChannel) -> None:
+        """Answer a request that could not be taken."""
+        log.info("request refused", extra={"status": bad.status, "reason": bad.reason})
+        fail(channel, "", Failure(code_of(bad.status), bad.reason))
+
+    async def handle(self, req: Request, channel: CallerChannel) -> None:
+        """Answer one request."""
+        if req.path == READY_PATH:
+            self._answer_ready(channel)
+            return
+        asked = decode_request(req)
+        if isinstance(asked, BadHeader):
+            log.info("request refused", extra={"status": 400, "reason": str(asked)})
+            fail(channel, "", Failure(Code.BAD_REQUEST, str(asked)))
+            return
+        table = self._table
+        if table is None:
+            detail = "the configuration is not known yet"
+            fail(
+                channel,
+                asked.id,
+                Failure(Code.NOT_CONFIGURED, detail, "no", COME_BACK_S),
+            )
+            log.info("request refused", extra={"request": asked.id, "reason": detail})
+            return
+        route = table.find(asked.host, req.path)
+        if route is None:
+            detail = f"no route for {asked.host}{req.path}"
+            fail(channel, asked.id, Failure(Code.UNKNOWN_ROUTE, detail))
+            log.info(
+                "request refused",
+                extra={"request": asked.id, "reason": detail, "config": table.version},
+            )
+            return
+        job = Job(req, asked, route, table, channel)
+        try:
+            if route.kind is RequestKind.STREAM:
+                await self._streams.run(job)
+            else:
+                await run_plain(job, self._dispatcher)
+        finally:
+            job.log()
+
+    def _answer_ready(self, channel: CallerChannel) -> None:
+        status = 200 if self._is_ready() else 503
+        channel.respond(status, [], b"")
+
+    def _is_ready(self) -> bool:
+        known = self._table is not None and SERVERS in self._listed
+        return known and len(self._ledger.view.members) > 0 and not self._stopping
+
+    # What the store tells
+
+    def _listed_callback(self, prefix: str):  # type: ignore[no-untyped-def]
+        return lambda present: self._listed.add(prefix)
+
+    def _on_item(self, item: Item) -> None:
+        if item.key == CONFIG_KEY:
+            self._take_config(item)
+        elif item.key == VIEW_KEY and item.value is not None:
+            self._take_view(item.value)
+        elif item.key.startswith(SERVERS):
+            self._take_server(item)
+
+    def _take_config(self, item: Item) -> None:
+        if item.value is None:
+            log.warning("configuration removed from the store; the last one stays")
+            return
+        table = decode_config(item.value)
+        if isinstance(table, BadDocument):
+            log.error(
+                "value in the store does not decode",
+                extra={"key": table.key, "reason": table.reason},
+            )
+            return
+        if self._table is not None and table.version <= self._table.version:
+            log.info("older configuration ignored", extra={"config": table.version})
+            return
+        self._table = table
+        log.info(
+            "configuration in force",
+            extra={"config": table.version, "routes": len(table.routes)},
+        )
+
+    def _take_view(self, value: bytes) -> None:
+        try:
+            self._ledger.adopt(msgspec.json.decode(value, type=View))
+        except msgspec.DecodeError as exc:
+            log.error(
+                "value in the store does not decode",
+                extra={"key": VIEW_KEY, "reason": str(exc)},
+            )
+
+    def _take_server(self, item: Item) -> None:
+        now = asyncio.get_running_loop().time()
+        server_id = item.key.removeprefix(SERVERS)
+        if item.value is None:
+            self._fleet.remove(server_id, now)
+            log.info("server vanished", extra={"server": server_id})
+            return
+        server = decode_server(item.key, item.value)
+        if isinstance(server, BadDocument):
+            log.error(
+                "value in the store does not decode",
+                extra={"key": server.key, "reason": server.reason},
+            )
+            return
+        self._fleet.put(server)
+        log.info(
+            "server known",
+            extra={"server": server_id, "draining": server.draining},
+        )
+
+    def _on_stray(self, server_id: str) -> None:
+        log.warning("bytes that belong to no request", extra={"server": server_id})
+
+    async def _sweep(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            now = loop.time()
+            for channel in list(self._channels):
+                channel.check(now)
+            self._pool.sweep(self._fleet.expire(now))
+            await anyio.sleep(SWEEP_S)
--- /dev/null
+++ b/wisteriastair/relay/dispatch.py
@@ -0,0 +1,147 @@
+"""One request to one backend server, and what is known of it afterwards.
+
+Whether a request has run decides what may be done next.  Nothing was run if no channel
+could be opened, or if the server says so.  Once a request has been written, any other
+end leaves that open, and a request that must not be repeated gets no second server.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Final, NamedTuple
+
+from ..core.choice import Want, choose
+from ..core.fleet import Fleet, ServerState
+from ..http1.messages import Head, Headers, Request, write_head
+from ..http1.server import EndKind, Exchange, ServerChannel
+from ..platform.headers import reported_load, said_not_run
+from .pool import Pool
+
+# A server that says that it is full is passed over for this time, in seconds.
+FULL_S: Final = 0.15
+
+
+class NotRun(NamedTuple):
+    """The request has not run on this server and never will."""
+
+    server: str
+    reason: str
+
+
+class Started(NamedTuple):
+    """The server has begun to answer; the rest arrives in the exchange."""
+
+    state: ServerState
+    exchange: Exchange
+    channel: ServerChannel
+    head: Head
+
+
+class Lost(NamedTuple):
+    """The request was sent and no usable answer came; it may have run."""
+
+    server: str
+    reason: str
+
+
+class Dispatcher:
+    """Chooses servers and sends requests to them.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The known servers.
+    pool : Pool
+        Channels to them.
+    domain : str
+        Failure domain of this process.
+    """
+
+    def __init__(self, fleet: Fleet, pool: Pool, domain: str) -> None:
+        self.fleet = fleet
+        self.pool = pool
+        self._domain = domain
+        self._draw = random.Random().randrange
+
+    def pick(
+        self, service: str, parts: tuple[str, ...], tried: frozenset[str]
+    ) -> ServerState | None:
+        """Choose a server for a request."""
+        now = asyncio.get_running_loop().time()
+        servers = self.fleet.usable(service, now)
+        return choose(servers, Want(self._domain, parts, tried), self._draw, now)
+
+    @asynccontextmanager
+    async def send(
+        self,
+        state: ServerState,
+        req: Request,
+        request_id: str,
+        headers: Headers,
+        body: bytes,
+    ) -> AsyncIterator[Started | NotRun | Lost]:
+        """Send a request and wait for the head of its answer.
+
+        On leaving, the channel is kept if the answer was whole and closed otherwise,
+        which makes the server drop the request.
+        """
+        server = state.server
+        state.open += 1
+        channel: ServerChannel | str = ""
+        try:
+            channel = await self.pool.acquire(server)
+            if isinstance(channel, str):
+                self._failed(state)
+                yield NotRun(server.id, channel)
+                return
+            exchange = Exchange(request_id, req.method)
+            first_line = f"{req.method} {req.target} HTTP/1.1".encode("latin-1")
+            channel.start(exchange, write_head(first_line, headers) + body)
+            await exchange.wait_head()
+            yield self._outcome(state, exchange, channel)
+        finally:
+            state.open -= 1
+            if isinstance(channel, ServerChannel):
+                self.pool.release(server, channel)
+
+    def _outcome(
+        self, state: ServerState, exchange: Exchange, channel: ServerChannel
+    ) -> Started | NotRun | Lost:
+        server_id = state.server.id
+        head = exchange.head
+        if head is None:
+            assert exchange.end is not None, "an exchange has a head or an end"
+            self._failed(state)
+            return Lost(server_id, exchange.end.reason)
+        now = asyncio.get_running_loop().time()
+        load = reported_load(head)
+        if load is not None:
+            state.take_load(load, now)
+        if said_not_run(head):
+            state.full_until = now + FULL_S
+            return NotRun(server_id, f"status {head.status}")
+        return Started(state, exchange, channel, head)
+
+    def _failed(self, state: ServerState) -> None:
+        state.failed(asyncio.get_running_loop().time())
+
+
+async def read_whole(exchange: Exchange, most_bytes: int) -> bytes | str:
+    """Read the rest of an answer; a string says why it is not whole."""
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        data = exchange.take()
+        parts.append(data)
+        size += len(data)
+        if size > most_bytes:
+            return f"answer over {most_bytes} bytes"
+        if exchange.end is not None:
+            break
+        await exchange.wait()
+    if exchange.end.kind is not EndKind.WHOLE:
+        return exchange.end.reason
+    return b"".join(parts)
--- /dev/null
+++ b/wisteriastair/relay/job.py
@@ -0,0 +1,96 @@
+"""A caller's request under way: what it is, how long it may take, what happened.
+
+Every request ends in one log line with the inputs that decided it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import Final
+
+from ..core.routes import Route, RouteTable
+from ..http1.caller import CallerChannel
+from ..http1.messages import Request
+from ..platform.headers import CallerRequest
+
+# For a caller that does not say how long it waits, on a route without a limit; seconds.
+WAIT_S: Final = 30.0
+
+log = logging.getLogger(__name__)
+
+
+class Job:
+    """A request on its way.
+
+    Attributes
+    ----------
+    until : float
+        When the answer must be complete, on the loop's clock: the caller's patience or
+        the route's limit, whichever ends first.
+    status : int
+        What the caller was answered; 0 for a channel that ended without an answer.
+    reason : str
+        Why it did not go well; empty if it did.
+    """
+
+    def __init__(
+        self,
+        req: Request,
+        asked: CallerRequest,
+        route: Route,
+        table: RouteTable,
+        channel: CallerChannel,
+    ) -> None:
+        self.req = req
+        self.asked = asked
+        self.route = route
+        self.service = route.service_for(asked.id)
+        self.engine = (
+            table.services[self.service].engine
+            if (self.service in table.services)
+            else None
+        )
+        self.channel = channel
+        self.status = 0
+        self.reason = ""
+        self.tried: list[str] = []
+        self.events = 0
+        self.sent = False
+        self.ledger_s = 0.0
+        self.first_s = 0.0
+        self._config = table.version
+        wait_s = WAIT_S if asked.wait_s is None else asked.wait_s
+        if route.timeout_s > 0:
+            wait_s = min(wait_s, route.timeout_s)
+        self.until = req.received_at + wait_s
+
+    def left_s(self) -> float:
+        """Seconds until the answer must be complete."""
+        return self.until - asyncio.get_running_loop().time()
+
+    def age_s(self) -> float:
+        """Seconds since the request arrived."""
+        return asyncio.get_running_loop().time() - self.req.received_at
+
+    def log(self) -> None:
+        """Write the line that explains the request."""
+        log.info(
+            "request ended" if self.status else "request broken off",
+            extra={
+                "request": self.asked.id,
+                "program": self.asked.program,
+                "route": self.route.name,
+                "service": self.service,
+                "config": self._config,
+                "status": self.status,
+                "reason": self.reason,
+                "servers": self.tried,
+                "sent": self.sent,
+                "events": self.events,
+                "ledger_ms": round(self.ledger_s * 1000, 1),
+                "first_ms": round(self.first_s * 1000, 1),
+                "took_ms": round(self.age_s() * 1000, 1),
+                "left_ms": round(self.left_s() * 1000),
+            },
+        )
--- /dev/null
+++ b/wisteriastair/relay/plain.py
@@ -0,0 +1,107 @@
+"""Requests to plain services: one whole answer, or a truthful failure.
+
+The answer is read whole before it is passed on, so that one that breaks off can still
+be replaced for a request that may be repeated, and never looks complete.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import anyio
+
+from ..errors import Code, Failure
+from ..http1.messages import Head
+from ..platform.headers import caller_headers, is_genuine, server_headers
+from .answers import fail
+from .dispatch import Dispatcher, Lost, NotRun, Started, read_whole
+from .job import Job
+
+# Answers are held in memory while they are read.
+MOST_ANSWER_BYTES: Final = 8 * 1024 * 1024
+# Servers that may refuse a request before the caller is told to come back.
+MOST_REFUSALS: Final = 3
+# When to come back after refusals for lack of room, in seconds.
+COME_BACK_S: Final = 0.2
+# Statuses that would promise, in the system's name, that nothing has run.
+PROMISES: Final = (408, 421, 429, 503)
+SUCCESS: Final = range(200, 300)
+
+
+class Answer:
+    """A server's whole answer."""
+
+    def __init__(self, head: Head, body: bytes) -> None:
+        self.head = head
+        self.body = body
+
+
+async def run_plain(job: Job, dispatcher: Dispatcher) -> None:
+    """Answer a request to a plain service."""
+    answer: Answer | Failure = Failure(Code.TIMED_OUT, "no answer in time", "unknown")
+    with anyio.move_on_after(max(0.0, job.left_s())):
+        answer = await _find_answer(job, dispatcher)
+    if isinstance(answer, Failure):
+        if answer.code is Code.TIMED_OUT and not job.sent:
+            answer = Failure(Code.TOO_LATE, "no time left", "no", COME_BACK_S)
+        job.reason = job.reason or answer.detail
+        job.status = fail(job.channel, job.asked.id, answer)
+        return
+    job.status = answer.head.status
+    job.channel.respond(job.status, caller_headers(answer.head), answer.body)
+
+
+async def _find_answer(job: Job, dispatcher: Dispatcher) -> Answer | Failure:
+    refused: set[str] = set()
+    runs = 0
+    while True:
+        state = dispatcher.pick(job.service, (), frozenset(refused))
+        if state is None or len(refused) >= MOST_REFUSALS:
+            detail = "no server has room" if refused else "no server is there"
+            code = Code.SERVERS_FULL if refused else Code.NO_SERVER
+            if runs:
+                return Failure(Code.SERVER_LOST, job.reason, "unknown")
+            return Failure(code, detail, "no", COME_BACK_S)
+        server_id = state.server.id
+        job.tried.append(server_id)
+        headers = server_headers(
+            job.req,
+            left_s=job.left_s(),
+            server_id=server_id,
+            body_bytes=len(job.req.body),
+        )
+        job.sent = True
+        async with dispatcher.send(
+            state, job.req, job.asked.id, headers, job.req.body
+        ) as outcome:
+            answer = await _read(job, outcome)
+        if isinstance(answer, Answer):
+            state.succeeded(job.age_s())
+            return answer
+        if isinstance(answer, NotRun):
+            job.sent = runs > 0
+            job.reason = answer.reason
+            refused.add(answer.server)
+            continue
+        runs += 1
+        job.reason = answer.reason
+        refused.add(answer.server)
+        state.failed(job.req.received_at + job.age_s())
+        if not job.route.repeatable or runs >= job.route.max_servers:
+            return Failure(Code.SERVER_LOST, answer.reason, "unknown")
+
+
+async def _read(job: Job, outcome: Started | NotRun | Lost) -> Answer | NotRun | Lost:
+    if not isinstance(outcome, Started):
+        return outcome
+    server_id = outcome.state.server.id
+    body = await read_whole(outcome.exchange, MOST_ANSWER_BYTES)
+    if isinstance(body, str):
+        return Lost(server_id, body)
+    head = outcome.head
+    if head.status in SUCCESS and not is_genuine(head):
+        return Lost(server_id, "a success without the server's stamp")
+    if head.status in PROMISES:
+        # Without the server's word that it has not run this would be a false promise.
+        return Lost(server_id, f"status {head.status}")
+    return Answer(head, body)
--- /dev/null
+++ b/wisteriastair/relay/pool.py
@@ -0,0 +1,97 @@
+"""Channels to backend servers, kept open between requests.
+
+A channel goes to one start of a server at one address, and is only used again while the
+server keeps it: an idle channel that the server closes just as a request is written
+leaves the request's outcome unknown.  Silent channels are found by TCP itself, by
+keep-alive probes and a bound on unacknowledged data.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Final
+
+import anyio
+
+from ..core.fleet import Server
+from ..http1.server import ServerChannel
+from ..platform.store import SOCKET_OPTIONS
+
+CONNECT_S: Final = 0.5
+# A channel is given up this long before the server would close it, in seconds.
+KEEP_MARGIN_S: Final = 1.0
+# For a server that does not say how long it keeps an idle channel.
+KEEP_UNKNOWN_S: Final = 4.0
+
+
+class Pool:
+    """Idle channels by server.
+
+    Parameters
+    ----------
+    on_stray : callable
+        Told when a server sends bytes that belong to no request.
+    """
+
+    def __init__(self, on_stray: Callable[[str], None]) -> None:
+        self.opened = 0
+        self._idle: dict[str, list[ServerChannel]] = {}
+        self._on_stray = on_stray
+
+    async def acquire(self, server: Server) -> ServerChannel | str:
+        """Return a channel, or why there is none; nothing was sent then."""
+        loop = asyncio.get_running_loop()
+        idle = self._idle.get(server.id, [])
+        while idle:
+            channel = idle.pop()
+            if not channel.closed and loop.time() < _kept_until(channel):
+                return channel
+            channel.close()
+        return await self._connect(server)
+
+    def release(self, server: Server, channel: ServerChannel) -> None:
+        """Take a channel back, if it can be used again."""
+        if channel.release(asyncio.get_running_loop().time()):
+            self._idle.setdefault(server.id, []).append(channel)
+
+    def sweep(self, gone: list[Server]) -> None:
+        """Close channels that were idle for too long, or whose server left."""
+        now = asyncio.get_running_loop().time()
+        for server in gone:
+            for channel in self._idle.pop(server.id, []):
+                channel.close()
+        for server_id, idle in self._idle.items():
+            kept = [c for c in idle if not c.closed and now < _kept_until(c)]
+            for channel in idle:
+                if channel not in kept:
+                    channel.close()
+            self._idle[server_id] = kept
+
+    async def _connect(self, server: Server) -> ServerChannel | str:
+        loop = asyncio.get_running_loop()
+        host, _, port = server.address.rpartition(":")
+        self.opened += 1
+        try:
+            with anyio.fail_after(CONNECT_S):
+                transport, channel = await loop.create_connection(
+                    lambda: ServerChannel(lambda: self._on_stray(server.id)),
+                    host,
+                    int(port),
+                )
+        except TimeoutError:
+            return "no connection in time"
+        except OSError as exc:
+            return f"no connection: {exc.strerror or exc!r}"
+        sock: socket.socket = transport.get_extra_info("socket")
+        for level, option, value in SOCKET_OPTIONS:
+            sock.setsockopt(level, option, value)
+        return channel
+
+
+def _kept_until(channel: ServerChannel) -> float:
+    keep_s = KEEP_UNKNOWN_S
+    if channel.keep_alive_s is not None:
+        keep_s = max(0.0, channel.keep_alive_s - KEEP_MARGIN_S)
+    return channel.idle_since + keep_s
--- /dev/null
+++ b/wisteriastair/relay/streams.py
@@ -0,0 +1,286 @@
+"""Streamed turns: reserve, send, pass events on as they come, settle, end.
+
+The end of the answer is held until the turn is durable on enough disks: a caller that
+has seen the end may continue from this turn anywhere, at once.  Until then the caller
+has only events, which promise nothing.  A stream that breaks ends with a visible break,
+and is settled with the tokens of the events that went out.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import anyio
+
+from ..core.ledger import Turn
+from ..errors import Code, Failure
+from ..http1.messages import Head
+from ..http1.server import EndKind
+from ..platform.headers import caller_headers, is_genuine, server_headers
+from .answers import fail
+from .chains import ChainCache
+from .dispatch import Dispatcher, Lost, NotRun, Started, read_whole
+from .events import EventSplitter
+from .job import Job
+from .ledger import (
+    Granted,
+    LedgerClient,
+    NoSuchTurn,
+    Reservation,
+    Spent,
+    Unavailable,
+)
+from .plain import COME_BACK_S, MOST_ANSWER_BYTES, MOST_REFUSALS, PROMISES, SUCCESS
+
+# Longest wait for a reservation, in seconds; then the caller is told to come back.
+RESERVE_S: Final = 1.0
+# Times that one stream may go on after a break.
+MOST_RESUMES: Final = 2
+# Longest chain of turns; more would not fit into a server's memory either.
+PRIORITY_MOST: Final = 9
+
+
+class StreamRelay:
+    """Answers requests on streamed routes.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Sends them to servers.
+    ledger : LedgerClient
+        Keeps budgets and turns.
+    chains : ChainCache
+        What was said before.
+    """
+
+    def __init__(
+        self, dispatcher: Dispatcher, ledger: LedgerClient, chains: ChainCache
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._ledger = ledger
+        self._chains = chains
+
+    async def run(self, job: Job) -> None:
+        """Answer one request."""
+        wish = _reservation(job)
+        turn = _TurnRun(job, wish)
+        failure: Failure | None = Failure(
+            Code.TIMED_OUT, "no answer in time", "unknown"
+        )
+        try:
+            with anyio.move_on_after(max(0.0, job.left_s())):
+                failure = await self._run(turn)
+        finally:
+            if turn.reserved and not turn.settled and wish is not None:
+                self._ledger.settle_later(wish, turn.tokens())
+        if failure is None:
+            return
+        job.reason = job.reason or failure.detail
+        if turn.begun:
+            return
+        if failure.code is Code.TIMED_OUT and not job.sent:
+            failure = Failure(Code.TOO_LATE, "no time left", "no", COME_BACK_S)
+        job.status = fail(job.channel, job.asked.id, failure)
+
+    async def _run(self, turn: _TurnRun) -> Failure | None:
+        failure = await self._reserve(turn)
+        if failure is not None:
+            return failure
+        return await self._serve(turn)
+
+    # Ledger
+
+    async def _reserve(self, turn: _TurnRun) -> Failure | None:
+        job, wish = turn.job, turn.wish
+        if wish is None:
+            return None
+        cached = self._chains.get(wish.program, wish.previous)
+        if cached is not None:
+            wish = wish._replace(previous="")
+        turn.reserved = True
+        until = min(job.until, job.req.received_at + RESERVE_S)
+        outcome = await self._ledger.reserve(wish, until)
+        job.ledger_s = job.age_s()
+        match outcome:
+            case Granted(said):
+                turn.before = cached if cached is not None else said
+                return None
+            case Spent(taken):
+                turn.settled = True
+                detail = f"{taken} of {wish.budget} tokens are taken"
+                return Failure(Code.BUDGET_SPENT, detail)
+            case NoSuchTurn():
+                turn.settled = True
+                return Failure(Code.UNKNOWN_TURN, f"no turn {wish.previous}")
+            case Unavailable(answered, wanted, view):
+                turn.settled = True
+                detail = f"{answered} of {wanted} replicas answered in view {view}"
+                return Failure(Code.LEDGER_AWAY, detail, "no", COME_BACK_S)
+
+    async def _settle(self, turn: _TurnRun) -> Failure | None:
+        """Make a whole turn durable, before its end is passed on."""
+        job, wish = turn.job, turn.wish
+        if wish is None:
+            return None
+        if not job.route.keeps_history:
+            turn.settled = True
+            self._ledger.settle_later(wish, turn.tokens())
+            return None
+        said = job.req.body + bytes(turn.events.said)
+        record = Turn(job.asked.id, job.asked.previous, said)
+        if not await self._ledger.settle(wish, turn.tokens(), record, job.until):
+            return Failure(Code.LEDGER_AWAY, "the turn could not be kept", "yes")
+        turn.settled = True
+        self._chains.put(wish.program, job.asked.id, turn.before + said)
+        return None
+
+    # Servers
+
+    async def _serve(self, turn: _TurnRun) -> Failure | None:
+        job = turn.job
+        refused: set[str] = set()
+        resumes = 0
+        while True:
+            state = self._dispatcher.pick(
+                job.service, tuple(p.id for p in job.asked.parts), frozenset(refused)
+            )
+            if state is None or len(refused) >= MOST_REFUSALS:
+                if turn.begun:
+                    return Failure(Code.SERVER_LOST, job.reason, "yes")
+                detail = "no server has room" if refused else "no server is there"
+                code = Code.SERVERS_FULL if refused else Code.NO_SERVER
+                return Failure(code, detail, "no", COME_BACK_S)
+            job.tried.append(state.server.id)
+            body = turn.before + job.req.body
+            headers = server_headers(
+                job.req,
+                left_s=job.left_s(),
+                server_id=state.server.id,
+                body_bytes=len(body),
+                urgency=min(PRIORITY_MOST, job.route.rank),
+                last_event=turn.events.last_id if turn.begun else None,
+            )
+            job.sent = True
+            async with self._dispatcher.send(
+                state, job.req, job.asked.id, headers, body
+            ) as outcome:
+                end = await self._pass_on(turn, outcome)
+            if end is None:
+                return None
+            job.reason = end.reason
+            refused.add(end.server)
+            if isinstance(end, NotRun):
+                job.sent = turn.begun
+                continue
+            if not _may_resume(turn) or resumes >= MOST_RESUMES:
+                return Failure(Code.SERVER_LOST, end.reason, "unknown")
+            resumes += 1
+
+    async def _pass_on(
+        self, turn: _TurnRun, outcome: Started | NotRun | Lost
+    ) -> NotRun | Lost | None:
+        """Pass an answer on; None if the request is done with."""
+        if not isinstance(outcome, Started):
+            return outcome
+        job = turn.job
+        head = outcome.head
+        server_id = outcome.state.server.id
+        if head.status not in SUCCESS:
+            return await self._pass_failure(turn, outcome)
+        if not is_genuine(head):
+            return Lost(server_id, "a success without the server's stamp")
+        lost = await self._pass_events(turn, outcome)
+        if lost is not None:
+            return lost
+        outcome.state.succeeded(job.age_s())
+        for part in job.asked.parts:
+            if part.id not in outcome.state.parts:
+                outcome.state.parts.append(part.id)
+        failure = await self._settle(turn)
+        if failure is not None:
+            return Lost(server_id, failure.detail)
+        job.channel.end()
+        job.status = head.status
+        return None
+
+    async def _pass_failure(
+        self, turn: _TurnRun, started: Started
+    ) -> NotRun | Lost | None:
+        job = turn.job
+        body = await read_whole(started.exchange, MOST_ANSWER_BYTES)
+        status = started.head.status
+        if isinstance(body, str) or status in PROMISES or turn.begun:
+            return Lost(started.state.server.id, f"status {status}")
+        job.status = status
+        job.channel.respond(status, caller_headers(started.head), body)
+        return None
+
+    async def _pass_events(self, turn: _TurnRun, started: Started) -> Lost | None:
+        job, exchange, events = turn.job, started.exchange, turn.events
+        while True:
+            whole = events.feed(exchange.take())
+            if whole:
+                turn.begin(started.head)
+                job.channel.send(whole)
+                job.events = events.count
+            if exchange.end is not None:
+                break
+            await job.channel.drained()
+            await exchange.wait()
+        server_id = started.state.server.id
+        if exchange.end.kind is not EndKind.WHOLE:
+            events.rest = b""
+            return Lost(server_id, exchange.end.reason)
+        if events.rest:
+            events.rest = b""
+            return Lost(server_id, "the stream ended inside an event")
+        turn.begin(started.head)
+        return None
+
+
+class _TurnRun:
+    """A turn as far as it has got."""
+
+    def __init__(self, job: Job, wish: Reservation | None) -> None:
+        self.job = job
+        self.wish = wish
+        self.before = b""
+        self.begun = False
+        self.reserved = False
+        self.settled = False
+        self.events = EventSplitter(keep=job.route.keeps_history)
+
+    def begin(self, head: Head) -> None:
+        """Begin the answer with the head of the first server."""
+        if self.begun:
+            return
+        self.begun = True
+        self.job.first_s = self.job.age_s()
+        self.job.channel.begin(Head(head.status, caller_headers(head)))
+
+    def tokens(self) -> int:
+        """Tokens in the events that went out."""
+        engine = self.job.engine
+        return self.events.count * (engine.tokens_per_event if engine else 1)
+
+
+def _may_resume(turn: _TurnRun) -> bool:
+    route = turn.job.route
+    return route.resumable and turn.begun and turn.events.last_id != ""
+
+
+def _reservation(job: Job) -> Reservation | None:
+    """Work out what a turn reserves; None for a stream that belongs to no program."""
+    asked = job.asked
+    if not asked.program:
+        return None
+    if asked.budget is None and not job.route.keeps_history:
+        return None
+    return Reservation(
+        asked.program,
+        asked.id,
+        asked.output_tokens,
+        asked.budget,
+        job.route.retention_s,
+        asked.previous if job.route.keeps_history else "",
+    )
