A turn is found by its id alone, whichever program it belongs to

Cause: after a final fault new programs continue from turns of earlier ones; the chain was looked for in the new program's account only and answered 404. The chain is copied into the new program's account, so that it outlives the old one.

--- /dev/null
+++ b/tests/keeper/test_log.py
@@ -0,0 +1,114 @@
+"""The log on disk: torn ends, damage, rewriting, and identity of disks."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+from wisteriastair.core.ledger import Attempt, Entry, Turn
+from wisteriastair.core.membership import Member, View
+from wisteriastair.keeper.log import Log
+
+
+def entry(program: str, attempt: str = "a1") -> Entry:
+    turns = [Turn("t1", "", b"hello\n")]
+    return Entry(program, 60.0, {attempt: Attempt(10, False)}, turns)
+
+
+def written(folder: Path, *entries: Entry) -> Log:
+    log = Log(str(folder))
+    log.load(0.0)
+    log.append(list(entries), None, 0.0)
+    log.close()
+    return log
+
+
+def newest(folder: Path) -> Path:
+    """Return the newest segment that holds anything."""
+    segments = [p for p in folder.iterdir() if p.name.startswith("ledger-")]
+    return max(p for p in segments if p.stat().st_size > 0)
+
+
+def test_records_and_view_come_back(tmp_path: Path) -> None:
+    log = Log(str(tmp_path))
+    log.load(0.0)
+    view = View(3, (Member("k1", log.disk, "10.0.0.1:1", "d1"),))
+    log.append([entry("p1"), entry("p2")], view, 0.0)
+    log.close()
+
+    again = Log(str(tmp_path))
+    loaded = again.load(0.0)
+
+    assert [e.program for e in loaded.entries] == ["p1", "p2"]
+    assert loaded.entries[0] == entry("p1")
+    assert loaded.view == view
+    assert again.disk == log.disk
+    assert not loaded.damaged
+
+
+def test_torn_end_is_cut_and_stays_cut(tmp_path: Path) -> None:
+    """Power is lost while a record is written, twice.
+
+    The caller of the torn record was told nothing.  The first restart cuts the end;
+    the second must neither lose the record before it nor take the cut for damage.
+    """
+    disk = written(tmp_path, entry("p1"), entry("p2")).disk
+    path = newest(tmp_path)
+    os.truncate(path, path.stat().st_size - 3)
+
+    first = Log(str(tmp_path))
+    loaded = first.load(0.0)
+    first.close()
+    assert [e.program for e in loaded.entries] == ["p1"]
+    assert loaded.cut_bytes > 0 and not loaded.damaged
+
+    second = Log(str(tmp_path))
+    again = second.load(0.0)
+    second.close()
+    assert [e.program for e in again.entries] == ["p1"]
+    assert not again.damaged
+    assert second.disk == disk
+
+
+def test_damage_to_synced_records_makes_another_disk(tmp_path: Path) -> None:
+    """A bit flips in a segment that was closed long ago.
+
+    What it held was acknowledged, so this instance can no longer vouch for it.  With a
+    new disk id the list of members counts it as empty and it copies from the others.
+    """
+    disk = written(tmp_path, entry("p1")).disk
+    damaged = newest(tmp_path)
+    written(tmp_path, entry("p2"))
+    data = bytearray(damaged.read_bytes())
+    data[-1] ^= 1
+    damaged.write_bytes(bytes(data))
+
+    log = Log(str(tmp_path))
+    loaded = log.load(0.0)
+
+    assert loaded.damaged
+    assert log.disk != disk
+    assert [e.program for e in loaded.entries] == ["p2"]
+
+
+def test_an_empty_disk_gets_an_id_of_its_own(tmp_path: Path) -> None:
+    first = written(tmp_path / "a").disk
+    second = written(tmp_path / "b").disk
+    assert first and second and first != second
+
+
+def test_space_is_given_back_by_removing_the_oldest_segment(tmp_path: Path) -> None:
+    log = Log(str(tmp_path))
+    log.load(0.0)
+    log.append([entry("p1")], None, 0.0)
+    log.close()
+    log = Log(str(tmp_path))
+    log.load(0.0)
+    oldest = log.oldest()
+    assert oldest is not None and oldest.programs == {"p1"}
+    log.append([entry("p1")], None, 0.0)
+    log.remove_oldest()
+    log.close()
+
+    loaded = Log(str(tmp_path)).load(0.0)
+    assert [e.program for e in loaded.entries] == ["p1"]
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,69 @@
+"""The platform's settings file: what is read, and what a wrong field says."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from wisteriastair.nodeoptions import BadNodeSetting, NodeOptions
+from wisteriastair.platform.settings import load_settings
+
+GOOD = """
+nodeName = "front-1"
+ip = "10.1.0.1"
+zone = "z1"
+internalPorts = [7380, 7395]
+bootstrap = true
+somethingNew = { a = 1 }
+[listen]
+front = "10.1.0.1:8149"
+ready = "10.1.0.1:8141"
+[limits]
+memoryMb = 150
+[tolerate]
+machines = 1
+[bounds]
+drainMs = 2000
+graceS = 8
+[platform]
+address = "10.2.0.1:8142"
+"""
+
+
+def load(tmp_path: Path, text: str) -> NodeOptions | BadNodeSetting:
+    path = tmp_path / "node.toml"
+    path.write_text(text)
+    return load_settings(str(path))
+
+
+def test_good_file(tmp_path: Path) -> None:
+    cfg = load(tmp_path, GOOD)
+    assert isinstance(cfg, NodeOptions)
+    assert cfg.internal == "10.1.0.1:7380"
+    assert cfg.memory_bytes == 150 * 1024 * 1024
+    assert cfg.drain_s == 2.0
+    assert cfg.tolerated_losses == 1
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "field"),
+    [
+        ("memoryMb = 150", "", "limits"),
+        ("memoryMb = 150", 'memoryMb = "much"', "limits.memoryMb"),
+        ('zone = "z1"', "", "zone"),
+        ("internalPorts = [7380, 7395]", "internalPorts = [1]", "internalPorts"),
+        ('"10.2.0.1:8142"', '"nowhere"', "platform.address"),
+        ("machines = 1", "machines = -1", "tolerate.machines"),
+    ],
+)
+def test_wrong_field_is_named(tmp_path: Path, old: str, new: str, field: str) -> None:
+    bad = load(tmp_path, GOOD.replace(old, new))
+    assert isinstance(bad, BadNodeSetting)
+    assert field in str(bad)
+
+
+def test_missing_file_and_no_toml(tmp_path: Path) -> None:
+    assert isinstance(load_settings(""), BadNodeSetting)
+    assert isinstance(load_settings(str(tmp_path / "none")), BadNodeSetting)
+    assert isinstance(load(tmp_path, "= ="), BadNodeSetting)
--- /dev/null
+++ b/tests/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package of the same name."""
--- /dev/null
+++ b/tests/relay/keepers.py
@@ -0,0 +1,49 @@
+"""Keepers in memory: the shipped cores, joined to a client without sockets or disks."""
+
+from __future__ import annotations
+
+import asyncio
+
+from wisteriastair.core.keeper import KeeperCore
+from wisteriastair.core.ledgerwire import LedgerMessage, decode_ledger, encode_ledger
+from wisteriastair.core.membership import Member, View
+from wisteriastair.relay.ledger import LedgerClient
+
+RELAY = "relay:1#a"
+
+
+def members(count: int) -> tuple[Member, ...]:
+    return tuple(
+        Member(f"k{n}", f"disk{n}", f"k{n}:1", f"domain{n}") for n in range(count)
+    )
+
+
+class Keepers:
+    """Some keepers and the wires between them and one client."""
+
+    def __init__(self, count: int, losses: int = 1) -> None:
+        self.view = View(1, members(count))
+        self.cores = {
+            m.address: KeeperCore(m, losses, view=self.view, entries=[], now=0.0)
+            for m in self.view.members
+        }
+        self.cut: set[str] = set()
+        self.sent = 0
+        self.client = LedgerClient("domain0", losses)
+        self.client.adopt(self.view)
+
+    def send(self, to: str, message: LedgerMessage) -> None:
+        """Carry a message of the client; part of a transport's interface."""
+        self.sent += 1
+        if to not in self.cut:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._deliver, to, encode_ledger(message))
+
+    def _deliver(self, to: str, data: bytes) -> None:
+        core = self.cores[to]
+        core.receive(RELAY, decode_ledger(data), asyncio.get_running_loop().time())
+        batch = core.take_batch()
+        if batch is not None:
+            core.synced(batch)
+        for _, reply in core.take_outbox():
+            self.client.receive(to, decode_ledger(encode_ledger(reply)))
--- /dev/null
+++ b/tests/relay/test_ledger.py
@@ -0,0 +1,140 @@
+"""The relay's side of the ledger, against the shipped cores of keepers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any, cast
+
+import anyio
+
+from tests.relay.keepers import Keepers
+from wisteriastair.core.ledger import Turn
+from wisteriastair.core.ledgerwire import LedgerMessage
+from wisteriastair.core.membership import View
+from wisteriastair.peers.transport import Transport
+from wisteriastair.relay.ledger import (
+    Granted,
+    NoSuchTurn,
+    Reservation,
+    Spent,
+    Unavailable,
+)
+
+PATIENCE_S = 0.5
+
+
+def wish(
+    program: str, attempt: str, tokens: int = 100, *, budget: int = 1_000, on: str = ""
+) -> Reservation:
+    return Reservation(program, attempt, tokens, budget, 60.0, on)
+
+
+def play(keepers: Keepers, story: Callable[[], Awaitable[Any]]) -> None:
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            transport = cast(Transport[LedgerMessage], keepers)
+            keepers.client.start(transport, group)
+            await story()
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+def soon() -> float:
+    return asyncio.get_running_loop().time() + PATIENCE_S
+
+
+def test_a_new_program_continues_from_another_programs_turn() -> None:
+    """After an outage callers begin anew, from turns that they had before.
+
+    The new program lies in another slot, on other replicas.  The caller must not be told
+    that there is no such turn, and once the old account has expired the chain must
+    still be there for the new one's next turn.
+    """
+    keepers = Keepers(6)
+
+    async def story() -> None:
+        client = keepers.client
+        for number in range(8):
+            old = wish(f"old{number}", f"a{number}")
+            turn = Turn(f"t{number}", "", b"said\n")
+            assert isinstance(await client.reserve(old, soon()), Granted)
+            assert await client.settle(old, 10, (turn,), soon())
+            new = wish(f"new{number}", f"b{number}", on=f"t{number}")
+            granted = await client.reserve(new, soon())
+            assert granted == Granted((turn,), old.program)
+            more = Turn(f"u{number}", f"t{number}", b"more\n")
+            assert await client.settle(new, 10, (turn, more), soon())
+            for core in keepers.cores.values():
+                core.ledger.accounts.pop(old.program, None)
+            after = await client.reserve(
+                wish(new.program, f"c{number}", on=more.id), soon()
+            )
+            assert after == Granted((turn, more), new.program)
+
+    play(keepers, story)
+
+
+def test_an_unknown_turn_is_only_denied_by_a_read_quorum() -> None:
+    """Two of three replicas are cut off when a caller continues from a turn.
+
+    The third does not have the turn.  Saying that there is none would end a program
+    whose history is safe on the other two.
+    """
+    keepers = Keepers(3)
+
+    async def story() -> None:
+        client = keepers.client
+        outcome = await client.reserve(wish("p", "a", on="t9"), soon())
+        assert isinstance(outcome, NoSuchTurn)
+        keepers.cut = {"k1:1", "k2:1"}
+        outcome = await client.reserve(wish("p", "b", on="t9"), soon())
+        assert isinstance(outcome, Unavailable)
+
+    play(keepers, story)
+
+
+def test_one_lost_replica_is_not_waited_for() -> None:
+    keepers = Keepers(3)
+    keepers.cut = {"k0:1"}
+
+    async def story() -> None:
+        client = keepers.client
+        assert isinstance(await client.reserve(wish("p", "a"), soon()), Granted)
+        assert client.resent == 0
+
+    play(keepers, story)
+
+
+def test_budget_holds_over_settlements() -> None:
+    keepers = Keepers(3)
+
+    async def story() -> None:
+        client = keepers.client
+        first = wish("p", "a", 600)
+        assert isinstance(await client.reserve(first, soon()), Granted)
+        assert isinstance(await client.reserve(wish("p", "b", 600), soon()), Spent)
+        assert await client.settle(first, 100, (), soon())
+        await asyncio.sleep(0.01)
+        assert isinstance(await client.reserve(wish("p", "c", 600), soon()), Granted)
+
+    play(keepers, story)
+
+
+def test_a_newer_view_comes_with_the_refusal() -> None:
+    """The list of members changed and the relay has not heard of it.
+
+    The store may be away.  A replica refuses the old number and sends its view along.
+    """
+    keepers = Keepers(3)
+
+    async def story() -> None:
+        newer = View(2, keepers.view.members)
+        for core in keepers.cores.values():
+            core.adopt(newer, 0.0)
+        client = keepers.client
+        assert isinstance(await client.reserve(wish("p", "a"), soon()), Granted)
+        assert client.view.number == 2
+
+    play(keepers, story)
--- a/wisteriastair/core/keeper.py
+++ b/wisteriastair/core/keeper.py
@@ -12,7 +12,16 @@
 from typing import Final, NamedTuple
 
 from .ledger import Attempt, Entry, Ledger
-from .ledgerwire import Copy, CopyReply, LedgerMessage, Ping, Verdict, Write, WriteReply
+from .ledgerwire import (
+    Copy,
+    CopyReply,
+    Find,
+    LedgerMessage,
+    Ping,
+    Verdict,
+    Write,
+    WriteReply,
+)
 from .membership import SLOTS, Member, View, Wishes, must_copy, slot_of_program
 
 # Heartbeats between keepers, in seconds.
@@ -29,12 +38,15 @@
 RECORD_BYTES: Final = 200
 
 
+Request = Write | Find | Copy
+
+
 class Batch(NamedTuple):
     """What is to be synced together, and the answers that wait for it."""
 
     entries: list[Entry]
     view: View | None
-    answers: list[tuple[str, Write | Copy]]
+    answers: list[tuple[str, Request]]
 
 
 class _Source(NamedTuple):
@@ -81,7 +93,7 @@
         self._outbox: list[tuple[str, LedgerMessage]] = []
         self._entries: list[Entry] = []
         self._view_dirty = False
-        self._answers: list[tuple[str, Write | Copy]] = []
+        self._answers: list[tuple[str, Request]] = []
         self._sources: dict[str, _Source] = {}
         self._copied: set[str] = set()
         self._copy_number = 0
@@ -97,8 +109,8 @@
     def receive(self, sender: str, message: LedgerMessage, now: float) -> None:
         """Take a message; answers appear in a batch or in the outbox."""
         match message:
-            case Write():
-                self._on_write(sender, message, now)
+            case Write() | Find():
+                self._on_request(sender, message, now)
             case Ping(disk, view):
                 self._heard[disk] = now
                 self._pinged_by[sender.partition("#")[0]] = now
@@ -110,17 +122,18 @@
             case WriteReply():
                 pass
 
-    def _on_write(self, sender: str, write: Write, now: float) -> None:
-        verdict = self._verdict(write.view)
+    def _on_request(self, sender: str, request: Write | Find, now: float) -> None:
+        verdict = self._verdict(request.view)
         if verdict is not Verdict.DONE:
             view = self.view if verdict is Verdict.STALE_VIEW else None
-            reply = WriteReply(write.op, self.me.disk, verdict, view=view)
+            reply = WriteReply(request.op, self.me.disk, verdict, view=view)
             self._outbox.append((sender, reply))
             return
-        new = self.ledger.merge(write.entry, now)
-        if new is not None:
-            self._entries.append(new)
-        self._answers.append((sender, write))
+        if isinstance(request, Write):
+            new = self.ledger.merge(request.entry, now)
+            if new is not None:
+                self._entries.append(new)
+        self._answers.append((sender, request))
 
     def _verdict(self, number: int) -> Verdict:
         if number < self.view.number:
@@ -157,10 +170,10 @@
         self._syncing = False
         self.batches_synced += 1
         for sender, request in batch.answers:
-            if isinstance(request, Write):
-                self._outbox.append((sender, self._write_reply(request)))
-            else:
+            if isinstance(request, Copy):
                 self._outbox.append((sender, self._copy_part(request)))
+            else:
+                self._outbox.append((sender, self._reply(request)))
 
     def not_synced(self, batch: Batch) -> None:
         """Refuse what waited for a batch that the disk did not take.
@@ -172,10 +185,13 @@
         self._entries = batch.entries + self._entries
         self._view_dirty = self._view_dirty or batch.view is not None
         for sender, request in batch.answers:
-            reply: LedgerMessage = CopyReply(request.op, self.me.disk, Verdict.NOT_NOW)
-            if isinstance(request, Write):
-                reply = WriteReply(request.op, self.me.disk, Verdict.NOT_NOW)
-            self._outbox.append((sender, reply))
+            if isinstance(request, Copy):
+                refusal: LedgerMessage = CopyReply(
+                    request.op, self.me.disk, Verdict.NOT_NOW
+                )
+            else:
+                refusal = WriteReply(request.op, self.me.disk, Verdict.NOT_NOW)
+            self._outbox.append((sender, refusal))
 
     def take_outbox(self) -> list[tuple[str, LedgerMessage]]:
         """Take messages to send."""
@@ -183,16 +199,20 @@
         self._outbox = []
         return outbox
 
-    def _write_reply(self, write: Write) -> WriteReply:
-        account = self.ledger.accounts.get(write.entry.program)
+    def _reply(self, request: Write | Find) -> WriteReply:
         attempts: dict[str, Attempt] = {}
-        chain = []
-        if account is not None:
-            attempts = dict(account.attempts)
-            chain = account.chain(write.chain)
-        turns = chain if write.with_turns else []
+        if isinstance(request, Write):
+            account = self.ledger.accounts.get(request.entry.program)
+            attempts = {} if account is None else dict(account.attempts)
+        home, chain = self.ledger.find(request.chain)
         return WriteReply(
-            write.op, self.me.disk, Verdict.DONE, attempts, bool(chain), turns
+            request.op,
+            self.me.disk,
+            Verdict.DONE,
+            attempts,
+            has_chain=bool(chain),
+            turns=chain if request.with_turns else [],
+            home=home,
         )
 
     def _copy_part(self, copy: Copy) -> CopyReply:
--- a/wisteriastair/core/ledger.py
+++ b/wisteriastair/core/ledger.py
@@ -115,12 +115,20 @@
         return now - self.touched > self.keep_s + RETENTION_SLACK_S
 
 
+class Found(NamedTuple):
+    """A chain and its program; empty if the chain is not all here."""
+
+    program: str
+    chain: list[Turn]
+
+
 class Ledger:
     """All accounts of one replica."""
 
     def __init__(self) -> None:
         self.accounts: dict[str, Account] = {}
         self.held_bytes = 0
+        self._homes: dict[str, Account] = {}
 
     def merge(self, entry: Entry, now: float) -> Entry | None:
         """Take records of a program; return those that were new, or None."""
@@ -130,13 +138,29 @@
         new = account.merge(entry, now)
         if new is not None:
             self.held_bytes += sum(len(turn.said) for turn in new.turns)
+            for turn in new.turns:
+                self._homes.setdefault(turn.id, account)
         return new
 
+    def find(self, turn_id: str) -> Found:
+        """Return a chain, the oldest turn first, and the program that it belongs to.
+
+        A new program may continue from a turn of an earlier one, so a turn is found by
+        its id alone.
+        """
+        account = self._homes.get(turn_id)
+        if account is None:
+            return Found("", [])
+        return Found(account.program, account.chain(turn_id))
+
     def expire(self, now: float) -> list[str]:
         """Drop accounts that are past their retention; return their programs."""
         gone = [a for a in self.accounts.values() if a.expired(now)]
         for account in gone:
             del self.accounts[account.program]
+            for turn_id in account.turns:
+                if self._homes.get(turn_id) is account:
+                    del self._homes[turn_id]
             self.held_bytes -= sum(len(t.said) for t in account.turns.values())
         return [account.program for account in gone]
 
--- a/wisteriastair/core/ledgerwire.py
+++ b/wisteriastair/core/ledgerwire.py
@@ -43,8 +43,20 @@
     with_turns: bool = False
 
 
+class Find(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Ask for a chain that no replica of the program's own slot knows.
+
+    Programs may continue from turns of earlier programs, which lie in other slots.
+    """
+
+    op: int
+    view: int
+    chain: str
+    with_turns: bool = False
+
+
 class WriteReply(msgspec.Struct, frozen=True, array_like=True, tag=2):
-    """Answer to `Write`.
+    """Answer to `Write` and `Find`.
 
     Attributes
     ----------
@@ -52,6 +64,8 @@
         The disk that holds the records.
     has_chain : bool
         Whether the whole chain is here.
+    home : str
+        Program that the chain belongs to.
     """
 
     op: int
@@ -60,6 +74,7 @@
     attempts: dict[str, Attempt] = {}
     has_chain: bool = False
     turns: list[Turn] = []
+    home: str = ""
     view: View | None = None
 
 
@@ -95,7 +110,7 @@
     last: bool = False
 
 
-LedgerMessage = Write | WriteReply | Ping | Copy | CopyReply
+LedgerMessage = Write | Find | WriteReply | Ping | Copy | CopyReply
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _DECODER: Final = msgspec.msgpack.Decoder(LedgerMessage)
--- a/wisteriastair/relay/ledger.py
+++ b/wisteriastair/relay/ledger.py
@@ -10,14 +10,16 @@
 
 import asyncio
 import logging
+from abc import ABC, abstractmethod
 from typing import Final, NamedTuple
 
 import anyio
 from anyio.abc import TaskGroup
 
 from ..core.ledger import Attempt, Entry, Turn, fits_budget, merged_attempts
-from ..core.ledgerwire import LedgerMessage, Verdict, Write, WriteReply
+from ..core.ledgerwire import Find, LedgerMessage, Verdict, Write, WriteReply
 from ..core.membership import (
+    SLOTS,
     Member,
     ReplicaSet,
     View,
@@ -59,9 +61,18 @@
 
 
 class Granted(NamedTuple):
-    """The reservation is durable; `said` is the chain that was wanted."""
+    """The reservation is durable.
 
-    said: bytes
+    Attributes
+    ----------
+    chain : tuple of Turn
+        What was wanted, the oldest turn first.
+    home : str
+        Program that the chain belongs to.
+    """
+
+    chain: tuple[Turn, ...]
+    home: str
 
 
 class Spent(NamedTuple):
@@ -156,32 +167,36 @@
         until : float
             When to give up, on the loop's clock.
         """
-        entry = Entry(
-            wish.program, wish.keep_s, {wish.attempt: Attempt(wish.tokens, False)}
-        )
-        replies = await self._ask(entry, wish.previous, until)
+        mine = {wish.attempt: Attempt(wish.tokens, False)}
+        entry = Entry(wish.program, wish.keep_s, mine)
+        replies = await self._ask(_Reserve(entry, wish.previous), until)
+        if isinstance(replies, list):
+            attempts = merged_attempts([reply.attempts for reply in replies])
+            found = _chain_in(replies)
+            if wish.previous and found is None:
+                replies = await self._ask(_Search(wish.previous), until)
         if isinstance(replies, Unavailable):
             self.settle_later(wish, 0)
             return replies
-        said = _said(replies) if wish.previous else b""
-        if said is None:
+        found = found or _chain_in(replies)
+        if wish.previous and found is None:
             self.settle_later(wish, 0)
             return NoSuchTurn()
-        attempts = merged_attempts([reply.attempts for reply in replies])
         if wish.budget is not None and not fits_budget(
             attempts, wish.attempt, wish.budget
         ):
             self.settle_later(wish, 0)
             return Spent(sum(a.tokens for a in attempts.values()) - wish.tokens)
-        return Granted(said)
+        return found or Granted((), wish.program)
 
     async def settle(
-        self, wish: Reservation, tokens: int, turn: Turn | None, until: float
+        self, wish: Reservation, tokens: int, turns: tuple[Turn, ...], until: float
     ) -> bool:
         """Settle a reservation with what was handed out; True once it is durable."""
         attempts = {wish.attempt: Attempt(tokens, True)}
-        entry = Entry(wish.program, wish.keep_s, attempts, [turn] if turn else [])
-        return not isinstance(await self._ask(entry, "", until), Unavailable)
+        entry = Entry(wish.program, wish.keep_s, attempts, list(turns))
+        replies = await self._ask(_Reserve(entry, ""), until)
+        return not isinstance(replies, Unavailable)
 
     def settle_later(self, wish: Reservation, tokens: int) -> None:
         """Settle a reservation that nobody waits for."""
@@ -189,7 +204,7 @@
 
     async def _settle_unwatched(self, wish: Reservation, tokens: int) -> None:
         until = asyncio.get_running_loop().time() + SETTLE_S
-        if not await self.settle(wish, tokens, None, until):
+        if not await self.settle(wish, tokens, (), until):
             log.warning(
                 "a reservation stays unsettled",
                 extra={"program": wish.program, "request": wish.attempt},
@@ -198,7 +213,7 @@
     # Quorums
 
     async def _ask(
-        self, entry: Entry, chain: str, until: float
+        self, question: _Question, until: float
     ) -> list[WriteReply] | Unavailable:
         loop = asyncio.get_running_loop()
         while True:
@@ -206,7 +221,7 @@
             op = self._op
             call = self._calls[op] = _Call()
             try:
-                replies = await self._ask_in_view(op, call, entry, chain, until)
+                replies = await self._ask_in_view(op, call, question, until)
             finally:
                 del self._calls[op]
             if replies is not None:
@@ -216,20 +231,20 @@
                 return Unavailable(len(call.replies), wanted, self.view.number)
 
     async def _ask_in_view(
-        self, op: int, call: _Call, entry: Entry, chain: str, until: float
+        self, op: int, call: _Call, question: _Question, until: float
     ) -> list[WriteReply] | None:
-        """Ask under the present view; None when it changed, or in time for nothing."""
+        """Ask under the present view; None if it changed or time ran out."""
         loop = asyncio.get_running_loop()
         view = self.view
-        sets = replica_sets(view, slot_of_program(entry.program), self._losses)
+        sets = question.sets(view, self._losses)
         sent = 0
         while view is self.view and loop.time() < until:
-            self._send(op, call, sets, entry, chain, first=sent == 0)
+            self._send(op, call, question, sets, first=sent == 0)
             self.resent += sent > 0
             sent += 1
             again_at = min(until, loop.time() + AGAIN_S)
             while view is self.view and loop.time() < again_at:
-                if call.replies and _complete(sets, call, chain):
+                if call.replies and question.answered(sets, call.replies):
                     return list(call.replies.values())
                 call.changed.clear()
                 with anyio.move_on_after(again_at - loop.time()):
@@ -243,9 +258,8 @@
         self,
         op: int,
         call: _Call,
+        question: _Question,
         sets: tuple[ReplicaSet, ...],
-        entry: Entry,
-        chain: str,
         *,
         first: bool,
     ) -> None:
@@ -258,23 +272,85 @@
             if known is not None and not (known.has_chain and not known.turns):
                 continue
             # The nearest replica sends the chain; the others only say if they have it.
-            with_turns = bool(chain) and (place == 0 or not first)
-            write = Write(op, self.view.number, entry, chain, with_turns)
-            self._transport.send(member.address, write)
+            with_turns = place == 0 or not first
+            message = question.message(op, self.view.number, with_turns)
+            self._transport.send(member.address, message)
+
+
+class _Question(ABC):
+    """What is asked of a set of replicas, and when it is answered."""
+
+    chain = ""
+
+    @abstractmethod
+    def sets(self, view: View, losses: int) -> tuple[ReplicaSet, ...]:
+        """Whom to ask."""
+
+    @abstractmethod
+    def message(self, op: int, view: int, with_turns: bool) -> LedgerMessage:
+        """How to ask."""
+
+    def answered(
+        self, sets: tuple[ReplicaSet, ...], replies: dict[str, WriteReply]
+    ) -> bool:
+        """Whether the replies are enough."""
+        disks = set(replies)
+        if not all(s.written(disks) and s.readable(disks) for s in sets):
+            return False
+        return not _chain_awaited(replies)
 
 
-def _complete(sets: tuple[ReplicaSet, ...], call: _Call, chain: str) -> bool:
-    disks = set(call.replies)
-    if not all(s.written(disks) and s.readable(disks) for s in sets):
-        return False
-    if not chain:
-        return True
-    somewhere = any(reply.has_chain for reply in call.replies.values())
-    return not somewhere or any(reply.turns for reply in call.replies.values())
+class _Reserve(_Question):
+    """Write records to a program's slot, and read its account and a chain."""
 
+    def __init__(self, entry: Entry, chain: str) -> None:
+        self._entry = entry
+        self.chain = chain
 
-def _said(replies: list[WriteReply]) -> bytes | None:
+    def sets(self, view: View, losses: int) -> tuple[ReplicaSet, ...]:
+        """Ask the replicas of the program's slot."""
+        return replica_sets(view, slot_of_program(self._entry.program), losses)
+
+    def message(self, op: int, view: int, with_turns: bool) -> LedgerMessage:
+        """Write the records."""
+        wanted = with_turns and bool(self.chain)
+        return Write(op, view, self._entry, self.chain, wanted)
+
+
+class _Search(_Question):
+    """Look for a chain in all slots."""
+
+    def __init__(self, chain: str) -> None:
+        self.chain = chain
+
+    def sets(self, view: View, losses: int) -> tuple[ReplicaSet, ...]:
+        """Ask the replicas of every slot."""
+        found = [s for slot in range(SLOTS) for s in replica_sets(view, slot, losses)]
+        return tuple(dict.fromkeys(found))
+
+    def message(self, op: int, view: int, with_turns: bool) -> LedgerMessage:
+        """Ask for the chain."""
+        return Find(op, view, self.chain, with_turns)
+
+    def answered(
+        self, sets: tuple[ReplicaSet, ...], replies: dict[str, WriteReply]
+    ) -> bool:
+        """Whether the chain is here, or nobody can have it."""
+        if _chain_in(list(replies.values())) is not None:
+            return True
+        disks = set(replies)
+        readable = all(s.readable(disks) for s in sets)
+        return readable and not _chain_awaited(replies)
+
+
+def _chain_in(replies: list[WriteReply]) -> Granted | None:
     for reply in replies:
         if reply.turns:
-            return b"".join(turn.said for turn in reply.turns)
+            return Granted(tuple(reply.turns), reply.home)
     return None
+
+
+def _chain_awaited(replies: dict[str, WriteReply]) -> bool:
+    """Whether a replica has the chain, but none has sent it yet."""
+    somewhere = any(reply.has_chain for reply in replies.values())
+    return somewhere and not any(reply.turns for reply in replies.values())
--- a/wisteriastair/relay/streams.py
+++ b/wisteriastair/relay/streams.py
@@ -102,8 +102,9 @@
         outcome = await self._ledger.reserve(wish, until)
         job.ledger_s = job.age_s()
         match outcome:
-            case Granted(said):
-                turn.before = cached if cached is not None else said
+            case Granted(chain, home):
+                turn.before = cached or b"".join(one.said for one in chain)
+                turn.chain = () if home == wish.program else chain
                 return None
             case Spent(taken):
                 turn.settled = True
@@ -128,7 +129,8 @@
             return None
         said = job.req.body + bytes(turn.events.said)
         record = Turn(job.asked.id, job.asked.previous, said)
-        if not await self._ledger.settle(wish, turn.tokens(), record, job.until):
+        turns = (*turn.chain, record)
+        if not await self._ledger.settle(wish, turn.tokens(), turns, job.until):
             return Failure(Code.LEDGER_AWAY, "the turn could not be kept", "yes")
         turn.settled = True
         self._chains.put(wish.program, job.asked.id, turn.before + said)
@@ -245,6 +247,9 @@
         self.job = job
         self.wish = wish
         self.before = b""
+        # Turns that are to be written with this one: the chain may be an earlier
+        # program's, whose account expires on its own.
+        self.chain: tuple[Turn, ...] = ()
         self.begun = False
         self.reserved = False
         self.settled = False
