A broken stream goes on at the same server first; tests of the relay and the log

Cause: a resumed stream went to another server, though a run on a second server counts against the route's most servers, and one that broke before its first event was not tried again at all.

--- /dev/null
+++ b/tests/relay/stand.py
@@ -0,0 +1,270 @@
+"""A relay's handler on loopback, before servers that answer as a test says.
+
+No store and no platform: the test sets the configuration and the servers itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import cast
+
+import anyio
+
+from tests.relay.keepers import Keepers
+from wisteriastair.core.fleet import Fleet, Server
+from wisteriastair.core.ledgerwire import LedgerMessage
+from wisteriastair.core.routes import (
+    CallerLimits,
+    EngineTraits,
+    RequestKind,
+    Route,
+    RouteTable,
+    Service,
+    Share,
+)
+from wisteriastair.http1.caller import CallerChannel
+from wisteriastair.peers.transport import Transport
+from wisteriastair.relay.chains import ChainCache
+from wisteriastair.relay.dispatch import Dispatcher
+from wisteriastair.relay.handler import RelayHandler
+from wisteriastair.relay.pool import Pool
+from wisteriastair.relay.streams import StreamRelay
+
+HOST = "127.0.0.1"
+STAMP = "X-Server-Stamp: s1"
+Script = Callable[["Exchange"], Awaitable[None]]
+
+
+class Exchange:
+    """One request as a scripted server got it, and the channel to answer on."""
+
+    def __init__(
+        self,
+        head: str,
+        body: bytes,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.head = head
+        self.body = body
+        self.reader = reader
+        self.writer = writer
+
+    def header(self, name: str) -> str:
+        for line in self.head.split("\r\n")[1:]:
+            key, _, value = line.partition(":")
+            if key.lower() == name.lower():
+                return value.strip()
+        return ""
+
+    async def say(self, text: str) -> None:
+        self.writer.write(text.replace("\n", "\r\n").encode())
+        await self.writer.drain()
+
+    async def answer(
+        self, body: str, *, status: str = "200 OK", more: str = ""
+    ) -> None:
+        request_id = self.header("X-Request-Id")
+        head = f"HTTP/1.1 {status}\nX-Request-Id: {request_id}\n{STAMP}\n{more}"
+        await self.say(f"{head}Content-Length: {len(body)}\n\n")
+        self.writer.write(body.encode())
+        await self.writer.drain()
+
+    async def stream(self, *events: str, end: bool = True) -> None:
+        request_id = self.header("X-Request-Id")
+        await self.say(
+            f"HTTP/1.1 200 OK\nX-Request-Id: {request_id}\n{STAMP}\n"
+            "Content-Type: text/event-stream\nTransfer-Encoding: chunked\n\n"
+        )
+        for event in events:
+            data = event.encode()
+            self.writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+            await self.writer.drain()
+        if end:
+            self.writer.write(b"0\r\n\r\n")
+            await self.writer.drain()
+
+    def reset(self) -> None:
+        sock = self.writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.writer.transport.abort()
+
+
+class ScriptedServer:
+    """A backend server that runs a script for each request."""
+
+    def __init__(self, server_id: str, script: Script) -> None:
+        self.id = server_id
+        self.script = script
+        self.got: list[Exchange] = []
+        self.channels = 0
+        self.address = ""
+        self._server: asyncio.Server
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"{HOST}:{port}"
+
+    def stop(self) -> None:
+        self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.channels += 1
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                exchange = Exchange(head, b"", reader, writer)
+                length = int(exchange.header("Content-Length") or 0)
+                exchange.body = await reader.readexactly(length)
+                self.got.append(exchange)
+                await self.script(exchange)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+def route(name: str, kind: RequestKind, **changed: object) -> Route:
+    """Make a route of host ``h`` with the prefix ``/NAME/``."""
+    plain = Route(
+        name=name,
+        host="h",
+        prefix=f"/{name}/",
+        kind=kind,
+        shares=(Share("svc", 1.0),),
+        timeout_s=2.0,
+        aim_s=0.25,
+        rank=1,
+        max_servers=2 if kind is RequestKind.SAFE else 1,
+        keeps_history=False,
+        retention_s=60.0,
+        sticky=False,
+        resumable=False,
+        gap_s=0.2,
+    )
+    return plain._replace(**changed)  # type: ignore[arg-type]
+
+
+ROUTES = (
+    route("safe", RequestKind.SAFE),
+    route("unsafe", RequestKind.UNSAFE),
+    route("turn", RequestKind.STREAM, keeps_history=True),
+    route("talk", RequestKind.STREAM, resumable=True),
+)
+
+
+class Stand:
+    """The handler under test and what is around it."""
+
+    def __init__(self, port: int, handler: RelayHandler, fleet: Fleet) -> None:
+        self.port = port
+        self.handler = handler
+        self.fleet = fleet
+        self.channels: set[CallerChannel] = set()
+        self.keepers = Keepers(3)
+
+    async def open(self) -> Caller:
+        reader, writer = await asyncio.open_connection(HOST, self.port)
+        return Caller(reader, writer)
+
+    async def ask(self, name: str, request_id: str = "q1", **more: str) -> Reply:
+        """Send one request on a channel of its own."""
+        caller = await self.open()
+        await caller.send(name, request_id, **more)
+        return await caller.read()
+
+
+class Reply:
+    """An answer as a caller read it; `whole` is False if it broke off."""
+
+    def __init__(self, status: int, head: str, body: bytes, whole: bool) -> None:
+        self.status = status
+        self.head = head
+        self.body = body
+        self.whole = whole
+
+
+class Caller:
+    """A caller's end of a channel."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+
+    async def send(
+        self, name: str, request_id: str, body: str = "", **more: str
+    ) -> None:
+        method = "GET" if name == "safe" else "POST"
+        headers = {"X-Request-Id": request_id, "X-Deadline-Ms": "2000"}
+        headers |= {key.replace("_", "-"): value for key, value in more.items()}
+        lines = [f"{method} /{name}/x HTTP/1.1", "Host: h"]
+        lines += [f"{key}: {value}" for key, value in headers.items()]
+        if method == "POST":
+            lines.append(f"Content-Length: {len(body)}")
+        await self.raw("\r\n".join(lines) + "\r\n\r\n" + body)
+
+    async def raw(self, text: str) -> None:
+        self.writer.write(text.encode())
+        await self.writer.drain()
+
+    async def read(self) -> Reply:
+        try:
+            head = (await self.reader.readuntil(b"\r\n\r\n")).decode()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return Reply(0, "", b"", False)
+        status = int(head.split(" ")[1])
+        lower = head.lower()
+        if "transfer-encoding: chunked" in lower:
+            body, whole = await self._read_chunks()
+            return Reply(status, head, body, whole)
+        length = int(lower.split("content-length: ")[1].split("\r\n")[0])
+        return Reply(status, head, await self.reader.readexactly(length), True)
+
+    async def _read_chunks(self) -> tuple[bytes, bool]:
+        body = b""
+        try:
+            while True:
+                size = int(await self.reader.readuntil(b"\r\n"), 16)
+                data = await self.reader.readexactly(size + 2)
+                if size == 0:
+                    return body, True
+                body += data[:-2]
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return body, False
+
+
+@asynccontextmanager
+async def stand(*servers: ScriptedServer) -> AsyncIterator[Stand]:
+    """Run a handler before some servers."""
+    loop = asyncio.get_running_loop()
+    fleet = Fleet()
+    for server in servers:
+        await server.start()
+        fleet.put(Server(server.id, "svc", server.address, "d", 8, False, 0.0))
+    pool = Pool(lambda server_id: None)
+    dispatcher = Dispatcher(fleet, pool, "d")
+    keepers = Keepers(3)
+    streams = StreamRelay(dispatcher, keepers.client, ChainCache(1_000_000))
+    handler = RelayHandler(dispatcher, streams)
+    services = {"svc": Service("svc", 100, EngineTraits(8, 100_000, 25))}
+    handler.table = RouteTable(1, ROUTES, services, CallerLimits())
+    async with anyio.create_task_group() as group:
+        keepers.client.start(cast(Transport[LedgerMessage], keepers), group)
+        under_test = Stand(0, handler, fleet)
+        under_test.keepers = keepers
+        listener = await loop.create_server(
+            lambda: CallerChannel(handler, group, under_test.channels), HOST, 0
+        )
+        under_test.port = listener.sockets[0].getsockname()[1]
+        yield under_test
+        listener.close()
+        for server in servers:
+            server.stop()
+        group.cancel_scope.cancel()
--- a/tests/relay/test_ledger.py
+++ b/tests/relay/test_ledger.py
@@ -48,9 +48,9 @@
 def test_a_new_program_continues_from_another_programs_turn() -> None:
     """After an outage callers begin anew, from turns that they had before.
 
-    The new program lies in another slot, on other replicas.  The caller must not be told
-    that there is no such turn, and once the old account has expired the chain must
-    still be there for the new one's next turn.
+    The new program lies in another slot, on other replicas.  The caller must not be
+    told that there is no such turn, and once the old account has expired the chain
+    must still be there for the next turn of the new one.
     """
     keepers = Keepers(6)
 
--- a/wisteriastair/platform/headers.py
+++ b/wisteriastair/platform/headers.py
@@ -10,6 +10,7 @@
 MS_PER_S: Final = 1000.0
 REQUEST_ID: Final = b"X-Request-Id"
 RETRY_AFTER: Final = b"Retry-After"
+READY_PATH: Final = "/v1/ready"
 LAST_EVENT_ID: Final = b"Last-Event-Id"
 
 # Headers that only the system may set: a caller's own would let it hold memory of an
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -16,10 +16,7 @@
 from ..core.fleet import Fleet
 from ..core.ledgerwire import LedgerMessage
 from ..core.membership import View
-from ..core.routes import CallerLimits, RequestKind, RouteTable
-from ..errors import Code, Failure
-from ..http1.caller import CallerChannel, Handler
-from ..http1.messages import BadRequest, Request
+from ..http1.caller import CallerChannel
 from ..keeper.daemon import DEPLOYMENT, LEDGER_CODEC, LEDGER_GATHER_S
 from ..nodeoptions import NodeOptions
 from ..peers.transport import Transport
@@ -31,20 +28,16 @@
     decode_config,
     decode_server,
 )
-from ..platform.headers import BadHeader, decode_request
-from ..platform.mirror import Mirror
+from ..platform.mirror import Mirror, OnListed
 from ..platform.store import Item, Store
-from .answers import code_of, fail
 from .chains import ChainCache
 from .dispatch import Dispatcher
-from .job import Job
+from .handler import ReadyHandler, RelayHandler
 from .ledger import LedgerClient
-from .plain import COME_BACK_S, run_plain
 from .pool import Pool
 from .streams import StreamRelay
 
 SWEEP_S: Final = 0.25
-READY_PATH: Final = "/v1/ready"
 LISTEN_BACKLOG: Final = 1024
 # Share of the process's memory that cached chains may take.
 CHAIN_SHARE: Final = 0.12
@@ -57,21 +50,21 @@
 log = logging.getLogger(__name__)
 
 
-class Relay(Handler):
-    """Answers callers' requests by the configuration in force."""
+class Relay:
+    """Runs a `RelayHandler` with sockets, the store, and real time."""
 
     def __init__(self, cfg: NodeOptions) -> None:
         self._cfg = cfg
         self._store = Store(cfg.store)
-        self._table: RouteTable | None = None
         self._fleet = Fleet()
         self._pool = Pool(self._on_stray)
         self._ledger = LedgerClient(cfg.domain, cfg.tolerated_losses)
         self._dispatcher = Dispatcher(self._fleet, self._pool, cfg.domain)
         chains = ChainCache(int(cfg.memory_bytes * CHAIN_SHARE))
-        self._streams = StreamRelay(self._dispatcher, self._ledger, chains)
+        streams = StreamRelay(self._dispatcher, self._ledger, chains)
+        self._handler = RelayHandler(self._dispatcher, streams)
+        self._ready = ReadyHandler(self._is_ready)
         self._channels: set[CallerChannel] = set()
-        self._stopping = False
         self._stop = anyio.Event()
         self._listed: set[str] = set()
 
@@ -101,20 +94,22 @@
 
     async def _serve(self, group: TaskGroup) -> None:
         loop = asyncio.get_running_loop()
-        servers = []
-        for address in (self._cfg.callers, self._cfg.ready):
-            host, _, port = address.rpartition(":")
-            server = await loop.create_server(
-                lambda: CallerChannel(self, group, self._channels),
-                host,
-                int(port),
+        asked: set[CallerChannel] = set()
+        listeners = [
+            await loop.create_server(
+                lambda: CallerChannel(self._handler, group, self._channels),
+                *_host_and_port(self._cfg.callers),
                 backlog=LISTEN_BACKLOG,
-            )
-            servers.append(server)
+            ),
+            await loop.create_server(
+                lambda: CallerChannel(self._ready, group, asked),
+                *_host_and_port(self._cfg.ready),
+            ),
+        ]
         await self._stop.wait()
         await self._drain()
-        for server in servers:
-            server.close()
+        for listener in listeners:
+            listener.close()
 
     # Stopping
 
@@ -127,7 +122,7 @@
                     log.info("reload asked for; nothing that may change is in the file")
                     continue
                 log.info("stopping", extra={"channels": len(self._channels)})
-                self._stopping = True
+                self._handler.stopping = True
                 self._stop.set()
 
     async def _drain(self) -> None:
@@ -147,70 +142,14 @@
             await anyio.sleep(SWEEP_S / 5)
         log.warning("stopped before all was done", extra={"left": len(self._channels)})
 
-    def closing(self) -> bool:
-        """Whether channels are to end after their next answer."""
-        return self._stopping
-
-    # Requests
-
-    def limits(self) -> CallerLimits:
-        """Limits in force."""
-        return self._table.limits if self._table else CallerLimits()
-
-    def refuse(self, bad: BadRequest, channel: CallerChannel) -> None:
-        """Answer a request that could not be taken."""
-        log.info("request refused", extra={"status": bad.status, "reason": bad.reason})
-        fail(channel, "", Failure(code_of(bad.status), bad.reason))
-
-    async def handle(self, req: Request, channel: CallerChannel) -> None:
-        """Answer one request."""
-        if req.path == READY_PATH:
-            self._answer_ready(channel)
-            return
-        asked = decode_request(req)
-        if isinstance(asked, BadHeader):
-            log.info("request refused", extra={"status": 400, "reason": str(asked)})
-            fail(channel, "", Failure(Code.BAD_REQUEST, str(asked)))
-            return
-        table = self._table
-        if table is None:
-            detail = "the configuration is not known yet"
-            fail(
-                channel,
-                asked.id,
-                Failure(Code.NOT_CONFIGURED, detail, "no", COME_BACK_S),
-            )
-            log.info("request refused", extra={"request": asked.id, "reason": detail})
-            return
-        route = table.find(asked.host, req.path)
-        if route is None:
-            detail = f"no route for {asked.host}{req.path}"
-            fail(channel, asked.id, Failure(Code.UNKNOWN_ROUTE, detail))
-            log.info(
-                "request refused",
-                extra={"request": asked.id, "reason": detail, "config": table.version},
-            )
-            return
-        job = Job(req, asked, route, table, channel)
-        try:
-            if route.kind is RequestKind.STREAM:
-                await self._streams.run(job)
-            else:
-                await run_plain(job, self._dispatcher)
-        finally:
-            job.log()
-
-    def _answer_ready(self, channel: CallerChannel) -> None:
-        status = 200 if self._is_ready() else 503
-        channel.respond(status, [], b"")
-
     def _is_ready(self) -> bool:
-        known = self._table is not None and SERVERS in self._listed
-        return known and len(self._ledger.view.members) > 0 and not self._stopping
+        known = self._handler.table is not None and SERVERS in self._listed
+        stopping = self._handler.stopping
+        return known and len(self._ledger.view.members) > 0 and not stopping
 
     # What the store tells
 
-    def _listed_callback(self, prefix: str):  # type: ignore[no-untyped-def]
+    def _listed_callback(self, prefix: str) -> OnListed:
         return lambda present: self._listed.add(prefix)
 
     def _on_item(self, item: Item) -> None:
@@ -232,10 +171,13 @@
                 extra={"key": table.key, "reason": table.reason},
             )
             return
-        if self._table is not None and table.version <= self._table.version:
+        if (
+            self._handler.table is not None
+            and table.version <= self._handler.table.version
+        ):
             log.info("older configuration ignored", extra={"config": table.version})
             return
-        self._table = table
+        self._handler.table = table
         log.info(
             "configuration in force",
             extra={"config": table.version, "routes": len(table.routes)},
@@ -281,3 +223,8 @@
                 channel.check(now)
             self._pool.sweep(self._fleet.expire(now))
             await anyio.sleep(SWEEP_S)
+
+
+def _host_and_port(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/wisteriastair/relay/handler.py
@@ -0,0 +1,123 @@
+"""What a relay does with a request: find its route, then answer by its kind.
+
+What is not known is answered "come back", never "not there": a process that has no
+configuration yet cannot say that a route does not exist.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from ..core.routes import CallerLimits, RequestKind, RouteTable
+from ..errors import Code, Failure
+from ..http1.caller import CallerChannel, Handler
+from ..http1.messages import BadRequest, Request
+from ..platform.headers import READY_PATH, BadHeader, decode_request
+from .answers import code_of, fail
+from .dispatch import Dispatcher
+from .job import Job
+from .plain import COME_BACK_S, run_plain
+from .streams import StreamRelay
+
+log = logging.getLogger(__name__)
+
+
+class RelayHandler(Handler):
+    """Answers callers' requests by the configuration in force.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Sends requests to servers.
+    streams : StreamRelay
+        Answers streamed turns.
+    """
+
+    def __init__(self, dispatcher: Dispatcher, streams: StreamRelay) -> None:
+        self.table: RouteTable | None = None
+        self.stopping = False
+        self._dispatcher = dispatcher
+        self._streams = streams
+
+    def closing(self) -> bool:
+        """Whether channels are to end after their next answer."""
+        return self.stopping
+
+    def limits(self) -> CallerLimits:
+        """Limits in force."""
+        return self.table.limits if self.table else CallerLimits()
+
+    def refuse(self, bad: BadRequest, channel: CallerChannel) -> None:
+        """Answer a request that could not be taken."""
+        log.info("request refused", extra={"status": bad.status, "reason": bad.reason})
+        fail(channel, "", Failure(code_of(bad.status), bad.reason))
+
+    async def handle(self, req: Request, channel: CallerChannel) -> None:
+        """Answer one request."""
+        asked = decode_request(req)
+        if isinstance(asked, BadHeader):
+            self._deny(channel, "", Failure(Code.BAD_REQUEST, str(asked)))
+            return
+        table = self.table
+        if table is None:
+            detail = "the configuration is not known yet"
+            failure = Failure(Code.NOT_CONFIGURED, detail, "no", COME_BACK_S)
+            self._deny(channel, asked.id, failure)
+            return
+        route = table.find(asked.host, req.path)
+        if route is None:
+            detail = f"no route for {asked.host}{req.path} in version {table.version}"
+            self._deny(channel, asked.id, Failure(Code.UNKNOWN_ROUTE, detail))
+            return
+        job = Job(req, asked, route, table, channel)
+        try:
+            if route.kind is RequestKind.STREAM:
+                await self._streams.run(job)
+            else:
+                await run_plain(job, self._dispatcher)
+        finally:
+            job.log()
+
+    def _deny(self, channel: CallerChannel, request_id: str, failure: Failure) -> None:
+        status = fail(channel, request_id, failure)
+        log.info(
+            "request refused",
+            extra={
+                "request": request_id,
+                "status": status,
+                "reason": failure.detail,
+            },
+        )
+
+
+class ReadyHandler(Handler):
+    """Answers the platform's question whether to send callers here.
+
+    Parameters
+    ----------
+    is_ready : callable
+        Whether everything is known that answers need, and no stop is under way.
+    """
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        self._is_ready = is_ready
+
+    def closing(self) -> bool:
+        """Keep channels of the platform open."""
+        return False
+
+    def limits(self) -> CallerLimits:
+        """Limits of its own, whatever the operators' configuration says."""
+        return CallerLimits()
+
+    def refuse(self, bad: BadRequest, channel: CallerChannel) -> None:
+        """Answer a request that could not be taken."""
+        fail(channel, "", Failure(code_of(bad.status), bad.reason))
+
+    async def handle(self, req: Request, channel: CallerChannel) -> None:
+        """Answer the question."""
+        if req.path != READY_PATH:
+            fail(channel, "", Failure(Code.UNKNOWN_ROUTE, f"no {req.path} here"))
+            return
+        channel.respond(200 if self._is_ready() else 503, [], b"")
--- a/wisteriastair/relay/streams.py
+++ b/wisteriastair/relay/streams.py
@@ -12,6 +12,7 @@
 
 import anyio
 
+from ..core.fleet import ServerState
 from ..core.ledger import Turn
 from ..errors import Code, Failure
 from ..http1.messages import Head
@@ -142,13 +143,15 @@
         job = turn.job
         refused: set[str] = set()
         resumes = 0
+        again: ServerState | None = None
         while True:
-            state = self._dispatcher.pick(
+            state = again or self._dispatcher.pick(
                 job.service, tuple(p.id for p in job.asked.parts), frozenset(refused)
             )
+            again = None
             if state is None or len(refused) >= MOST_REFUSALS:
-                if turn.begun:
-                    return Failure(Code.SERVER_LOST, job.reason, "yes")
+                if turn.begun or resumes:
+                    return Failure(Code.SERVER_LOST, job.reason, "unknown")
                 detail = "no server has room" if refused else "no server is there"
                 code = Code.SERVERS_FULL if refused else Code.NO_SERVER
                 return Failure(code, detail, "no", COME_BACK_S)
@@ -160,7 +163,7 @@
                 server_id=state.server.id,
                 body_bytes=len(body),
                 urgency=min(PRIORITY_MOST, job.route.rank),
-                last_event=turn.events.last_id if turn.begun else None,
+                last_event=turn.events.last_id or None,
             )
             job.sent = True
             async with self._dispatcher.send(
@@ -170,13 +173,16 @@
             if end is None:
                 return None
             job.reason = end.reason
-            refused.add(end.server)
             if isinstance(end, NotRun):
-                job.sent = turn.begun
+                refused.add(end.server)
+                job.sent = turn.begun or resumes > 0
                 continue
             if not _may_resume(turn) or resumes >= MOST_RESUMES:
                 return Failure(Code.SERVER_LOST, end.reason, "unknown")
+            # The same server first: it has read the prompt, and a run on another one
+            # counts against the most servers on which a request may run.
             resumes += 1
+            again = state
 
     async def _pass_on(
         self, turn: _TurnRun, outcome: Started | NotRun | Lost
@@ -270,8 +276,8 @@
 
 
 def _may_resume(turn: _TurnRun) -> bool:
-    route = turn.job.route
-    return route.resumable and turn.begun and turn.events.last_id != ""
+    events = turn.events
+    return turn.job.route.resumable and (events.count == 0 or events.last_id != "")
 
 
 def _reservation(job: Job) -> Reservation | None:
