A relay that is cut off from the ledger refuses at once and says it is not ready

Cause: while relays were cut off from all keepers, each turn waited a second for its reservation, callers stayed on their channels, and what was sent to the keepers piled up, again and again, in queues without a bound in bytes. Ruled out: the engines (one in six was slow; the others had places free).

--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -213,6 +213,7 @@
         reply = await at.ask("turn", "t2", X_Deadline_Ms="700", **TURN)
         assert reply.status == 503
         at.keepers.cut = set()
+        await at.keepers.client.probe()
 
         async def cuts(exchange: Exchange) -> None:
             await exchange.stream(EVENTS[0], end=False)
@@ -228,6 +229,32 @@
     play([server], story)
 
 
+def test_relay_that_is_cut_off_from_the_ledger_refuses_at_once() -> None:
+    """All keepers are out of reach while a caller sends turn after turn.
+
+    The first turn waits for its limit.  After it the relay knows: the next ones are
+    refused at once, truthfully, and the platform is told to send callers elsewhere.
+    """
+    server = ScriptedServer("s1", streams)
+
+    async def story(at: Stand) -> None:
+        at.keepers.cut = {"k0:1", "k1:1", "k2:1"}
+        assert at.keepers.client.reachable
+        assert (await at.ask("turn", "t1", **TURN)).status == 503
+        assert not at.keepers.client.reachable
+        began = asyncio.get_running_loop().time()
+        reply = await at.ask("turn", "t2", **TURN)
+        assert reply.status == 503 and "Retry-After: " in reply.head
+        assert asyncio.get_running_loop().time() - began < 0.1
+        at.keepers.cut = set()
+        await at.keepers.client.probe()
+        assert at.keepers.client.reachable
+        assert (await at.ask("turn", "t3", **TURN)).status == 200
+        assert len(server.got) == 1
+
+    play([server], story)
+
+
 def test_spent_budget_is_refused_before_a_server_sees_the_turn() -> None:
     server = ScriptedServer("s1", streams)
 
--- a/wisteriastair/http1/caller.py
+++ b/wisteriastair/http1/caller.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from abc import ABC, abstractmethod
 from collections import deque
 from typing import Final
@@ -43,6 +44,9 @@
 CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
+log = logging.getLogger(__name__)
+
+
 class Handler(ABC):
     """Answers requests and knows the limits that callers are held to."""
 
@@ -273,7 +277,7 @@
         self._keep = req.keep_alive
         with anyio.CancelScope() as scope:
             self._scope = scope
-            await self._handler.handle(req, self)
+            await self._handle(req)
         self._scope = None
         if not self._answered and not self.closed:
             # A channel that ends without its whole answer must not look as if it had
@@ -282,6 +286,19 @@
         elif not self._keep:
             self._end_writing()
 
+    async def _handle(self, req: Request) -> None:
+        """Answer a request; an error that nobody foresaw ends its channel alone.
+
+        All callers share one process: without this, one request that trips over a
+        fault would break off the answers of all others.
+        """
+        try:
+            await self._handler.handle(req, self)
+        except AssertionError:
+            raise
+        except Exception:
+            log.exception("a request failed unforeseen", extra={"path": req.path})
+
     def _read_on(self) -> None:
         if self._paused and len(self._waiting) < PIPELINED_MOST and not self.closed:
             self._paused = False
--- a/wisteriastair/peers/transport.py
+++ b/wisteriastair/peers/transport.py
@@ -32,6 +32,9 @@
 GATHER_S: Final = 0.001
 IDLE_S: Final = 60.0
 QUEUE_LIMIT: Final = 20_000
+# Bytes that may wait for a peer.  What waits for a peer that is cut off is sent again
+# by its sender anyway; without a bound it took 100 MB within ten seconds of a cut.
+QUEUE_BYTES: Final = 2 * 1024 * 1024
 SOCKET_BUFFER: Final = 128
 MAX_FRAME_BYTES: Final = 64 * 1024 * 1024
 
@@ -99,6 +102,7 @@
         self.address = address
         self.queues: dict[str, list[bytes]] = {}
         self.queued = 0
+        self.queued_bytes = 0
         self.number = 0
         self.echoed = 0
         self.heard = 0
@@ -167,12 +171,15 @@
         link = self._links.get(address)
         if link is None:
             link = self._links[address] = _Link(address, now)
-        if link.queued >= QUEUE_LIMIT:
+        data = self._codec.encode(message)
+        full = link.queued > 0 and link.queued_bytes + len(data) > QUEUE_BYTES
+        if full or link.queued >= QUEUE_LIMIT:
             self.counts.dropped += 1
             return
         target = to if "#" in to else ""
-        link.queues.setdefault(target, []).append(self._codec.encode(message))
+        link.queues.setdefault(target, []).append(data)
         link.queued += 1
+        link.queued_bytes += len(data)
         link.used_at = now
         self._dirty.set()
 
@@ -239,6 +246,7 @@
                 return
             del link.queues[target]
             link.queued -= len(messages)
+            link.queued_bytes -= sum(len(message) for message in messages)
             link.number = number
             link.unechoed_since = link.unechoed_since or now
             self.counts.messages_sent += len(messages)
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -62,7 +62,7 @@
         self._dispatcher = Dispatcher(self._fleet, self._pool, cfg.domain)
         chains = ChainCache(int(cfg.memory_bytes * CHAIN_SHARE))
         streams = StreamRelay(self._dispatcher, self._ledger, chains)
-        self._handler = RelayHandler(self._dispatcher, streams)
+        self._handler = RelayHandler(self._dispatcher, streams, self._is_ready)
         self._ready = ReadyHandler(self._is_ready)
         self._channels: set[CallerChannel] = set()
         self._stop = anyio.Event()
@@ -87,6 +87,7 @@
                 )
                 group.start_soon(mirror.run)
             group.start_soon(self._sweep)
+            group.start_soon(self._probe)
             group.start_soon(self._watch_signals)
             await self._serve(group)
             group.cancel_scope.cancel()
@@ -144,8 +145,7 @@
 
     def _is_ready(self) -> bool:
         known = self._handler.table is not None and SERVERS in self._listed
-        stopping = self._handler.stopping
-        return known and len(self._ledger.view.members) > 0 and not stopping
+        return known and self._ledger.reachable and not self._handler.stopping
 
     # What the store tells
 
@@ -215,6 +215,11 @@
     def _on_stray(self, server_id: str) -> None:
         log.warning("bytes that belong to no request", extra={"server": server_id})
 
+    async def _probe(self) -> None:
+        while True:
+            await self._ledger.probe()
+            await anyio.sleep(SWEEP_S)
+
     async def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
--- a/wisteriastair/relay/handler.py
+++ b/wisteriastair/relay/handler.py
@@ -32,17 +32,30 @@
         Sends requests to servers.
     streams : StreamRelay
         Answers streamed turns.
+    is_ready : callable
+        Whether callers are wanted here.
     """
 
-    def __init__(self, dispatcher: Dispatcher, streams: StreamRelay) -> None:
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        streams: StreamRelay,
+        is_ready: Callable[[], bool],
+    ) -> None:
         self.table: RouteTable | None = None
         self.stopping = False
         self._dispatcher = dispatcher
         self._streams = streams
+        self._is_ready = is_ready
 
     def closing(self) -> bool:
-        """Whether channels are to end after their next answer."""
-        return self.stopping
+        """Whether channels are to end after their next answer.
+
+        An open channel stays with its process, so callers of one that is cut off would
+        meet refusals here for as long as they keep it; on a new channel the platform
+        leads them elsewhere.
+        """
+        return self.stopping or not self._is_ready()
 
     def limits(self) -> CallerLimits:
         """Limits in force."""
--- a/wisteriastair/relay/job.py
+++ b/wisteriastair/relay/job.py
@@ -67,11 +67,15 @@
 
     def left_s(self) -> float:
         """Seconds until the answer must be complete."""
-        return self.until - asyncio.get_running_loop().time()
+        return self.until - self.now()
 
     def age_s(self) -> float:
         """Seconds since the request arrived."""
-        return asyncio.get_running_loop().time() - self.req.received_at
+        return self.now() - self.req.received_at
+
+    def now(self) -> float:
+        """Time on the loop's clock."""
+        return asyncio.get_running_loop().time()
 
     def log(self) -> None:
         """Write the line that explains the request."""
--- a/wisteriastair/relay/ledger.py
+++ b/wisteriastair/relay/ledger.py
@@ -27,16 +27,22 @@
     replica_sets,
     slot_of_program,
 )
+from ..core.reach import Reach
 from ..peers.transport import Transport
 
 # A request is sent again after this time without a quorum, in seconds: several times
 # the usual answer, which takes one way there and back and one or two syncs.
 AGAIN_S: Final = 0.15
+# Each further time waits twice as long, up to this: a replica that is cut off must not
+# be sent the same records seven times a second by every request that waits.
+AGAIN_MOST_S: Final = 1.2
 # Pause after replicas have said that they cannot answer yet.
 NOT_NOW_S: Final = 0.05
 # How long settlements that nobody waits for are tried, in seconds.  What is never
 # settled stays reserved, which is safe.
 SETTLE_S: Final = 20.0
+# A probe has this long to be answered, in seconds; usual answers take 10 ms.
+PROBE_LIMIT_S: Final = 0.4
 
 log = logging.getLogger(__name__)
 
@@ -116,6 +122,7 @@
     def __init__(self, domain: str, losses: int) -> None:
         self.view = View()
         self.resent = 0
+        self._reach = Reach()
         self._domain = domain
         self._losses = losses
         self._calls: dict[int, _Call] = {}
@@ -167,6 +174,8 @@
         until : float
             When to give up, on the loop's clock.
         """
+        if self._reach.away:
+            return Unavailable(0, self._losses + 1, self.view.number)
         mine = {wish.attempt: Attempt(wish.tokens, False)}
         entry = Entry(wish.program, wish.keep_s, mine)
         replies = await self._ask(_Reserve(entry, wish.previous), until)
@@ -210,12 +219,34 @@
                 extra={"program": wish.program, "request": wish.attempt},
             )
 
+    # Reach
+
+    @property
+    def reachable(self) -> bool:
+        """Whether requests can be expected to find their quorum."""
+        return len(self.view.members) > self._losses and not self._reach.away
+
+    async def probe(self) -> None:
+        """Find out whether the replicas can be reached, unless requests just have."""
+        now = asyncio.get_running_loop().time()
+        if self.view.members and self._reach.wants_probe(now):
+            await self._ask(_Search(""), now + PROBE_LIMIT_S)
+
+    def _note_success(self, now: float) -> None:
+        if self._reach.succeeded(now):
+            log.info("ledger in reach", extra={"view": self.view.number})
+
+    def _note_failure(self, now: float) -> None:
+        if self._reach.failed(now):
+            log.warning("ledger out of reach", extra={"view": self.view.number})
+
     # Quorums
 
     async def _ask(
         self, question: _Question, until: float
     ) -> list[WriteReply] | Unavailable:
         loop = asyncio.get_running_loop()
+        began = loop.time()
         while True:
             self._op += 1
             op = self._op
@@ -225,8 +256,12 @@
             finally:
                 del self._calls[op]
             if replies is not None:
+                self._note_success(loop.time())
                 return replies
             if loop.time() >= until:
+                # A request that had hardly any time says nothing of the replicas.
+                if until - began >= AGAIN_S:
+                    self._note_failure(loop.time())
                 wanted = self._losses + 1
                 return Unavailable(len(call.replies), wanted, self.view.number)
 
@@ -238,11 +273,13 @@
         view = self.view
         sets = question.sets(view, self._losses)
         sent = 0
+        pause_s = AGAIN_S
         while view is self.view and loop.time() < until:
             self._send(op, call, question, sets, first=sent == 0)
             self.resent += sent > 0
             sent += 1
-            again_at = min(until, loop.time() + AGAIN_S)
+            again_at = min(until, loop.time() + pause_s)
+            pause_s = min(AGAIN_MOST_S, pause_s * 2)
             while view is self.view and loop.time() < again_at:
                 if call.replies and question.answered(sets, call.replies):
                     return list(call.replies.values())
--- a/wisteriastair/relay/streams.py
+++ b/wisteriastair/relay/streams.py
@@ -34,10 +34,13 @@
 from .plain import COME_BACK_S, MOST_ANSWER_BYTES, MOST_REFUSALS, PROMISES, SUCCESS
 
 # Longest wait for a reservation, in seconds; then the caller is told to come back.
-RESERVE_S: Final = 1.0
+RESERVE_S: Final = 0.6
+# Longest wait for a whole turn to become durable, in seconds.  The caller has all
+# events by then; breaking off lets it begin the turn again while there is time.
+SETTLE_WAIT_S: Final = 1.0
 # Times that one stream may go on after a break.
 MOST_RESUMES: Final = 2
-# Longest chain of turns; more would not fit into a server's memory either.
+# The least urgent priority that engines know.
 PRIORITY_MOST: Final = 9
 
 
@@ -131,7 +134,8 @@
         said = job.req.body + bytes(turn.events.said)
         record = Turn(job.asked.id, job.asked.previous, said)
         turns = (*turn.chain, record)
-        if not await self._ledger.settle(wish, turn.tokens(), turns, job.until):
+        until = min(job.until, job.now() + SETTLE_WAIT_S)
+        if not await self._ledger.settle(wish, turn.tokens(), turns, until):
             return Failure(Code.LEDGER_AWAY, "the turn could not be kept", "yes")
         turn.settled = True
         self._chains.put(wish.program, job.asked.id, turn.before + said)
