--- /dev/null
+++ b/tests/keeper/test_documents.py
@@ -0,0 +1,43 @@
+"""Documents remembered for relays that start while the store is away."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from wisteriastair.core.ledgerwire import Document
+from wisteriastair.keeper.documents import Documents
+
+
+def test_newest_revision_stays_and_comes_back(tmp_path: Path) -> None:
+    """A watch reports an older change late; a restart reads the file.
+
+    If the older one won, relays that start during an outage would serve a
+    configuration that the operators have replaced.
+    """
+    documents = Documents(str(tmp_path))
+    documents.put(Document("op/config", 7, b"new"))
+    documents.put(Document("op/config", 5, b"old"))
+    documents.put(Document("servers/a", 6, b"a"))
+    documents.put(Document("servers/b", 6, b"b"))
+    documents.keep_only("servers/", {"servers/a"})
+    documents.save(documents.encode())
+    assert not documents.changed
+
+    again = Documents(str(tmp_path))
+    again.load()
+    assert sorted(again.all(), key=lambda d: d.key) == [
+        Document("op/config", 7, b"new"),
+        Document("servers/a", 6, b"a"),
+    ]
+
+
+def test_damaged_file_is_left_out(tmp_path: Path) -> None:
+    documents = Documents(str(tmp_path))
+    documents.put(Document("op/config", 7, b"new"))
+    data = bytearray(documents.encode())
+    data[-1] ^= 1
+    documents.save(bytes(data))
+
+    again = Documents(str(tmp_path))
+    again.load()
+    assert again.all() == []
--- a/tests/peers/test_transport.py
+++ b/tests/peers/test_transport.py
@@ -8,7 +8,8 @@
 from anyio.abc import SocketStream
 
 from wisteriastair.core.wire import DocPull, Message
-from wisteriastair.peers.transport import CORE_CODEC, Transport
+from wisteriastair.peers.corecodec import CORE_CODEC
+from wisteriastair.peers.transport import Transport
 from wisteriastair.standins.deployment import free_address
 
 LIMIT_S = 30.0
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -15,6 +15,7 @@
 zone = "z1"
 internalPorts = [7380, 7395]
 bootstrap = true
+seeds = ["10.3.0.6:8144"]
 somethingNew = { a = 1 }
 [listen]
 front = "10.1.0.1:8149"
@@ -44,6 +45,7 @@
     assert cfg.memory_bytes == 150 * 1024 * 1024
     assert cfg.drain_s == 2.0
     assert cfg.tolerated_losses == 1
+    assert cfg.seeds == ("10.3.0.6:7380",)
 
 
 @pytest.mark.parametrize(
--- a/tests/relay/stand.py
+++ b/tests/relay/stand.py
@@ -27,6 +27,7 @@
     Share,
 )
 from wisteriastair.http1.caller import CallerChannel
+from wisteriastair.nodemetrics import RelayMetrics
 from wisteriastair.peers.transport import Transport
 from wisteriastair.relay.chains import ChainCache
 from wisteriastair.relay.dispatch import Dispatcher
@@ -252,7 +253,7 @@
     dispatcher = Dispatcher(fleet, pool, "d")
     keepers = Keepers(3)
     streams = StreamRelay(dispatcher, keepers.client, ChainCache(1_000_000))
-    handler = RelayHandler(dispatcher, streams, lambda: True)
+    handler = RelayHandler(dispatcher, streams, lambda: True, RelayMetrics())
     services = {"svc": Service("svc", 100, EngineTraits(8, 100_000, 25))}
     handler.table = RouteTable(1, ROUTES, services, CallerLimits())
     async with anyio.create_task_group() as group:
--- a/wisteriastair/core/keeper.py
+++ b/wisteriastair/core/keeper.py
@@ -119,7 +119,8 @@
                 self._on_copy(sender, message)
             case CopyReply():
                 self._on_copy_reply(message, now)
-            case WriteReply():
+            case _:
+                # Answers to relays, and what the shell answers itself.
                 pass
 
     def _on_request(self, sender: str, request: Write | Find, now: float) -> None:
--- a/wisteriastair/core/ledgerwire.py
+++ b/wisteriastair/core/ledgerwire.py
@@ -110,7 +110,27 @@
     last: bool = False
 
 
-LedgerMessage = Write | Find | WriteReply | Ping | Copy | CopyReply
+class Document(msgspec.Struct, frozen=True, array_like=True):
+    """A key of the platform's store as of a revision."""
+
+    key: str
+    revision: int
+    value: bytes
+
+
+class AskDocuments(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Ask a keeper for the newest documents of the store that it knows."""
+
+
+class KnownDocuments(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """Answer to `AskDocuments`."""
+
+    documents: list[Document]
+
+
+LedgerMessage = (
+    Write | Find | WriteReply | Ping | Copy | CopyReply | AskDocuments | KnownDocuments
+)
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _DECODER: Final = msgspec.msgpack.Decoder(LedgerMessage)
--- a/wisteriastair/daemons/entry.py
+++ b/wisteriastair/daemons/entry.py
@@ -43,7 +43,8 @@
 from ..operators.api import OperatorApi
 from ..operators.changes import make_change
 from ..options import EntryOptions, split_pairs
-from ..peers.transport import CORE_CODEC, Transport
+from ..peers.corecodec import CORE_CODEC
+from ..peers.transport import Transport
 from ..platform.instances import make_instance_list
 from ..platform.kv import make_key_value
 from ..tracing import make_tracer, start_span, traceparent_of
--- a/wisteriastair/daemons/side.py
+++ b/wisteriastair/daemons/side.py
@@ -38,7 +38,8 @@
 from ..engines.client import make_engine
 from ..metrics import make_side_app
 from ..options import SideOptions, split_pairs
-from ..peers.transport import CORE_CODEC, Transport
+from ..peers.corecodec import CORE_CODEC
+from ..peers.transport import Transport
 from ..platform.instances import make_instance_list
 from ..platform.kv import make_key_value
 from ..services.client import make_plain_service
--- a/wisteriastair/keeper/daemon.py
+++ b/wisteriastair/keeper/daemon.py
@@ -21,31 +21,39 @@
 
 from ..core.keeper import Batch, KeeperCore
 from ..core.ledger import Entry
-from ..core.ledgerwire import LedgerMessage, decode_ledger, encode_ledger
+from ..core.ledgerwire import (
+    AskDocuments,
+    Document,
+    KnownDocuments,
+    LedgerMessage,
+)
 from ..core.membership import Member, View, next_view
+from ..logs import dropped_lines
+from ..nodemetrics import KeeperMetrics, serve_metrics
 from ..nodeoptions import NodeOptions
-from ..peers.transport import Codec, Transport
+from ..peers.ledgercodec import LEDGER_CODEC, LEDGER_DEPLOYMENT, LEDGER_GATHER_S
+from ..peers.transport import Transport
 from ..platform.documents import (
+    CONFIG_KEY,
     OWN,
     RETIRE,
     RETIRE_DONE,
     RETIRE_RUNNING,
     RETIRE_STATUS,
+    SERVERS,
     VIEW_KEY,
 )
-from ..platform.mirror import Mirror
+from ..platform.mirror import Mirror, OnListed
 from ..platform.store import Item, Store, StoreTrouble, Swapped
+from .documents import Documents
 from .log import Log
 
 TICK_S: Final = 0.1
 # Pause before another proposal after one that did not take effect, in seconds.
 PROPOSE_PAUSE_S: Final = 0.3
 EXPIRE_S: Final = 5.0
-# Messages gather only while the loop is busy anyway: a turn waits for two of them.
-LEDGER_GATHER_S: Final = 0.0
-
-LEDGER_CODEC: Final[Codec[LedgerMessage]] = Codec(encode_ledger, decode_ledger)
-DEPLOYMENT: Final = "ledger"
+# Documents of the store are saved this long after a change, in seconds.
+SAVE_S: Final = 0.5
 
 log = logging.getLogger(__name__)
 
@@ -56,9 +64,11 @@
     def __init__(self, cfg: NodeOptions) -> None:
         self._cfg = cfg
         self._log = Log(os.path.join(cfg.data_dir, "ledger"))
+        self._documents = Documents(os.path.join(cfg.data_dir, "store"))
         self._store = Store(cfg.store)
         self._wake = anyio.Event()
         self._stop = anyio.Event()
+        self._metrics = KeeperMetrics()
         self._view_revision = 0
         self._retire_done: set[str] = set()
         self._leaving: set[str] = set()
@@ -69,6 +79,7 @@
         """Run until told to stop."""
         now = time.monotonic()
         loaded = self._log.load(now)
+        self._documents.load()
         me = Member(
             self._cfg.name, self._log.disk, self._cfg.internal, self._cfg.domain
         )
@@ -93,21 +104,25 @@
         self._transport = Transport(
             f"{self._cfg.internal}#{uuid.uuid4().hex[:8]}",
             self._on_message,
-            deployment=DEPLOYMENT,
+            deployment=LEDGER_DEPLOYMENT,
             codec=LEDGER_CODEC,
             gather_s=LEDGER_GATHER_S,
         )
         async with anyio.create_task_group() as group:
             self._start(group)
+            await serve_metrics(self._cfg.address, self._metrics.registry, group)
             await self._stop.wait()
             group.cancel_scope.cancel()
         self._log.close()
         log.info("keeper stopped", extra={"disk": me.disk})
 
     def _start(self, group: TaskGroup) -> None:
-        for prefix in (OWN, RETIRE):
-            mirror = Mirror(self._store, prefix, self._on_item, lambda present: None)
+        for prefix in (OWN, RETIRE, CONFIG_KEY, SERVERS):
+            mirror = Mirror(
+                self._store, prefix, self._on_item, self._listed_callback(prefix)
+            )
             group.start_soon(mirror.run)
+        group.start_soon(self._save_documents)
         group.start_soon(self._transport.run)
         group.start_soon(self._sync_batches)
         group.start_soon(self._tick)
@@ -116,14 +131,23 @@
         group.start_soon(self._watch_signals)
 
     async def _watch_signals(self) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as signals:
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    log.info("reload asked for; nothing of the file may change")
+                    continue
                 log.info("stopping")
                 self._stop.set()
 
     # Messages and batches
 
     def _on_message(self, sender: str, message: LedgerMessage) -> None:
+        if isinstance(message, AskDocuments):
+            known = KnownDocuments(self._documents.all())
+            self._transport.send(sender, known)
+            return
         self._core.receive(sender, message, time.monotonic())
         self._send()
         self._wake.set()
@@ -156,9 +180,10 @@
         self._core.synced(batch)
 
     async def _append(self, entries: list[Entry], view: View | None) -> None:
-        await anyio.to_thread.run_sync(
-            self._log.append, entries, view, time.monotonic()
-        )
+        began = time.monotonic()
+        await anyio.to_thread.run_sync(self._log.append, entries, view, began)
+        self._metrics.sync.observe(time.monotonic() - began)
+        self._metrics.records.inc(len(entries))
 
     # Time
 
@@ -174,6 +199,7 @@
             await anyio.sleep(EXPIRE_S)
             now = time.monotonic()
             self._core.ledger.expire(now)
+            self._measure()
             oldest = self._log.oldest()
             longest_s = self._core.ledger.longest_retention_s()
             if oldest is None or now - oldest.started <= longest_s:
@@ -184,9 +210,41 @@
                 await anyio.sleep(TICK_S)
             self._log.remove_oldest()
 
+    async def _save_documents(self) -> None:
+        while True:
+            await anyio.sleep(SAVE_S)
+            if not self._documents.changed:
+                continue
+            try:
+                data = self._documents.encode()
+                await anyio.to_thread.run_sync(self._documents.save, data)
+            except OSError as exc:
+                log.warning("documents not saved", extra={"reason": repr(exc)})
+
+    def _measure(self) -> None:
+        core = self._core
+        values = {
+            "view_number": core.view.number,
+            "view_changing": bool(core.view.old),
+            "accounts": len(core.ledger.accounts),
+            "turn_bytes": core.ledger.held_bytes,
+            "stale_refused": core.stale_refused,
+            "store_calls": self._store.calls,
+            "log_lines_dropped": dropped_lines(),
+        }
+        for name, value in values.items():
+            self._metrics.gauges[name].set(value)
+
     # The view and requests to empty an instance
 
+    def _listed_callback(self, prefix: str) -> OnListed:
+        return lambda present: self._documents.keep_only(prefix, present)
+
     def _on_item(self, item: Item) -> None:
+        if item.value is None:
+            self._documents.remove(item.key)
+        else:
+            self._documents.put(Document(item.key, item.revision, item.value))
         if item.key == VIEW_KEY and item.value is not None:
             self._take_view(item.revision, item.value)
         elif item.key.startswith(RETIRE):
--- a/wisteriastair/logs.py
+++ b/wisteriastair/logs.py
@@ -71,11 +71,15 @@
     _install(handler, level)
 
 
-def set_up_daemon_logs(level: str) -> NeverBlockingHandler:
+def set_up_daemon_logs(level: str) -> None:
     """Send all logs to standard output as JSON lines, without ever blocking."""
-    handler = NeverBlockingHandler(sys.stdout.fileno())
-    _install(handler, level)
-    return handler
+    _install(NeverBlockingHandler(sys.stdout.fileno()), level)
+
+
+def dropped_lines() -> int:
+    """Count the lines that were dropped since the start."""
+    handlers = logging.getLogger().handlers
+    return sum(h.dropped for h in handlers if isinstance(h, NeverBlockingHandler))
 
 
 def _install(handler: logging.Handler, level: str) -> None:
--- /dev/null
+++ b/wisteriastair/nodemetrics.py
@@ -0,0 +1,148 @@
+"""Metrics of the processes on the users' platform, and the address that serves them."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import Final
+
+from anyio.abc import TaskGroup
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+from .core.routes import CallerLimits
+from .http1.caller import CallerChannel, Handler
+from .http1.messages import BadRequest, Request
+
+# The port is ours to choose; deploy/system.toml names it too.
+METRICS_PORT: Final = 9464
+METRICS_PATH: Final = "/metrics"
+# Seconds; from a plain lookup on an idle server to the longest route limit.
+LATENCY_BUCKETS: Final = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0)
+# Seconds; one sync of a disk up to the limit for a reservation.
+LEDGER_BUCKETS: Final = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 1.0)
+
+log = logging.getLogger(__name__)
+
+
+class RelayMetrics:
+    """Counters and histograms of a relay; docs/OPERATIONS.md says what they mean."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = Counter(
+            "wisteriastair_requests",
+            "Requests ended, by what the caller was answered (0: broken off)",
+            ["service", "status", "reason"],
+            registry=self.registry,
+        )
+        self.took = Histogram(
+            "wisteriastair_request_seconds",
+            "Seconds from the head of a request to the end of its answer",
+            ["service"],
+            buckets=LATENCY_BUCKETS,
+            registry=self.registry,
+        )
+        self.first = Histogram(
+            "wisteriastair_first_event_seconds",
+            "Seconds from the head of a request to its first event",
+            ["service"],
+            buckets=LATENCY_BUCKETS,
+            registry=self.registry,
+        )
+        self.ledger = Histogram(
+            "wisteriastair_reserve_seconds",
+            "Seconds for a durable reservation",
+            buckets=LEDGER_BUCKETS,
+            registry=self.registry,
+        )
+        self.gauges = {
+            name: Gauge(f"wisteriastair_{name}", text, registry=self.registry)
+            for name, text in (
+                ("config_version", "Configuration in force"),
+                ("view_number", "View of the ledger's members"),
+                ("ready", "1 if callers are wanted here"),
+                ("ledger_reachable", "1 if reservations can be expected to succeed"),
+                ("servers_known", "Backend servers known"),
+                ("caller_channels", "Open channels of callers"),
+                ("server_channels_opened", "Channels opened to servers since start"),
+                ("store_calls", "Calls to the platform's store since start"),
+                ("ledger_resent", "Ledger requests sent again since start"),
+                ("chain_bytes", "Bytes of cached chains"),
+                ("log_lines_dropped", "Log lines that were not taken in time"),
+            )
+        }
+
+
+class KeeperMetrics:
+    """Counters and histograms of a keeper."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.sync = Histogram(
+            "wisteriastair_sync_seconds",
+            "Seconds to write and sync one batch",
+            buckets=LEDGER_BUCKETS,
+            registry=self.registry,
+        )
+        self.records = Counter(
+            "wisteriastair_records", "Records written", registry=self.registry
+        )
+        self.gauges = {
+            name: Gauge(f"wisteriastair_{name}", text, registry=self.registry)
+            for name, text in (
+                ("view_number", "View of the ledger's members"),
+                ("view_changing", "1 while a change of members lasts"),
+                ("accounts", "Programs in the ledger"),
+                ("turn_bytes", "Bytes of kept turns"),
+                ("stale_refused", "Requests under an older view refused"),
+                ("store_calls", "Calls to the platform's store since start"),
+                ("log_lines_dropped", "Log lines that were not taken in time"),
+            )
+        }
+
+
+class MetricsHandler(Handler):
+    """Answers scrapes."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self._registry = registry
+
+    def closing(self) -> bool:
+        """Keep channels open."""
+        return False
+
+    def limits(self) -> CallerLimits:
+        """Limits of its own."""
+        return CallerLimits()
+
+    def refuse(self, bad: BadRequest, channel: CallerChannel) -> None:
+        """Answer a request that could not be taken."""
+        channel.respond(bad.status, [], bad.reason.encode())
+
+    async def handle(self, req: Request, channel: CallerChannel) -> None:
+        """Answer a scrape."""
+        if req.path != METRICS_PATH:
+            channel.respond(404, [], b"")
+            return
+        kind = (b"Content-Type", b"text/plain; version=0.0.4")
+        channel.respond(200, [kind], generate_latest(self._registry))
+
+
+async def serve_metrics(
+    address: str, registry: CollectorRegistry, group: TaskGroup
+) -> None:
+    """Listen for scrapes; a port that is taken costs the metrics, not the service."""
+    channels: set[CallerChannel] = set()
+    handler = MetricsHandler(registry)
+    try:
+        await asyncio.get_running_loop().create_server(
+            lambda: CallerChannel(handler, group, channels), address, METRICS_PORT
+        )
+    except OSError as exc:
+        log.warning("no metrics", extra={"reason": str(exc), "port": METRICS_PORT})
--- a/wisteriastair/nodeoptions.py
+++ b/wisteriastair/nodeoptions.py
@@ -41,6 +41,9 @@
         Seconds between the signal to stop and the kill.
     drain_s : float
         Seconds for which a server that has left still serves.
+    seeds : tuple of str
+        Addresses for the system's processes of some instances with a disk; they may be
+        stale.
     settle_s : float
         Seconds within which an ended turn must be settled in the ledger.
     """
@@ -59,6 +62,7 @@
     grace_s: float
     drain_s: float
     settle_s: float
+    seeds: tuple[str, ...]
 
     @property
     def internal(self) -> str:
--- /dev/null
+++ b/wisteriastair/peers/ledgercodec.py
@@ -0,0 +1,13 @@
+"""How relays and keepers talk about the ledger."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from ..core.ledgerwire import LedgerMessage, decode_ledger, encode_ledger
+from .transport import Codec
+
+LEDGER_CODEC: Final[Codec[LedgerMessage]] = Codec(encode_ledger, decode_ledger)
+LEDGER_DEPLOYMENT: Final = "ledger"
+# A turn waits for two of these messages, so they gather only while the loop is busy.
+LEDGER_GATHER_S: Final = 0.0
--- a/wisteriastair/peers/transport.py
+++ b/wisteriastair/peers/transport.py
@@ -22,7 +22,6 @@
 import pynng
 
 from ..core.hashing import address_of
-from ..core.wire import Message, decode_message, encode_message
 
 SILENCE_S: Final = 1.5
 SILENCE_MAX_S: Final = 6.0
@@ -48,9 +47,6 @@
     decode: Callable[[bytes], M]
 
 
-CORE_CODEC: Final[Codec[Message]] = Codec(encode_message, decode_message)
-
-
 class Frame(NamedTuple):
     """One transmission between two processes.
 
--- a/wisteriastair/platform/settings.py
+++ b/wisteriastair/platform/settings.py
@@ -56,6 +56,9 @@
     # True only when the whole system starts for the first time, on empty disks.
     bootstrap: bool
     data_dir: str = ""
+    # Addresses of the role that serves `control`; its internal port is the same for
+    # all.
+    seeds: list[str] = []
 
 
 def load_settings(path: str) -> NodeOptions | BadNodeSetting:
@@ -122,9 +125,14 @@
         grace_s=settings.bounds.grace_s,
         drain_s=settings.bounds.drain_ms / MS_PER_S,
         settle_s=settings.bounds.settle_ms / MS_PER_S,
+        seeds=tuple(_internal(seed, settings) for seed in settings.seeds),
     )
 
 
+def _internal(seed: str, settings: _Settings) -> str:
+    return f"{seed.rpartition(':')[0]}:{settings.internal_ports[0]}"
+
+
 def _is_address(value: str) -> bool:
     host, _, port = value.rpartition(":")
     return bool(host) and port.isdigit()
--- a/wisteriastair/platform/store.py
+++ b/wisteriastair/platform/store.py
@@ -127,7 +127,11 @@
 
     def __init__(self, address: str) -> None:
         self.calls = 0
-        transport = httpx.AsyncHTTPTransport(socket_options=SOCKET_OPTIONS, retries=0)
+        # The store speaks plain HTTP.  Without this the client reads all certificate
+        # authorities first, which takes 0.1 s of a start that callers wait for.
+        transport = httpx.AsyncHTTPTransport(
+            verify=False, socket_options=SOCKET_OPTIONS, retries=0
+        )
         timeout = httpx.Timeout(CALL_S, connect=CONNECT_S)
         self._client = httpx.AsyncClient(
             base_url=f"http://{address}", transport=transport, timeout=timeout
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -14,11 +14,13 @@
 from anyio.abc import TaskGroup
 
 from ..core.fleet import Fleet
-from ..core.ledgerwire import LedgerMessage
+from ..core.ledgerwire import AskDocuments, KnownDocuments, LedgerMessage
 from ..core.membership import View
 from ..http1.caller import CallerChannel
-from ..keeper.daemon import DEPLOYMENT, LEDGER_CODEC, LEDGER_GATHER_S
+from ..logs import dropped_lines
+from ..nodemetrics import RelayMetrics, serve_metrics
 from ..nodeoptions import NodeOptions
+from ..peers.ledgercodec import LEDGER_CODEC, LEDGER_DEPLOYMENT, LEDGER_GATHER_S
 from ..peers.transport import Transport
 from ..platform.documents import (
     CONFIG_KEY,
@@ -38,6 +40,9 @@
 from .streams import StreamRelay
 
 SWEEP_S: Final = 0.25
+# Pause before keepers are asked what they remember, in seconds: the store answers
+# sooner if it is there.
+ASK_S: Final = 0.25
 LISTEN_BACKLOG: Final = 1024
 # Share of the process's memory that cached chains may take.
 CHAIN_SHARE: Final = 0.12
@@ -58,36 +63,42 @@
         self._store = Store(cfg.store)
         self._fleet = Fleet()
         self._pool = Pool(self._on_stray)
+        self._metrics = RelayMetrics()
         self._ledger = LedgerClient(cfg.domain, cfg.tolerated_losses)
         self._dispatcher = Dispatcher(self._fleet, self._pool, cfg.domain)
-        chains = ChainCache(int(cfg.memory_bytes * CHAIN_SHARE))
-        streams = StreamRelay(self._dispatcher, self._ledger, chains)
-        self._handler = RelayHandler(self._dispatcher, streams, self._is_ready)
+        self._chains = ChainCache(int(cfg.memory_bytes * CHAIN_SHARE))
+        streams = StreamRelay(self._dispatcher, self._ledger, self._chains)
+        self._handler = RelayHandler(
+            self._dispatcher, streams, self._is_ready, self._metrics
+        )
         self._ready = ReadyHandler(self._is_ready)
         self._channels: set[CallerChannel] = set()
         self._stop = anyio.Event()
         self._listed: set[str] = set()
+        self._hinted = False
 
     async def run(self) -> None:
         """Run until told to stop."""
         log.info("relay started", extra={"instance": self._cfg.name})
         transport: Transport[LedgerMessage] = Transport(
             f"{self._cfg.internal}#{uuid.uuid4().hex[:8]}",
-            self._ledger.receive,
-            deployment=DEPLOYMENT,
+            self._on_message,
+            deployment=LEDGER_DEPLOYMENT,
             codec=LEDGER_CODEC,
             gather_s=LEDGER_GATHER_S,
         )
         async with anyio.create_task_group() as group:
             self._ledger.start(transport, group)
             group.start_soon(transport.run)
-            for prefix in ("op/config", SERVERS, VIEW_KEY):
+            for prefix in (CONFIG_KEY, SERVERS, VIEW_KEY):
                 mirror = Mirror(
                     self._store, prefix, self._on_item, self._listed_callback(prefix)
                 )
                 group.start_soon(mirror.run)
             group.start_soon(self._sweep)
             group.start_soon(self._probe)
+            group.start_soon(self._ask_keepers, transport)
+            await serve_metrics(self._cfg.address, self._metrics.registry, group)
             group.start_soon(self._watch_signals)
             await self._serve(group)
             group.cancel_scope.cancel()
@@ -120,7 +131,7 @@
         ) as signals:
             async for number in signals:
                 if number == signal.SIGHUP:
-                    log.info("reload asked for; nothing that may change is in the file")
+                    log.info("reload asked for; nothing of the file may change")
                     continue
                 log.info("stopping", extra={"channels": len(self._channels)})
                 self._handler.stopping = True
@@ -144,13 +155,47 @@
         log.warning("stopped before all was done", extra={"left": len(self._channels)})
 
     def _is_ready(self) -> bool:
-        known = self._handler.table is not None and SERVERS in self._listed
+        listed = SERVERS in self._listed or self._hinted
+        known = self._handler.table is not None and listed
         return known and self._ledger.reachable and not self._handler.stopping
 
+    # What keepers remember of the store
+
+    async def _ask_keepers(self, transport: Transport[LedgerMessage]) -> None:
+        """Learn from keepers what the store last said, if the store says nothing."""
+        while not self._knows_enough():
+            await anyio.sleep(ASK_S)
+            for seed in self._cfg.seeds:
+                if not self._knows_enough():
+                    transport.send(seed, AskDocuments())
+
+    def _knows_enough(self) -> bool:
+        return self._handler.table is not None and len(self._fleet) > 0
+
+    def _on_message(self, sender: str, message: LedgerMessage) -> None:
+        if not isinstance(message, KnownDocuments):
+            self._ledger.receive(sender, message)
+            return
+        if self._listed:
+            return
+        log.info(
+            "store as a keeper remembers it",
+            extra={"keeper": sender, "documents": len(message.documents)},
+        )
+        for document in message.documents:
+            self._on_item(Item(document.key, document.revision, document.value))
+        self._hinted = True
+
     # What the store tells
 
     def _listed_callback(self, prefix: str) -> OnListed:
-        return lambda present: self._listed.add(prefix)
+        def on_listed(present: set[str]) -> None:
+            self._listed.add(prefix)
+            if prefix == SERVERS:
+                ids = {key.removeprefix(SERVERS) for key in present}
+                self._fleet.keep_only(ids, asyncio.get_running_loop().time())
+
+        return on_listed
 
     def _on_item(self, item: Item) -> None:
         if item.key == CONFIG_KEY:
@@ -215,6 +260,24 @@
     def _on_stray(self, server_id: str) -> None:
         log.warning("bytes that belong to no request", extra={"server": server_id})
 
+    def _measure(self) -> None:
+        table = self._handler.table
+        values = {
+            "config_version": table.version if table else 0,
+            "view_number": self._ledger.view.number,
+            "ready": self._is_ready(),
+            "ledger_reachable": self._ledger.reachable,
+            "servers_known": len(self._fleet),
+            "caller_channels": len(self._channels),
+            "server_channels_opened": self._pool.opened,
+            "store_calls": self._store.calls,
+            "ledger_resent": self._ledger.resent,
+            "chain_bytes": self._chains.held_bytes,
+            "log_lines_dropped": dropped_lines(),
+        }
+        for name, value in values.items():
+            self._metrics.gauges[name].set(value)
+
     async def _probe(self) -> None:
         while True:
             await self._ledger.probe()
@@ -227,6 +290,7 @@
             for channel in list(self._channels):
                 channel.check(now)
             self._pool.sweep(self._fleet.expire(now))
+            self._measure()
             await anyio.sleep(SWEEP_S)
 
 
--- a/wisteriastair/relay/handler.py
+++ b/wisteriastair/relay/handler.py
@@ -13,6 +13,7 @@
 from ..errors import Code, Failure
 from ..http1.caller import CallerChannel, Handler
 from ..http1.messages import BadRequest, Request
+from ..nodemetrics import RelayMetrics
 from ..platform.headers import READY_PATH, BadHeader, decode_request
 from .answers import code_of, fail
 from .dispatch import Dispatcher
@@ -34,6 +35,8 @@
         Answers streamed turns.
     is_ready : callable
         Whether callers are wanted here.
+    metrics : RelayMetrics
+        Counts what becomes of requests.
     """
 
     def __init__(
@@ -41,12 +44,14 @@
         dispatcher: Dispatcher,
         streams: StreamRelay,
         is_ready: Callable[[], bool],
+        metrics: RelayMetrics,
     ) -> None:
         self.table: RouteTable | None = None
         self.stopping = False
         self._dispatcher = dispatcher
         self._streams = streams
         self._is_ready = is_ready
+        self._metrics = metrics
 
     def closing(self) -> bool:
         """Whether channels are to end after their next answer.
@@ -91,6 +96,17 @@
                 await run_plain(job, self._dispatcher)
         finally:
             job.log()
+            self._count(job)
+
+    def _count(self, job: Job) -> None:
+        metrics = self._metrics
+        code = job.failure.code.value if job.failure else ""
+        metrics.requests.labels(job.service, job.status, code).inc()
+        metrics.took.labels(job.service).observe(job.age_s())
+        if job.first_s:
+            metrics.first.labels(job.service).observe(job.first_s)
+        if job.ledger_s:
+            metrics.ledger.observe(job.ledger_s)
 
     def _deny(self, channel: CallerChannel, request_id: str, failure: Failure) -> None:
         status = fail(channel, request_id, failure)
--- a/wisteriastair/relay/job.py
+++ b/wisteriastair/relay/job.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 from ..core.routes import Route, RouteTable
+from ..errors import Failure
 from ..http1.caller import CallerChannel
 from ..http1.messages import Request
 from ..platform.headers import CallerRequest
@@ -32,6 +33,8 @@
         What the caller was answered; 0 for a channel that ended without an answer.
     reason : str
         Why it did not go well; empty if it did.
+    failure : Failure or None
+        What the system itself answered.
     """
 
     def __init__(
@@ -54,6 +57,7 @@
         self.channel = channel
         self.status = 0
         self.reason = ""
+        self.failure: Failure | None = None
         self.tried: list[str] = []
         self.events = 0
         self.sent = False
--- a/wisteriastair/relay/plain.py
+++ b/wisteriastair/relay/plain.py
@@ -45,6 +45,7 @@
         if answer.code is Code.TIMED_OUT and not job.sent:
             answer = Failure(Code.TOO_LATE, "no time left", "no", COME_BACK_S)
         job.reason = job.reason or answer.detail
+        job.failure = answer
         job.status = fail(job.channel, job.asked.id, answer)
         return
     job.status = answer.head.status
--- a/wisteriastair/relay/streams.py
+++ b/wisteriastair/relay/streams.py
@@ -80,6 +80,7 @@
         if failure is None:
             return
         job.reason = job.reason or failure.detail
+        job.failure = failure
         if turn.begun:
             return
         if failure.code is Code.TIMED_OUT and not job.sent:
