--- a/wisteriastair/core/choice.py
+++ b/wisteriastair/core/choice.py
@@ -14,9 +14,15 @@
 
 from .fleet import ServerState
 
-# Share of a server's places that a detour to another failure domain is worth.  Small:
-# the delay between domains is about a hundredth of a request's time.
-OTHER_DOMAIN: Final = 0.06
+# Share of a server's places that a detour to another failure domain is worth: a little
+# for the way, and more for each byte of the request, since traffic between domains is
+# paid for.  A turn of 20 kB may meet four more requests in its own domain's batch of
+# 16, which slows it by about two hundredths.
+OTHER_DOMAIN: Final = 0.04
+OTHER_DOMAIN_PER_KB: Final = 0.01
+# A server to which a channel is open is worth this share of its places: opening one
+# takes a round trip, and the server's time.
+CHANNEL_OPEN: Final = 0.25
 # Worth of having read a part of the prompt before, at most, and for its last part,
 # which belongs to the program's own line and grows with every turn.
 PARTS_KNOWN: Final = 0.35
@@ -38,11 +44,17 @@
         Parts of the prompt, those shared most first.
     tried : frozenset of str
         Servers that have refused this request.
+    kilobytes : float
+        Size of the request.
+    connected : frozenset of str
+        Servers to which a channel is open and idle.
     """
 
     domain: str
     parts: tuple[str, ...]
     tried: frozenset[str]
+    kilobytes: float
+    connected: frozenset[str]
 
 
 def choose(
@@ -69,7 +81,9 @@
 def _cost(state: ServerState, want: Want, mean_s: float, now: float) -> float:
     cost = (state.busy(now) + 1) / state.server.slots
     if state.server.domain != want.domain:
-        cost += OTHER_DOMAIN
+        cost += OTHER_DOMAIN + OTHER_DOMAIN_PER_KB * want.kilobytes
+    if state.server.id not in want.connected:
+        cost += CHANNEL_OPEN
     if want.parts:
         known = sum(part in state.parts for part in want.parts) / len(want.parts)
         cost += PARTS_KNOWN * (1 - known)
--- a/wisteriastair/keeper/daemon.py
+++ b/wisteriastair/keeper/daemon.py
@@ -35,7 +35,6 @@
 from ..peers.transport import Transport
 from ..platform.documents import (
     CONFIG_KEY,
-    OWN,
     RETIRE,
     RETIRE_DONE,
     RETIRE_RUNNING,
@@ -43,7 +42,7 @@
     SERVERS,
     VIEW_KEY,
 )
-from ..platform.mirror import Mirror, OnListed
+from ..platform.mirror import Mirror
 from ..platform.store import Item, Store, StoreTrouble, Swapped
 from .documents import Documents
 from .log import Log
@@ -117,11 +116,8 @@
         log.info("keeper stopped", extra={"disk": me.disk})
 
     def _start(self, group: TaskGroup) -> None:
-        for prefix in (OWN, RETIRE, CONFIG_KEY, SERVERS):
-            mirror = Mirror(
-                self._store, prefix, self._on_item, self._listed_callback(prefix)
-            )
-            group.start_soon(mirror.run)
+        mirror = Mirror(self._store, self._on_item, self._documents.keep_only)
+        group.start_soon(mirror.run)
         group.start_soon(self._save_documents)
         group.start_soon(self._transport.run)
         group.start_soon(self._sync_batches)
@@ -237,13 +233,11 @@
 
     # The view and requests to empty an instance
 
-    def _listed_callback(self, prefix: str) -> OnListed:
-        return lambda present: self._documents.keep_only(prefix, present)
-
     def _on_item(self, item: Item) -> None:
+        remembered = item.key == CONFIG_KEY or item.key.startswith(SERVERS)
         if item.value is None:
             self._documents.remove(item.key)
-        else:
+        elif remembered or item.key == VIEW_KEY:
             self._documents.put(Document(item.key, item.revision, item.value))
         if item.key == VIEW_KEY and item.value is not None:
             self._take_view(item.revision, item.value)
--- a/wisteriastair/keeper/documents.py
+++ b/wisteriastair/keeper/documents.py
@@ -71,10 +71,10 @@
         if self._known.pop(key, None) is not None:
             self.changed = True
 
-    def keep_only(self, prefix: str, present: set[str]) -> None:
-        """Forget what a full reading of a prefix does not list."""
+    def keep_only(self, present: set[str]) -> None:
+        """Forget what a full reading of the store does not list."""
         for key in list(self._known):
-            if key.startswith(prefix) and key not in present:
+            if key not in present:
                 self.remove(key)
 
     def all(self) -> list[Document]:
--- a/wisteriastair/platform/mirror.py
+++ b/wisteriastair/platform/mirror.py
@@ -1,5 +1,6 @@
 """A local copy of keys in the platform's store, kept up to date by watches.
 
+One watch follows all keys, since every call is counted and a waiting watch is one.
 A watch goes on from the revision that the one before ended with.  When the store no
 longer has that history, everything is read again and compared.  An item only ever
 replaces an older one of the same key, so a change that is reported twice or late has no
@@ -23,6 +24,10 @@
 PAUSE_S: Final = 0.25
 # A reading that is refused for lack of room is tried again more slowly.
 PAUSE_MAX_S: Final = 1.0
+# Changes within this time after one, in seconds, come with one call instead of one
+# each. A tenth of the time in which a configuration has to be in force.
+GATHER_S: Final = 0.2
+EVERYTHING: Final = ""
 
 OnChange = Callable[[Item], None]
 OnListed = Callable[[set[str]], None]
@@ -31,29 +36,24 @@
 
 
 class Mirror:
-    """Follows the keys below one prefix.
+    """Follows all keys of the store.
 
     Parameters
     ----------
     store : Store
         The client.
-    prefix : str
-        What the keys begin with.
     on_change : callable
         Takes each new state of a key.
     on_listed : callable
         Takes the keys of a full reading.
     """
 
-    def __init__(
-        self, store: Store, prefix: str, on_change: OnChange, on_listed: OnListed
-    ) -> None:
+    def __init__(self, store: Store, on_change: OnChange, on_listed: OnListed) -> None:
         self.revision = 0
         self.in_touch = False
         self.lost_at = float("-inf")
         self.regained_at = float("-inf")
         self._store = store
-        self._prefix = prefix
         self._on_change = on_change
         self._on_listed = on_listed
         self._known: dict[str, int] = {}
@@ -69,7 +69,7 @@
                 listed = await self._watch()
 
     async def _list(self) -> bool:
-        snapshot = await self._store.list_all(self._prefix)
+        snapshot = await self._store.list_all(EVERYTHING)
         if isinstance(snapshot, StoreTrouble):
             await self._trouble(snapshot)
             return False
@@ -86,14 +86,14 @@
         return True
 
     async def _watch(self) -> bool:
-        changes = await self._store.watch(self._prefix, self.revision)
+        changes = await self._store.watch(EVERYTHING, self.revision)
         match changes:
             case StoreTrouble():
                 await self._trouble(changes)
             case HistoryLost():
                 log.info(
                     "store history lost, reading all again",
-                    extra={"prefix": self._prefix, "revision": self.revision},
+                    extra={"revision": self.revision},
                 )
                 return False
             case Changes(revision, items):
@@ -101,6 +101,8 @@
                 for item in items:
                     self._take(item)
                 self.revision = max(self.revision, revision)
+                if items:
+                    await anyio.sleep(GATHER_S)
         return True
 
     def _take(self, item: Item) -> None:
@@ -118,17 +120,12 @@
         if not self.in_touch:
             self.in_touch = True
             self.regained_at = time.monotonic()
-            log.info(
-                "store in touch", extra={"prefix": self._prefix, "rev": self.revision}
-            )
+            log.info("store in touch", extra={"revision": self.revision})
 
     async def _trouble(self, trouble: StoreTrouble) -> None:
         if self.in_touch:
             self.in_touch = False
             self.lost_at = time.monotonic()
-            log.warning(
-                "store lost",
-                extra={"prefix": self._prefix, "reason": trouble.reason},
-            )
+            log.warning("store lost", extra={"reason": trouble.reason})
         await anyio.sleep(self._pause_s * random.uniform(0.5, 1.0))
         self._pause_s = min(PAUSE_MAX_S, self._pause_s * 2)
--- a/wisteriastair/platform/store.py
+++ b/wisteriastair/platform/store.py
@@ -21,7 +21,8 @@
 CONNECT_S: Final = 0.7
 # A slow store answers after some hundred milliseconds; see the platform's slow periods.
 CALL_S: Final = 2.5
-WATCH_S: Final = 20.0
+# The longest that the store lets a watch wait.
+WATCH_S: Final = 30.0
 MS_PER_S: Final = 1000
 KEEPALIVE_S: Final = 1
 KEEPALIVE_PROBES: Final = 2
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -30,7 +30,7 @@
     decode_config,
     decode_server,
 )
-from ..platform.mirror import Mirror, OnListed
+from ..platform.mirror import Mirror
 from ..platform.store import Item, Store
 from .chains import ChainCache
 from .dispatch import Dispatcher
@@ -74,7 +74,7 @@
         self._ready = ReadyHandler(self._is_ready)
         self._channels: set[CallerChannel] = set()
         self._stop = anyio.Event()
-        self._listed: set[str] = set()
+        self._listed = False
         self._hinted = False
 
     async def run(self) -> None:
@@ -90,11 +90,8 @@
         async with anyio.create_task_group() as group:
             self._ledger.start(transport, group)
             group.start_soon(transport.run)
-            for prefix in (CONFIG_KEY, SERVERS, VIEW_KEY):
-                mirror = Mirror(
-                    self._store, prefix, self._on_item, self._listed_callback(prefix)
-                )
-                group.start_soon(mirror.run)
+            mirror = Mirror(self._store, self._on_item, self._on_listed)
+            group.start_soon(mirror.run)
             group.start_soon(self._sweep)
             group.start_soon(self._probe)
             group.start_soon(self._ask_keepers, transport)
@@ -155,7 +152,7 @@
         log.warning("stopped before all was done", extra={"left": len(self._channels)})
 
     def _is_ready(self) -> bool:
-        listed = SERVERS in self._listed or self._hinted
+        listed = self._listed or self._hinted
         known = self._handler.table is not None and listed
         return known and self._ledger.reachable and not self._handler.stopping
 
@@ -188,14 +185,10 @@
 
     # What the store tells
 
-    def _listed_callback(self, prefix: str) -> OnListed:
-        def on_listed(present: set[str]) -> None:
-            self._listed.add(prefix)
-            if prefix == SERVERS:
-                ids = {key.removeprefix(SERVERS) for key in present}
-                self._fleet.keep_only(ids, asyncio.get_running_loop().time())
-
-        return on_listed
+    def _on_listed(self, present: set[str]) -> None:
+        self._listed = True
+        ids = {key.removeprefix(SERVERS) for key in present}
+        self._fleet.keep_only(ids, asyncio.get_running_loop().time())
 
     def _on_item(self, item: Item) -> None:
         if item.key == CONFIG_KEY:
--- a/wisteriastair/relay/dispatch.py
+++ b/wisteriastair/relay/dispatch.py
@@ -22,6 +22,7 @@
 
 # A server that says that it is full is passed over for this time, in seconds.
 FULL_S: Final = 0.15
+BYTES_PER_KB: Final = 1000.0
 
 
 class NotRun(NamedTuple):
@@ -67,12 +68,24 @@
         self._draw = random.Random().randrange
 
     def pick(
-        self, service: str, parts: tuple[str, ...], tried: frozenset[str]
+        self,
+        service: str,
+        tried: frozenset[str],
+        *,
+        parts: tuple[str, ...] = (),
+        body_bytes: int = 0,
     ) -> ServerState | None:
         """Choose a server for a request."""
         now = asyncio.get_running_loop().time()
         servers = self.fleet.usable(service, now)
-        return choose(servers, Want(self._domain, parts, tried), self._draw, now)
+        want = Want(
+            self._domain,
+            parts,
+            tried,
+            body_bytes / BYTES_PER_KB,
+            self.pool.connected(),
+        )
+        return choose(servers, want, self._draw, now)
 
     @asynccontextmanager
     async def send(
--- a/wisteriastair/relay/plain.py
+++ b/wisteriastair/relay/plain.py
@@ -56,7 +56,9 @@
     refused: set[str] = set()
     runs = 0
     while True:
-        state = dispatcher.pick(job.service, (), frozenset(refused))
+        state = dispatcher.pick(
+            job.service, frozenset(refused), body_bytes=len(job.req.body)
+        )
         if state is None or len(refused) >= MOST_REFUSALS:
             detail = "no server has room" if refused else "no server is there"
             code = Code.SERVERS_FULL if refused else Code.NO_SERVER
--- a/wisteriastair/relay/pool.py
+++ b/wisteriastair/relay/pool.py
@@ -51,6 +51,10 @@
             channel.close()
         return await self._connect(server)
 
+    def connected(self) -> frozenset[str]:
+        """Ids of servers to which a channel is idle."""
+        return frozenset(server_id for server_id, idle in self._idle.items() if idle)
+
     def release(self, server: Server, channel: ServerChannel) -> None:
         """Take a channel back, if it can be used again."""
         if channel.release(asyncio.get_running_loop().time()):
--- a/wisteriastair/relay/streams.py
+++ b/wisteriastair/relay/streams.py
@@ -150,8 +150,12 @@
         resumes = 0
         again: ServerState | None = None
         while True:
+            body = turn.before + job.req.body
             state = again or self._dispatcher.pick(
-                job.service, tuple(p.id for p in job.asked.parts), frozenset(refused)
+                job.service,
+                frozenset(refused),
+                parts=tuple(part.id for part in job.asked.parts),
+                body_bytes=len(body),
             )
             again = None
             if state is None or len(refused) >= MOST_REFUSALS:
@@ -161,7 +165,6 @@
                 code = Code.SERVERS_FULL if refused else Code.NO_SERVER
                 return Failure(code, detail, "no", COME_BACK_S)
             job.tried.append(state.server.id)
-            body = turn.before + job.req.body
             headers = server_headers(
                 job.req,
                 left_s=job.left_s(),
