--- /dev/null
+++ b/tests/keeper/test_daemon.py
@@ -0,0 +1,122 @@
+"""A keeper as a real process, before a stand-in of the store."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import anyio
+import anyio.to_thread
+
+from tests.platform.standin_store import StoreStandin, standin_store
+from wisteriastair.platform.documents import VIEW_KEY
+from wisteriastair.standins.deployment import free_address
+
+LIMIT_S = 20.0
+
+
+def settings(tmp_path: Path, store: str) -> Path:
+    port = int(free_address().rpartition(":")[2])
+    path = tmp_path / "node.toml"
+    path.write_text(
+        f"""
+nodeName = "storage-1"
+ip = "127.0.0.1"
+zone = "z1"
+internalPorts = [{port}, {port}]
+bootstrap = true
+dataDir = "{tmp_path}"
+listen = {{}}
+limits = {{ memoryMb = 180 }}
+tolerate = {{ machines = 1 }}
+bounds = {{ drainMs = 2000, graceS = 8 }}
+platform = {{ address = "{store}" }}
+"""
+    )
+    return path
+
+
+@asynccontextmanager
+async def keeper(
+    tmp_path: Path, store: str
+) -> AsyncIterator[subprocess.Popen[bytes]]:
+    process = subprocess.Popen(
+        [sys.executable, "-m", "wisteriastair", "keeper"],
+        env=os.environ | {"WISTERIASTAIR_BOOT": str(settings(tmp_path, store))},
+        stdout=subprocess.PIPE,
+    )
+    try:
+        yield process
+    finally:
+        process.kill()
+        process.wait()
+
+
+async def until_listed(standin: StoreStandin, count: int) -> None:
+    while len(standin.history) < count:
+        await anyio.sleep(0.05)
+
+
+def test_reload_is_survived_and_stop_is_orderly(tmp_path: Path) -> None:
+    """The platform tells a keeper that its settings file has changed.
+
+    A process that does not handle the signal dies of it, and takes a replica away.
+    """
+
+    async def main() -> None:
+        async with (
+            standin_store() as standin,
+            keeper(tmp_path, standin.address) as process,
+        ):
+            with anyio.fail_after(LIMIT_S):
+                await until_listed(standin, 1)
+                process.send_signal(signal.SIGHUP)
+                await anyio.sleep(0.3)
+                assert process.poll() is None
+                process.send_signal(signal.SIGTERM)
+                status = await anyio.to_thread.run_sync(process.wait)
+            assert status == 0
+            assert process.stdout is not None
+            lines = [json.loads(line) for line in process.stdout]
+            texts = [line["text"] for line in lines]
+            assert texts[0] == "keeper started" and texts[-1] == "keeper stopped"
+
+    anyio.run(main)
+
+
+def test_view_is_proposed_again_after_a_lost_answer(tmp_path: Path) -> None:
+    """The first write of the view takes effect and its answer is lost.
+
+    The keeper reads back what the store holds and goes on from that: the view is in the
+    store once, and no second one is written over it.
+    """
+
+    async def main() -> None:
+        async with standin_store() as standin:
+            standin.loses = 1
+            async with keeper(tmp_path, standin.address):
+                with anyio.fail_after(LIMIT_S):
+                    await until_listed(standin, 1)
+                    await anyio.sleep(1.0)
+            assert [event["key"] for event in standin.history] == [VIEW_KEY]
+
+    anyio.run(main)
+
+
+def test_wrong_settings_end_with_status_2(tmp_path: Path) -> None:
+    path = tmp_path / "node.toml"
+    path.write_text('nodeName = "x"\n')
+    done = subprocess.run(
+        [sys.executable, "-m", "wisteriastair", "keeper"],
+        env=os.environ | {"WISTERIASTAIR_BOOT": str(path)},
+        capture_output=True,
+        check=False,
+    )
+    assert done.returncode == 2
+    assert b"ip" in done.stderr
--- /dev/null
+++ b/tests/platform/standin_store.py
@@ -0,0 +1,147 @@
+"""A stand-in of the platform's store, written from its protocol, on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+from base64 import b64decode, b64encode
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import anyio
+import msgspec
+
+from wisteriastair.core.routes import CallerLimits
+from wisteriastair.http1.caller import CallerChannel, Handler
+from wisteriastair.http1.messages import BadRequest, Request
+
+HOST = "127.0.0.1"
+
+
+class StoreStandin(Handler):
+    """Keys with one revision counter, watches, and the troubles of a real store.
+
+    Attributes
+    ----------
+    down : bool
+        Every call is answered 503 and does nothing.
+    loses : int
+        Writes from now on that take effect and whose answers are lost.
+    page : int
+        Items of one page of a reading.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.items: dict[str, dict[str, Any]] = {}
+        self.history: list[dict[str, Any]] = []
+        self.oldest = 0
+        self.down = False
+        self.loses = 0
+        self.page = 2
+        self.calls: list[str] = []
+        self.address = ""
+        self.channels: set[CallerChannel] = set()
+        self._changed = asyncio.Event()
+
+    def put(self, key: str, value: bytes) -> None:
+        """Change a key as the operators or a server would."""
+        self.revision += 1
+        item = {"key": key, "value": b64encode(value).decode(), "rev": self.revision}
+        self.items[key] = item
+        self._note(item)
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        self.revision += 1
+        del self.items[key]
+        self._note({"key": key, "rev": self.revision, "removed": True})
+
+    def forget_history(self) -> None:
+        """Drop all history and cut the watches that wait."""
+        self.history.clear()
+        self.oldest = self.revision
+        for channel in list(self.channels):
+            channel.abort()
+
+    def _note(self, event: dict[str, Any]) -> None:
+        self.history.append(event)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def limits(self) -> CallerLimits:
+        """No limits of interest."""
+        return CallerLimits()
+
+    def closing(self) -> bool:
+        """Keep channels open."""
+        return False
+
+    def refuse(self, bad: BadRequest, channel: CallerChannel) -> None:
+        """Answer what is no request."""
+        channel.respond(bad.status, [], b"")
+
+    async def handle(self, req: Request, channel: CallerChannel) -> None:
+        """Answer a call."""
+        path = req.path
+        self.calls.append(path)
+        if self.down:
+            channel.respond(503, [], b"")
+            return
+        query = {k: v[0] for k, v in parse_qs(urlsplit(req.target).query).items()}
+        if path == "/v1/kv-range":
+            self._range(query, channel)
+        elif path == "/v1/kv-watch":
+            await self._watch(query, channel)
+        else:
+            self._write(req.body, channel)
+
+    def _range(self, query: dict[str, str], channel: CallerChannel) -> None:
+        after = query.get("after", "")
+        keys = sorted(k for k in self.items if k > after)
+        found = [self.items[key] for key in keys[: self.page]]
+        self._say(channel, items=found, truncated=len(keys) > self.page)
+
+    async def _watch(self, query: dict[str, str], channel: CallerChannel) -> None:
+        after = int(query["after"])
+        if after < self.oldest:
+            channel.respond(410, [], b"")
+            return
+        if after >= self.revision:
+            with anyio.move_on_after(int(query["waitMs"]) / 1000):
+                await self._changed.wait()
+        events = [event for event in self.history if event["rev"] > after]
+        self._say(channel, events=events)
+
+    def _write(self, body: bytes, channel: CallerChannel) -> None:
+        call = msgspec.json.decode(body)
+        for row in call["precondition"]:
+            if self.items.get(row["key"], {"rev": 0})["rev"] != row["rev"]:
+                channel.respond(412, [], b'{"items":[]}')
+                return
+        for put in call["puts"]:
+            self.put(put["key"], b64decode(put["value"]))
+        if self.loses:
+            self.loses -= 1
+            channel.abort()
+            return
+        self._say(channel, rev=self.revision)
+
+    def _say(self, channel: CallerChannel, **body: Any) -> None:
+        body["currentRev"] = self.revision
+        channel.respond(200, [], msgspec.json.encode(body))
+
+
+@asynccontextmanager
+async def standin_store() -> AsyncIterator[StoreStandin]:
+    """Run a store."""
+    store = StoreStandin()
+    async with anyio.create_task_group() as group:
+        listener = await asyncio.get_running_loop().create_server(
+            lambda: CallerChannel(store, group, store.channels), HOST, 0
+        )
+        store.address = f"{HOST}:{listener.sockets[0].getsockname()[1]}"
+        yield store
+        listener.close()
+        group.cancel_scope.cancel()
