Around an outage of the store, lapsed servers go on being used alike; no 404 when unsure

Cause: found by reading. (1) After an outage the first entry that came back drew the whole service's requests onto one server, and the only server of a service was used 2.6 s after its entry had vanished, though it exits after 2 s. (2) A relay out of touch with the store denied routes that may have been added meanwhile. (3) A stream could go on at a server that had begun to drain.

--- /dev/null
+++ b/tests/core/test_fleet.py
@@ -0,0 +1,80 @@
+"""Which servers may get work, by their entries and their answers."""
+
+from __future__ import annotations
+
+from wisteriastair.core.fleet import FAILURES_TO_REST, Fleet, Load, Server
+
+
+def server(server_id: str, *, draining: bool = False) -> Server:
+    return Server(server_id, "svc", "10.0.0.1:1", "d", 8, draining, 0.0)
+
+
+def fleet(*ids: str) -> Fleet:
+    made = Fleet(drain_s=2.0)
+    for server_id in ids:
+        made.put(server(server_id))
+    return made
+
+
+def usable(under_test: Fleet, now: float) -> set[str]:
+    return {state.server.id for state in under_test.usable("svc", now)}
+
+
+def test_a_server_that_leaves_gets_nothing_new() -> None:
+    under_test = fleet("a", "b", "c")
+    under_test.put(server("a", draining=True))
+    under_test.remove("b", 10.0)
+    assert usable(under_test, 10.1) == {"c"}
+
+
+def test_the_last_server_is_used_only_while_it_still_serves() -> None:
+    """The only server's entry vanishes in ordinary times.
+
+    It may be a lapse, so it is used a little longer; but a server that has left exits
+    two seconds later, and what is sent to it then reaches nobody, or somebody else.
+    """
+    under_test = fleet("a")
+    under_test.remove("a", 10.0)
+    assert usable(under_test, 11.0) == {"a"}
+    assert usable(under_test, 11.9) == set()
+
+
+def test_entries_that_lapsed_with_the_store_go_on_being_used() -> None:
+    """The store was away and all entries lapsed; they come back one by one.
+
+    If only those that are back were used, the first would get the load of all.
+    """
+    under_test = fleet("a", "b", "c")
+    under_test.store_unsure = True
+    for server_id in ("a", "b", "c"):
+        under_test.remove(server_id, 10.0)
+    under_test.put(server("a"))
+    assert usable(under_test, 11.0) == {"a", "b", "c"}
+    assert usable(under_test, 12.7) == {"a"}
+    assert [gone.id for gone in under_test.expire(12.7)] == ["b", "c"]
+
+
+def test_failures_in_a_row_make_a_server_rest_but_never_all_of_them() -> None:
+    under_test = fleet("a", "b")
+    for server_id in ("a", "b"):
+        state = under_test.get(server_id)
+        assert state is not None
+        rests = [state.failed(10.0) for _ in range(FAILURES_TO_REST)]
+        assert rests == [False, False, True]
+        if server_id == "a":
+            assert usable(under_test, 10.1) == {"b"}
+    assert usable(under_test, 10.1) == {"a", "b"}
+    assert usable(under_test, 11.1) == {"a", "b"}
+
+
+def test_reported_load_is_corrected_by_own_requests() -> None:
+    """A report is some answers old; own requests since then are known exactly."""
+    under_test = fleet("a")
+    state = under_test.get("a")
+    assert state is not None
+    state.open = 2
+    state.take_load(Load(5, 1, 8), 10.0)
+    assert state.busy(10.1) == 6
+    state.open = 5
+    assert state.busy(10.1) == 9
+    assert state.busy(12.0) == 5
--- a/tests/keeper/test_daemon.py
+++ b/tests/keeper/test_daemon.py
@@ -43,9 +43,7 @@
 
 
 @asynccontextmanager
-async def keeper(
-    tmp_path: Path, store: str
-) -> AsyncIterator[subprocess.Popen[bytes]]:
+async def keeper(tmp_path: Path, store: str) -> AsyncIterator[subprocess.Popen[bytes]]:
     process = subprocess.Popen(
         [sys.executable, "-m", "wisteriastair", "keeper"],
         env=os.environ | {"WISTERIASTAIR_BOOT": str(settings(tmp_path, store))},
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -356,6 +356,17 @@
     play([], story)
 
 
+def test_an_old_configuration_denies_no_route() -> None:
+    """The store is away; a route that was added meanwhile is asked for."""
+
+    async def story(at: Stand) -> None:
+        assert (await at.ask("other")).status == 404
+        at.handler.certain = False
+        assert (await at.ask("other")).status == 503
+
+    play([], story)
+
+
 def test_bad_requests_get_typed_errors() -> None:
     async def story(at: Stand) -> None:
         for text, status in (
--- a/wisteriastair/core/fleet.py
+++ b/wisteriastair/core/fleet.py
@@ -4,10 +4,12 @@
 What a server is like is learned from its answers: the load that it reports, the
 requests that this process has under way there, and failures.
 
-An entry that vanishes means that its server is leaving, or that the entry lapsed while
-the store was away.  A server that has vanished takes no new work as long as others of
-its service are there.  If all vanished together they go on being used for a short
-while: whole services do not leave at one moment, but entries lapse at one moment.
+An entry that vanishes means that its server is leaving, or that the entry lapsed
+while the store was away.  In ordinary times a server that has vanished takes no new
+work as long as others of its service are there, and if none is, for little longer.
+Around an outage of the store vanished servers go on being used like the others for as
+long as their entries need to come back; else the first entry that is back would draw
+the requests of the whole service onto one server.
 """
 
 from __future__ import annotations
@@ -22,6 +24,9 @@
 REST_MAX_S: Final = 8.0
 # Longer than entries need to come back after the store does (about two seconds).
 LAPSE_S: Final = 2.6
+# Share of the time for which a leaving server still serves within which it may be used
+# if its service has no other.
+LAST_RESORT: Final = 0.7
 # A report of load older than this, in seconds, says nothing any more.
 LOAD_AGE_S: Final = 1.0
 # Weight of a new measurement of a server's time in its running mean.
@@ -94,6 +99,14 @@
         reported = self._load.running + self._load.waiting
         return max(float(self.open), reported + self.open - self._open_at_report)
 
+    def vanished_within(self, seconds: float, now: float) -> bool:
+        """Whether the entry vanished at most so many seconds ago."""
+        return self.vanished_at is not None and now - self.vanished_at <= seconds
+
+    def takes_work(self) -> bool:
+        """Whether the server may get more of what it has begun."""
+        return not self.server.draining and self.vanished_at is None
+
     def succeeded(self, seconds: float) -> None:
         """Note a good answer and how long it took."""
         self.failures = 0
@@ -114,9 +127,18 @@
 
 
 class Fleet:
-    """All known servers."""
+    """All known servers.
+
+    Parameters
+    ----------
+    drain_s : float
+        Seconds for which a server that has left still serves.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, drain_s: float = 2.0) -> None:
+        # Set by who follows the store: it is away, or has just come back.
+        self.store_unsure = False
+        self._drain_s = drain_s
         self._servers: dict[str, ServerState] = {}
         self._by_service: dict[str, list[ServerState]] = {}
 
@@ -171,20 +193,16 @@
         Resting servers are left out unless that leaves none: a wrong suspicion of all
         of them must not stop a service.
         """
-        states = self._by_service.get(service, [])
-        ready = [
+        states = [
             state
-            for state in states
-            if not state.server.draining and state.vanished_at is None
+            for state in self._by_service.get(service, [])
+            if not state.server.draining
         ]
-        if not ready:
-            ready = [
-                state
-                for state in states
-                if not state.server.draining
-                and state.vanished_at is not None
-                and now - state.vanished_at <= LAPSE_S
-            ]
+        present = [state for state in states if state.vanished_at is None]
+        ready = present
+        if self.store_unsure or not present:
+            usable_s = LAPSE_S if self.store_unsure else LAST_RESORT * self._drain_s
+            ready = present + [s for s in states if s.vanished_within(usable_s, now)]
         awake = [state for state in ready if state.rests_until <= now]
         return awake or ready
 
--- a/wisteriastair/platform/mirror.py
+++ b/wisteriastair/platform/mirror.py
@@ -51,7 +51,7 @@
     def __init__(self, store: Store, on_change: OnChange, on_listed: OnListed) -> None:
         self.revision = 0
         self.in_touch = False
-        self.lost_at = float("-inf")
+        self.was_lost = False
         self.regained_at = float("-inf")
         self._store = store
         self._on_change = on_change
@@ -125,7 +125,7 @@
     async def _trouble(self, trouble: StoreTrouble) -> None:
         if self.in_touch:
             self.in_touch = False
-            self.lost_at = time.monotonic()
+            self.was_lost = True
             log.warning("store lost", extra={"reason": trouble.reason})
         await anyio.sleep(self._pause_s * random.uniform(0.5, 1.0))
         self._pause_s = min(PAUSE_MAX_S, self._pause_s * 2)
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -13,7 +13,7 @@
 import msgspec
 from anyio.abc import TaskGroup
 
-from ..core.fleet import Fleet
+from ..core.fleet import LAPSE_S, Fleet
 from ..core.ledgerwire import AskDocuments, KnownDocuments, LedgerMessage
 from ..core.membership import View
 from ..http1.caller import CallerChannel
@@ -61,7 +61,8 @@
     def __init__(self, cfg: NodeOptions) -> None:
         self._cfg = cfg
         self._store = Store(cfg.store)
-        self._fleet = Fleet()
+        self._fleet = Fleet(cfg.drain_s)
+        self._mirror = Mirror(self._store, self._on_item, self._on_listed)
         self._pool = Pool(self._on_stray)
         self._metrics = RelayMetrics()
         self._ledger = LedgerClient(cfg.domain, cfg.tolerated_losses)
@@ -90,8 +91,7 @@
         async with anyio.create_task_group() as group:
             self._ledger.start(transport, group)
             group.start_soon(transport.run)
-            mirror = Mirror(self._store, self._on_item, self._on_listed)
-            group.start_soon(mirror.run)
+            group.start_soon(self._mirror.run)
             group.start_soon(self._sweep)
             group.start_soon(self._probe)
             group.start_soon(self._ask_keepers, transport)
@@ -253,6 +253,14 @@
     def _on_stray(self, server_id: str) -> None:
         log.warning("bytes that belong to no request", extra={"server": server_id})
 
+    def _judge_store(self) -> None:
+        mirror = self._mirror
+        since_s = time.monotonic() - mirror.regained_at
+        self._handler.certain = mirror.in_touch and self._listed
+        self._fleet.store_unsure = not mirror.in_touch or (
+            mirror.was_lost and since_s < LAPSE_S
+        )
+
     def _measure(self) -> None:
         table = self._handler.table
         values = {
@@ -282,6 +290,7 @@
             now = loop.time()
             for channel in list(self._channels):
                 channel.check(now)
+            self._judge_store()
             self._pool.sweep(self._fleet.expire(now))
             self._measure()
             await anyio.sleep(SWEEP_S)
--- a/wisteriastair/relay/handler.py
+++ b/wisteriastair/relay/handler.py
@@ -47,6 +47,8 @@
         metrics: RelayMetrics,
     ) -> None:
         self.table: RouteTable | None = None
+        # Whether the configuration is known to be the newest one.
+        self.certain = True
         self.stopping = False
         self._dispatcher = dispatcher
         self._streams = streams
@@ -84,6 +86,12 @@
             self._deny(channel, asked.id, failure)
             return
         route = table.find(asked.host, req.path)
+        if route is None and not self.certain:
+            # The route may have been added since the store was last heard.
+            detail = f"no route known, version {table.version} may be old"
+            failure = Failure(Code.NOT_CONFIGURED, detail, "no", COME_BACK_S)
+            self._deny(channel, asked.id, failure)
+            return
         if route is None:
             detail = f"no route for {asked.host}{req.path} in version {table.version}"
             self._deny(channel, asked.id, Failure(Code.UNKNOWN_ROUTE, detail))
--- a/wisteriastair/relay/streams.py
+++ b/wisteriastair/relay/streams.py
@@ -190,7 +190,9 @@
             # The same server first: it has read the prompt, and a run on another one
             # counts against the most servers on which a request may run.
             resumes += 1
-            again = state
+            again = state if state.takes_work() else None
+            if again is None:
+                refused.add(end.server)
 
     async def _pass_on(
         self, turn: _TurnRun, outcome: Started | NotRun | Lost
