--- a/wisteriastair/keeper/daemon.py
+++ b/wisteriastair/keeper/daemon.py
@@ -1,8 +1,6 @@
-"""The keeper's shell: sockets, disk, store and time around `KeeperCore`.
+"""The keeper's shell: sockets, store and time around `KeeperCore` and `Storage`.
 
-Everything runs on one loop and one thread, but for the write and sync of a batch: those
-wait for the disk, so they run on a worker thread while messages go on gathering for the
-next batch.  One batch is written at a time.
+Everything runs on one loop and one thread, but for what waits for the disk.
 """
 
 from __future__ import annotations
@@ -19,8 +17,7 @@
 import msgspec
 from anyio.abc import TaskGroup
 
-from ..core.keeper import Batch, KeeperCore
-from ..core.ledger import Entry
+from ..core.keeper import KeeperCore
 from ..core.ledgerwire import (
     AskDocuments,
     Document,
@@ -46,11 +43,13 @@
 from ..platform.store import Item, Store, StoreTrouble, Swapped
 from .documents import Documents
 from .log import Log
+from .storage import Storage
 
 TICK_S: Final = 0.1
 # Pause before another proposal after one that did not take effect, in seconds.
 PROPOSE_PAUSE_S: Final = 0.3
-EXPIRE_S: Final = 5.0
+# Expired accounts and old segments are looked for this often, in seconds.
+SPACE_S: Final = 5.0
 # Documents of the store are saved this long after a change, in seconds.
 SAVE_S: Final = 0.5
 
@@ -65,13 +64,13 @@
         self._log = Log(os.path.join(cfg.data_dir, "ledger"))
         self._documents = Documents(os.path.join(cfg.data_dir, "store"))
         self._store = Store(cfg.store)
-        self._wake = anyio.Event()
         self._stop = anyio.Event()
         self._metrics = KeeperMetrics()
         self._view_revision = 0
         self._retire_done: set[str] = set()
         self._leaving: set[str] = set()
         self._core: KeeperCore
+        self._storage: Storage
         self._transport: Transport[LedgerMessage]
 
     async def run(self) -> None:
@@ -89,6 +88,7 @@
             entries=loaded.entries,
             now=now,
         )
+        self._storage = Storage(self._log, self._core, self._metrics)
         log.info(
             "keeper started",
             extra={
@@ -120,10 +120,10 @@
         group.start_soon(mirror.run)
         group.start_soon(self._save_documents)
         group.start_soon(self._transport.run)
-        group.start_soon(self._sync_batches)
+        group.start_soon(self._storage.run, self._send)
         group.start_soon(self._tick)
         group.start_soon(self._look_after_view)
-        group.start_soon(self._expire)
+        group.start_soon(self._give_back_space)
         group.start_soon(self._watch_signals)
 
     async def _watch_signals(self) -> None:
@@ -146,41 +146,12 @@
             return
         self._core.receive(sender, message, time.monotonic())
         self._send()
-        self._wake.set()
+        self._storage.wake()
 
     def _send(self) -> None:
         for to, message in self._core.take_outbox():
             self._transport.send(to, message)
 
-    async def _sync_batches(self) -> None:
-        while True:
-            batch = self._core.take_batch()
-            if batch is None:
-                self._wake = anyio.Event()
-                await self._wake.wait()
-                continue
-            await self._sync(batch)
-            self._send()
-
-    async def _sync(self, batch: Batch) -> None:
-        if not batch.entries and batch.view is None:
-            self._core.synced(batch)
-            return
-        try:
-            await self._append(batch.entries, batch.view)
-        except OSError as exc:
-            log.error("disk refused a batch", extra={"reason": repr(exc)})
-            self._core.not_synced(batch)
-            await anyio.sleep(PROPOSE_PAUSE_S)
-            return
-        self._core.synced(batch)
-
-    async def _append(self, entries: list[Entry], view: View | None) -> None:
-        began = time.monotonic()
-        await anyio.to_thread.run_sync(self._log.append, entries, view, began)
-        self._metrics.sync.observe(time.monotonic() - began)
-        self._metrics.records.inc(len(entries))
-
     # Time
 
     async def _tick(self) -> None:
@@ -189,22 +160,12 @@
             self._send()
             await anyio.sleep(TICK_S)
 
-    async def _expire(self) -> None:
-        """Drop expired accounts, and move living ones out of the oldest segment."""
+    async def _give_back_space(self) -> None:
         while True:
-            await anyio.sleep(EXPIRE_S)
-            now = time.monotonic()
-            self._core.ledger.expire(now)
+            await anyio.sleep(SPACE_S)
             self._measure()
-            oldest = self._log.oldest()
-            longest_s = self._core.ledger.longest_retention_s()
-            if oldest is None or now - oldest.started <= longest_s:
-                continue
-            batch = self._core.rewrite(oldest.programs)
-            self._wake.set()
-            while self._core.batches_synced < batch:
-                await anyio.sleep(TICK_S)
-            self._log.remove_oldest()
+            while await self._storage.give_back_space(time.monotonic()):
+                pass
 
     async def _save_documents(self) -> None:
         while True:
@@ -260,7 +221,7 @@
         if self._core.adopt(view, time.monotonic()):
             log.info("view adopted", extra=_describe(view))
             self._send()
-            self._wake.set()
+            self._storage.wake()
 
     async def _look_after_view(self) -> None:
         while True:
--- a/wisteriastair/keeper/log.py
+++ b/wisteriastair/keeper/log.py
@@ -144,9 +144,14 @@
         if segment.size >= SEGMENT_BYTES:
             self._start_segment(now)
 
+    def closed(self) -> list[Segment]:
+        """Return the segments that are not written to any more, the oldest first."""
+        return self._segments[:-1]
+
     def oldest(self) -> Segment | None:
         """Return the oldest closed segment."""
-        return self._segments[0] if len(self._segments) > 1 else None
+        closed = self.closed()
+        return closed[0] if closed else None
 
     def remove_oldest(self) -> None:
         """Remove the oldest segment; its living records were written again before.
