Members propose in turn, and only who copied says that it is synced

Tests: the keeper's decisions as a deployment in virtual time (joining, lost disk, successor, cut, emptying, order of proposals).

--- /dev/null
+++ b/tests/core/test_keeper.py
@@ -0,0 +1,171 @@
+"""The keeper's decisions: joining, copying, dropping, and who proposes."""
+
+from __future__ import annotations
+
+from wisteriastair.core.keeper import KeeperCore
+from wisteriastair.core.ledger import Attempt, Entry
+from wisteriastair.core.ledgerwire import Verdict, Write, WriteReply
+from wisteriastair.core.membership import Member, View, next_view
+
+LOSSES = 1
+NEVER = 10_000
+
+
+class Deployment:
+    """Keepers, the view in the store, and a clock."""
+
+    def __init__(self, count: int) -> None:
+        self.now = 0.0
+        self.view = View()
+        self.cores: dict[str, KeeperCore] = {}
+        self.down: set[str] = set()
+        self.writes = 0
+        for number in range(count):
+            self.start(f"k{number}", "disk")
+
+    def start(self, name: str, disk: str) -> KeeperCore:
+        me = Member(name, f"{name}-{disk}", f"{name}:1", f"domain-{name}")
+        core = KeeperCore(me, LOSSES, view=View(), entries=[], now=self.now)
+        self.cores[me.address] = core
+        return core
+
+    def pass_time(self, seconds: float) -> None:
+        for _ in range(int(seconds / 0.1)):
+            self.now += 0.1
+            for address, core in self.cores.items():
+                if address not in self.down:
+                    self._run(core)
+
+    def _run(self, core: KeeperCore) -> None:
+        core.adopt(self.view, self.now)
+        core.tick(self.now)
+        proposal = next_view(core.view, core.wishes(self.now), LOSSES)
+        if proposal is None and core.has_copied():
+            proposal = core.view._replace(synced=(*core.view.synced, core.me.disk))
+        if proposal is not None and core.view == self.view:
+            self.view = proposal
+            self.writes += 1
+        self.deliver(core)
+
+    def deliver(self, core: KeeperCore) -> None:
+        batch = core.take_batch()
+        if batch is not None:
+            core.synced(batch)
+        for to, message in core.take_outbox():
+            target = self.cores.get(to.partition("#")[0])
+            if target is not None and to.partition("#")[0] not in self.down:
+                target.receive(core.me.address, message, self.now)
+
+    def write(self, program: str) -> int:
+        """Write a record to every keeper; return how many have synced it."""
+        entry = Entry(program, 60.0, {"a": Attempt(1, False)})
+        done = 0
+        for address, core in self.cores.items():
+            if address in self.down:
+                continue
+            core.receive("relay:1#a", Write(NEVER, self.view.number, entry), self.now)
+            batch = core.take_batch()
+            if batch is not None:
+                core.synced(batch)
+            for _, reply in core.take_outbox():
+                if isinstance(reply, WriteReply) and reply.op == NEVER:
+                    done += reply.verdict is Verdict.DONE
+        return done
+
+    def names(self) -> list[str]:
+        return [member.name for member in self.view.members]
+
+
+def test_the_first_start_ends_with_all_members_and_no_change_under_way() -> None:
+    deployment = Deployment(3)
+    deployment.pass_time(5)
+    assert deployment.names() == ["k0", "k1", "k2"]
+    assert deployment.view.old == ()
+
+
+def test_a_lost_disk_is_filled_again_before_it_counts() -> None:
+    """A keeper comes back at its address with an empty disk.
+
+    Programs were written before.  When the change has ended the newcomer must hold
+    them: the next loss may take one of the two disks that still do.
+    """
+    deployment = Deployment(3)
+    deployment.pass_time(5)
+    for number in range(20):
+        assert deployment.write(f"p{number}") == 3
+    fresh = deployment.start("k1", "second")
+    assert deployment.write("before it joined") == 2
+    deployment.pass_time(3)
+    assert fresh.me in deployment.view.members
+    assert deployment.view.old == ()
+    assert len(fresh.ledger.accounts) == 21
+
+
+def test_a_successor_takes_the_place_of_a_lost_member() -> None:
+    """A machine is gone for good and an empty one comes at another address.
+
+    Within five seconds of its start the successor is a full replica and the lost member
+    is dropped; otherwise a second loss would leave slots without a read quorum.
+    """
+    deployment = Deployment(3)
+    deployment.pass_time(5)
+    for number in range(20):
+        deployment.write(f"p{number}")
+    deployment.down.add("k0:1")
+    deployment.pass_time(1)
+    successor = deployment.start("k9", "disk")
+    deployment.pass_time(4.8)
+    assert deployment.names() == ["k1", "k2", "k9"]
+    assert deployment.view.old == ()
+    assert len(successor.ledger.accounts) == 20
+
+
+def test_a_member_that_is_cut_off_does_not_drop_the_others() -> None:
+    """One keeper hears nobody but still reaches the store.
+
+    If it proposed to drop those that it does not hear, it would take the ledger with
+    it.
+    """
+    deployment = Deployment(4)
+    deployment.pass_time(6)
+    alone = deployment.cores["k3:1"]
+    deployment.down = {"k0:1", "k1:1", "k2:1"}
+    deployment.pass_time(10)
+    assert len(deployment.view.members) == 4
+    assert alone.wishes(deployment.now).silent
+
+
+def test_an_emptied_instance_leaves_and_nothing_is_missing() -> None:
+    deployment = Deployment(3)
+    deployment.pass_time(5)
+    for number in range(20):
+        deployment.write(f"p{number}")
+    for core in deployment.cores.values():
+        core.leaving = frozenset({"k2"})
+    deployment.pass_time(4)
+    assert deployment.names() == ["k0", "k1"]
+    assert deployment.view.old == ()
+    for name in ("k0:1", "k1:1"):
+        assert len(deployment.cores[name].ledger.accounts) == 20
+
+
+def test_requests_under_an_older_view_are_refused_with_the_newer_one() -> None:
+    deployment = Deployment(3)
+    deployment.pass_time(5)
+    core = deployment.cores["k0:1"]
+    entry = Entry("p", 60.0, {"a": Attempt(1, False)})
+    core.receive("relay:1#a", Write(1, deployment.view.number - 1, entry), 9.0)
+    (to, reply), *_ = core.take_outbox()
+    assert to == "relay:1#a"
+    assert isinstance(reply, WriteReply)
+    assert reply.verdict is Verdict.STALE_VIEW
+    assert reply.view == core.view
+    assert "p" not in core.ledger.accounts
+
+
+def test_members_propose_in_turn() -> None:
+    """All members see the same need at one moment; one call to the store is enough."""
+    deployment = Deployment(3)
+    deployment.pass_time(5)
+    waits = [core.turn_s(deployment.now) for core in deployment.cores.values()]
+    assert sorted(waits) == waits and len(set(waits)) == 3 and waits[0] == 0.0
--- a/wisteriastair/core/keeper.py
+++ b/wisteriastair/core/keeper.py
@@ -34,6 +34,9 @@
 SILENT_S: Final = 4.0
 # A request to copy is sent again after this time without an answer.
 COPY_AGAIN_S: Final = 0.4
+# Members propose in their order, this many seconds apart: longer than a write and its
+# watch take, so that the next one sees it.
+TURN_S: Final = 0.25
 COPY_PART_BYTES: Final = 256 * 1024
 RECORD_BYTES: Final = 200
 
@@ -271,12 +274,27 @@
             return False
         return (
             self._copy_number == self.view.number
+            and len(self._sources) > 0
             and self._copy_complete()
             and not self._entries
             and not self._syncing
             and self.me.disk not in self.view.synced
         )
 
+    def turn_s(self, now: float) -> float:
+        """Seconds to wait with a proposal that any member could make.
+
+        All members see the same need at the same moment; if all wrote at once, all but
+        one would have paid for a call that is refused.
+        """
+        heard = [d for d, at in self._heard.items() if now - at <= HEARD_S]
+        before = [
+            member
+            for member in self.view.members
+            if member.disk in heard and member < self.me
+        ]
+        return TURN_S * len(before)
+
     # Copying
 
     def _plan_copy(self, now: float) -> None:
--- a/wisteriastair/keeper/daemon.py
+++ b/wisteriastair/keeper/daemon.py
@@ -224,18 +224,25 @@
             self._storage.wake()
 
     async def _look_after_view(self) -> None:
+        core = self._core
+        wanted: View | None = None
+        wanted_since = 0.0
         while True:
             await anyio.sleep(TICK_S)
-            core = self._core
+            await self._report_emptied()
             now = time.monotonic()
             proposal = next_view(
                 core.view, core.wishes(now), self._cfg.tolerated_losses
             )
-            if proposal is None and core.has_copied():
-                proposal = core.view._replace(synced=(*core.view.synced, core.me.disk))
-            if proposal is not None:
+            if proposal != wanted:
+                wanted, wanted_since = proposal, now
+            joins = core.me not in core.view.members
+            its_turn = joins or now - wanted_since >= core.turn_s(now)
+            if proposal is not None and its_turn:
                 await self._propose(proposal)
-            await self._report_emptied()
+            elif proposal is None and core.has_copied():
+                synced = (*core.view.synced, core.me.disk)
+                await self._propose(core.view._replace(synced=synced))
 
     async def _propose(self, view: View) -> None:
         """Write a view if the store still holds the one that it is based on.
