Members pass a view on at once, with its revision

Cause: incident c346 again: with the store slow (0.4 s an answer) members learned of each step of a change only from their watches, and proposed from old revisions.

--- a/tests/core/test_keeper.py
+++ b/tests/core/test_keeper.py
@@ -37,7 +37,7 @@
                     self._run(core)
 
     def _run(self, core: KeeperCore) -> None:
-        core.adopt(self.view, self.now)
+        core.adopt(self.view, self.now, self.writes)
         core.tick(self.now)
         proposal = next_view(core.view, core.wishes(self.now), LOSSES)
         if proposal is None and core.has_copied():
@@ -169,3 +169,21 @@
     deployment.pass_time(5)
     waits = [core.turn_s(deployment.now) for core in deployment.cores.values()]
     assert sorted(waits) == waits and len(set(waits)) == 3 and waits[0] == 0.0
+
+
+def test_a_step_of_a_change_reaches_the_others_without_the_store() -> None:
+    """The store is slow: its watches answer half a second late.
+
+    The member whose write took effect tells the others at once, with the revision that
+    their own next proposal must be based on.
+    """
+    deployment = Deployment(3)
+    deployment.pass_time(5)
+    first, second, _ = deployment.cores.values()
+    changed = View(first.view.number + 1, first.view.members, first.view.members)
+    first.take_outbox()
+    first.adopt(changed, deployment.now, 99)
+    first.tick(deployment.now)
+    deployment.deliver(first)
+    assert second.view == changed
+    assert second.view_revision == 99
--- a/tests/relay/test_ledger.py
+++ b/tests/relay/test_ledger.py
@@ -132,7 +132,7 @@
     async def story() -> None:
         newer = View(2, keepers.view.members)
         for core in keepers.cores.values():
-            core.adopt(newer, 0.0)
+            core.adopt(newer, 0.0, 2)
         client = keepers.client
         assert isinstance(await client.reserve(wish("p", "a"), soon()), Granted)
         assert client.view.number == 2
--- a/wisteriastair/core/keeper.py
+++ b/wisteriastair/core/keeper.py
@@ -85,6 +85,7 @@
     ) -> None:
         self.me = me
         self.view = view
+        self.view_revision = 0
         self.ledger = Ledger()
         self.leaving: frozenset[str] = frozenset()
         self.stale_refused = 0
@@ -114,10 +115,10 @@
         match message:
             case Write() | Find():
                 self._on_request(sender, message, now)
-            case Ping(disk, view):
+            case Ping(disk, view, revision):
                 self._heard[disk] = now
                 self._pinged_by[sender.partition("#")[0]] = now
-                self.adopt(view, now)
+                self.adopt(view, now, revision)
             case Copy():
                 self._on_copy(sender, message)
             case CopyReply():
@@ -243,11 +244,22 @@
 
     # Views
 
-    def adopt(self, view: View, now: float) -> bool:
-        """Take a view if it is newer than the one known."""
+    def adopt(self, view: View, now: float, revision: int) -> bool:
+        """Take a view if it is newer than the one known.
+
+        It is passed on at once: when the store is slow, members would otherwise learn
+        of each step of a change only as late as it answers their watches.
+
+        Parameters
+        ----------
+        revision : int
+            Revision of the store at which the view was written.
+        """
+        self.view_revision = max(self.view_revision, revision)
         known = (self.view.number, len(self.view.synced))
         if (view.number, len(view.synced)) <= known:
             return False
+        self._next_ping = now
         renumbered = view.number > self.view.number
         self.view = view
         self._view_dirty = True
@@ -346,7 +358,7 @@
         """Send heartbeats, and ask again where an answer is missing."""
         if now >= self._next_ping:
             self._next_ping = now + PING_S
-            ping = Ping(self.me.disk, self.view)
+            ping = Ping(self.me.disk, self.view, self.view_revision)
             addresses = {m.address for m in (*self.view.members, *self.view.old)}
             # A newcomer is in no view yet, but must hear the members to propose itself.
             addresses |= {a for a, at in self._pinged_by.items() if now - at <= HEARD_S}
--- a/wisteriastair/core/ledgerwire.py
+++ b/wisteriastair/core/ledgerwire.py
@@ -79,10 +79,19 @@
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag=3):
-    """Heartbeat between keepers; carries the sender's view."""
+    """Heartbeat between keepers.
+
+    Attributes
+    ----------
+    view : View
+        The sender's view.
+    revision : int
+        Revision of the store at which it was written, for the next proposal.
+    """
 
     disk: str
     view: View
+    revision: int
 
 
 class Copy(msgspec.Struct, frozen=True, array_like=True, tag=4):
--- a/wisteriastair/keeper/daemon.py
+++ b/wisteriastair/keeper/daemon.py
@@ -66,7 +66,6 @@
         self._store = Store(cfg.store)
         self._stop = anyio.Event()
         self._metrics = KeeperMetrics()
-        self._view_revision = 0
         self._retire_done: set[str] = set()
         self._leaving: set[str] = set()
         self._core: KeeperCore
@@ -217,9 +216,10 @@
                 extra={"key": VIEW_KEY, "reason": str(exc)},
             )
             return
-        self._view_revision = max(self._view_revision, revision)
-        if self._core.adopt(view, time.monotonic()):
+        now = time.monotonic()
+        if self._core.adopt(view, now, revision):
             log.info("view adopted", extra=_describe(view))
+            self._core.tick(now)
             self._send()
             self._storage.wake()
 
@@ -250,7 +250,7 @@
         A lost answer needs no care: the watch tells what the store holds, and what to
         propose is worked out from that again.
         """
-        base = self._view_revision
+        base = self._core.view_revision
         outcome = await self._store.swap(VIEW_KEY, base, msgspec.json.encode(view))
         if isinstance(outcome, Swapped):
             log.info("view proposed", extra=_describe(view))
