--- a/tests/relay/stand.py
+++ b/tests/relay/stand.py
@@ -126,7 +126,8 @@
                 exchange.body = await reader.readexactly(length)
                 self.got.append(exchange)
                 await self.script(exchange)
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            # Also at the end of the loop, where a cancelled reader would be reported.
             writer.close()
 
 
