Turns go first to as few replicas as must answer; chains are put together

Ruled out: the keepers (relays with fast links in the same domain took 7 ms). Chains are now completed turn by turn over read quorums.

--- /dev/null
+++ b/tests/core/test_membership.py
@@ -0,0 +1,64 @@
+"""Replica sets, and whom a write with much data goes to first."""
+
+from __future__ import annotations
+
+from wisteriastair.core.membership import (
+    SLOTS,
+    Member,
+    preferred,
+    replica_set,
+    slot_of_program,
+)
+
+
+def member(name: str, domain: str) -> Member:
+    return Member(name, f"disk-{name}", f"{name}:1", domain)
+
+
+MEMBERS = tuple(member(f"k{n}", f"d{n % 3}") for n in range(8))
+
+
+def test_replicas_lie_in_as_many_domains_as_there_are() -> None:
+    for slot in range(SLOTS):
+        for losses in (1, 2):
+            chosen = replica_set(MEMBERS, slot, losses)
+            assert len(chosen.members) == 2 * losses + 1
+            assert len({m.domain for m in chosen.members}) == 3
+            assert chosen.write + chosen.read == len(chosen.members) + 1
+
+
+def test_few_members_hold_every_slot_alone() -> None:
+    chosen = replica_set(MEMBERS[:2], 0, 1)
+    assert (len(chosen.members), chosen.write, chosen.read) == (2, 2, 1)
+
+
+def test_slots_are_spread_over_the_members() -> None:
+    held = {m.name: 0 for m in MEMBERS}
+    for slot in range(SLOTS):
+        for chosen in replica_set(MEMBERS, slot, 1).members:
+            held[chosen.name] += 1
+    assert min(held.values()) > 0
+    assert slot_of_program("p") == slot_of_program("p")
+
+
+def test_much_data_goes_to_as_few_as_will_do_and_apart() -> None:
+    """A kept turn is written from a relay with a slow link.
+
+    Two copies in two failure domains are enough to count.  A third one sent at the same
+    moment takes a third of the link from the next turns.
+    """
+    for slot in range(SLOTS):
+        replicas = replica_set(MEMBERS, slot, 1)
+        chosen = preferred(replicas, "d1", set())
+        assert len(chosen) == 2
+        assert len({m.domain for m in chosen}) == 2
+        assert chosen[0].domain == "d1"
+
+
+def test_a_replica_that_did_not_answer_is_passed_over() -> None:
+    replicas = replica_set(MEMBERS, 0, 1)
+    lost = preferred(replicas, "d1", set())[0]
+    chosen = preferred(replicas, "d1", {lost.disk})
+    assert lost not in chosen and len(chosen) == 2
+    everyone = {m.disk for m in replicas.members}
+    assert len(preferred(replicas, "d1", everyone)) == 2
--- a/tests/relay/test_ledger.py
+++ b/tests/relay/test_ledger.py
@@ -138,3 +138,93 @@
         assert client.view.number == 2
 
     play(keepers, story)
+
+
+def test_a_kept_turn_is_first_sent_to_as_few_replicas_as_will_do() -> None:
+    """Relays with slow links write turns of 17 kB.
+
+    Sent to all five replicas, and again while they queued, the turns filled the link of
+    15 Mbit/s and no request got its quorum any more.
+    """
+    keepers = Keepers(5, losses=2)
+
+    async def story() -> None:
+        client = keepers.client
+        first = wish("p", "a")
+        assert isinstance(await client.reserve(first, soon()), Granted)
+        keepers.sent = 0
+        turn = Turn("t", "", b"x" * 17_000)
+        assert await client.settle(first, 10, (turn,), soon())
+        assert keepers.sent == 3
+
+    play(keepers, story)
+
+
+def test_a_lost_replica_delays_one_turn_and_not_the_next() -> None:
+    keepers = Keepers(3)
+    keepers.cut = {"k0:1"}
+
+    async def story() -> None:
+        client = keepers.client
+        loop = asyncio.get_running_loop()
+        times = []
+        for number in range(3):
+            settled = wish("p", f"a{number}")
+            assert isinstance(await client.reserve(settled, soon()), Granted)
+            began = loop.time()
+            turn = Turn(f"t{number}", "", b"x")
+            assert await client.settle(settled, 10, (turn,), soon())
+            times.append(loop.time() - began)
+        assert times[0] > 0.1
+        assert max(times[1:]) < 0.05
+
+    play(keepers, story)
+
+
+def test_a_chain_that_the_nearest_replica_lacks_comes_from_another_at_once() -> None:
+    keepers = Keepers(3)
+
+    async def story() -> None:
+        client = keepers.client
+        keepers.cut = {"k0:1"}
+        first = wish("p", "a")
+        assert isinstance(await client.reserve(first, soon()), Granted)
+        turn = Turn("t", "", b"said")
+        assert await client.settle(first, 10, (turn,), soon())
+        keepers.cut = set()
+        began = asyncio.get_running_loop().time()
+        granted = await client.reserve(wish("p", "b", on="t"), soon())
+        assert granted == Granted((turn,), "p")
+        assert asyncio.get_running_loop().time() - began < 0.05
+
+    play(keepers, story)
+
+
+def test_a_chain_whose_turns_lie_on_different_replicas_is_put_together() -> None:
+    """Each turn of a chain is written to two of three replicas, not always the same.
+
+    Then the one that has all of them is lost.  None of the others has the whole chain,
+    but together they do: the caller must not be told that there is no such turn.
+    """
+    keepers = Keepers(3)
+    last = ""
+
+    async def story() -> None:
+        nonlocal last
+        client = keepers.client
+        for number, away in enumerate(("k2:1", "k1:1", "k2:1")):
+            keepers.cut = {away}
+            reserved = wish("p", f"a{number}")
+            assert isinstance(await client.reserve(reserved, soon()), Granted)
+            turn = Turn(f"t{number}", last, f"{number}".encode())
+            assert await client.settle(reserved, 1, (turn,), soon())
+            last = turn.id
+        for core in keepers.cores.values():
+            assert core.me.disk != "disk1" or not core.ledger.find("t1").chain
+        keepers.cut = {"k0:1"}
+        granted = await client.reserve(wish("p", "b", on=last), soon())
+        assert isinstance(granted, Granted)
+        assert [turn.said for turn in granted.chain] == [b"0", b"1", b"2"]
+        assert granted.home == "p"
+
+    play(keepers, story)
--- a/wisteriastair/core/ledger.py
+++ b/wisteriastair/core/ledger.py
@@ -99,12 +99,16 @@
         )
 
     def chain(self, turn_id: str) -> list[Turn]:
-        """Return a chain, the oldest turn first; empty if one of them is missing."""
+        """Return a chain as far back as it is here, the oldest turn first.
+
+        Turns of one chain may lie on different replicas, as each is written to just
+        enough of them.  What is missing is asked for by the oldest turn's `previous`.
+        """
         found: list[Turn] = []
         while turn_id:
             turn = self.turns.get(turn_id)
             if turn is None or len(found) > len(self.turns):
-                return []
+                break
             found.append(turn)
             turn_id = turn.previous
         found.reverse()
@@ -116,7 +120,7 @@
 
 
 class Found(NamedTuple):
-    """A chain and its program; empty if the chain is not all here."""
+    """A chain as far back as it is here, and its program; empty without the turn."""
 
     program: str
     chain: list[Turn]
@@ -143,7 +147,7 @@
         return new
 
     def find(self, turn_id: str) -> Found:
-        """Return a chain, the oldest turn first, and the program that it belongs to.
+        """Return a chain as far back as it is here, and the program it belongs to.
 
         A new program may continue from a turn of an earlier one, so a turn is found by
         its id alone.
--- a/wisteriastair/core/ledgerwire.py
+++ b/wisteriastair/core/ledgerwire.py
@@ -63,7 +63,9 @@
     disk : str
         The disk that holds the records.
     has_chain : bool
-        Whether the whole chain is here.
+        Whether the last turn of the chain is here.
+    turns : list of Turn
+        The chain as far back as it is here, the oldest turn first, if asked for.
     home : str
         Program that the chain belongs to.
     """
--- a/wisteriastair/core/membership.py
+++ b/wisteriastair/core/membership.py
@@ -219,6 +219,25 @@
     return 2 * heard >= len(others)
 
 
+def preferred(replicas: ReplicaSet, domain: str, suspects: set[str]) -> list[Member]:
+    """Choose as many replicas as a write needs, for one that carries much data.
+
+    Those in other failure domains than the ones chosen before come first, so that the
+    copies lie apart; among them the nearest. Suspects are only taken if there is
+    nobody else.
+    """
+    left = holder_order(replicas.members, domain)
+    left.sort(key=lambda member: member.disk in suspects)
+    chosen: list[Member] = []
+    while left and len(chosen) < replicas.write:
+        taken = {member.domain for member in chosen}
+        apart = [m for m in left if m.domain not in taken and m.disk not in suspects]
+        member = (apart or left)[0]
+        chosen.append(member)
+        left.remove(member)
+    return chosen
+
+
 def holder_order(members: tuple[Member, ...], domain: str) -> list[Member]:
     """Order members for a read: those in the reader's domain first."""
     return sorted(members, key=lambda m: (m.domain != domain, hash_word(m.name)))
--- a/wisteriastair/relay/ledger.py
+++ b/wisteriastair/relay/ledger.py
@@ -24,6 +24,7 @@
     ReplicaSet,
     View,
     holder_order,
+    preferred,
     replica_sets,
     slot_of_program,
 )
@@ -36,6 +37,13 @@
 # Each further time waits twice as long, up to this: a replica that is cut off must not
 # be sent the same records seven times a second by every request that waits.
 AGAIN_MOST_S: Final = 1.2
+# The first wait is at least this many times what requests usually take here: on a slow
+# link they queue, and sending them again only makes the queue longer.
+AGAIN_USUAL: Final = 4.0
+# Weight of a new measurement of what requests take.
+USUAL_GAIN: Final = 0.1
+# A replica that has not answered in time is not among the first asked for this time.
+SUSPECT_S: Final = 2.0
 # Pause after replicas have said that they cannot answer yet.
 NOT_NOW_S: Final = 0.05
 # How long settlements that nobody waits for are tried, in seconds.  What is never
@@ -74,7 +82,8 @@
     chain : tuple of Turn
         What was wanted, the oldest turn first.
     home : str
-        Program that the chain belongs to.
+        Program that the chain belongs to; another one than the turn's if any of it
+        does.
     """
 
     chain: tuple[Turn, ...]
@@ -123,6 +132,8 @@
         self.view = View()
         self.resent = 0
         self._reach = Reach()
+        self._usual_s = 0.0
+        self._suspects: dict[str, float] = {}
         self._domain = domain
         self._losses = losses
         self._calls: dict[int, _Call] = {}
@@ -179,24 +190,48 @@
         mine = {wish.attempt: Attempt(wish.tokens, False)}
         entry = Entry(wish.program, wish.keep_s, mine)
         replies = await self._ask(_Reserve(entry, wish.previous), until)
-        if isinstance(replies, list):
-            attempts = merged_attempts([reply.attempts for reply in replies])
-            found = _chain_in(replies)
-            if wish.previous and found is None:
-                replies = await self._ask(_Search(wish.previous), until)
         if isinstance(replies, Unavailable):
             self.settle_later(wish, 0)
             return replies
-        found = found or _chain_in(replies)
-        if wish.previous and found is None:
+        attempts = merged_attempts([reply.attempts for reply in replies])
+        granted: Granted | NoSuchTurn | Unavailable = Granted((), wish.program)
+        if wish.previous:
+            granted = await self._whole_chain(wish, _chain_in(replies), until)
+        if not isinstance(granted, Granted):
             self.settle_later(wish, 0)
-            return NoSuchTurn()
+            return granted
         if wish.budget is not None and not fits_budget(
             attempts, wish.attempt, wish.budget
         ):
             self.settle_later(wish, 0)
             return Spent(sum(a.tokens for a in attempts.values()) - wish.tokens)
-        return found or Granted((), wish.program)
+        return granted
+
+    async def _whole_chain(
+        self, wish: Reservation, found: Granted | None, until: float
+    ) -> Granted | NoSuchTurn | Unavailable:
+        """Complete a chain whose turns lie on different replicas or in other slots.
+
+        Only the turn that the caller names may turn out not to exist.  Those before it
+        were durable before it was, so a missing one is a reason to come back.
+        """
+        chain = found.chain if found else ()
+        homes = {found.home} if found else set()
+        missing = chain[0].previous if chain else wish.previous
+        while missing:
+            replies = await self._ask(_Search(missing), until)
+            if isinstance(replies, Unavailable):
+                return replies
+            found = _chain_in(replies)
+            if found is None and not chain:
+                return NoSuchTurn()
+            if found is None:
+                return Unavailable(len(replies), self._losses + 1, self.view.number)
+            chain = (*found.chain, *chain)
+            homes.add(found.home)
+            missing = chain[0].previous
+        foreign = homes - {wish.program}
+        return Granted(chain, foreign.pop() if foreign else wish.program)
 
     async def settle(
         self, wish: Reservation, tokens: int, turns: tuple[Turn, ...], until: float
@@ -272,52 +307,88 @@
         loop = asyncio.get_running_loop()
         view = self.view
         sets = question.sets(view, self._losses)
-        sent = 0
-        pause_s = AGAIN_S
+        began = loop.time()
+        pause_s = max(AGAIN_S, AGAIN_USUAL * self._usual_s)
+        targets = self._first_targets(question, sets)
+        fetched = False
         while view is self.view and loop.time() < until:
-            self._send(op, call, question, sets, first=sent == 0)
-            self.resent += sent > 0
-            sent += 1
+            self._send(op, call, question, targets)
             again_at = min(until, loop.time() + pause_s)
             pause_s = min(AGAIN_MOST_S, pause_s * 2)
             while view is self.view and loop.time() < again_at:
                 if call.replies and question.answered(sets, call.replies):
+                    self._usual_s += USUAL_GAIN * (loop.time() - began - self._usual_s)
                     return list(call.replies.values())
+                if question.lacks_chain(sets, call.replies) and not fetched:
+                    fetched = True
+                    self._fetch(op, call, question, sets)
                 call.changed.clear()
                 with anyio.move_on_after(again_at - loop.time()):
                     await call.changed.wait()
                 if call.not_now:
                     call.not_now = False
                     again_at = min(again_at, loop.time() + NOT_NOW_S)
+            self._suspect(targets, call, loop.time())
+            targets = _all_members(sets)
+            self.resent += 1
         return None
 
+    def _first_targets(
+        self, question: _Question, sets: tuple[ReplicaSet, ...]
+    ) -> list[Member]:
+        """Choose whom to ask first: all, or for much data only as many as must answer.
+
+        A kept turn of 17 kB to all of five replicas took most of a relay's link of 15
+        Mbit/s; sent again while it queued there, it never got through.
+        """
+        if not question.heavy:
+            return _all_members(sets)
+        now = asyncio.get_running_loop().time()
+        suspects = {disk for disk, until in self._suspects.items() if until > now}
+        chosen: dict[str, Member] = {}
+        for replicas in sets:
+            for member in preferred(replicas, self._domain, suspects):
+                chosen[member.address] = member
+        return list(chosen.values())
+
+    def _suspect(self, targets: list[Member], call: _Call, now: float) -> None:
+        """Pass over members that have not answered in time, for a while."""
+        for member in targets:
+            if member.disk not in call.replies:
+                self._suspects[member.disk] = now + SUSPECT_S
+
     def _send(
+        self, op: int, call: _Call, question: _Question, targets: list[Member]
+    ) -> None:
+        for place, member in enumerate(holder_order(tuple(targets), self._domain)):
+            if member.disk in call.replies:
+                continue
+            # The nearest replica sends the chain; the others only say if they have it.
+            message = question.message(op, self.view.number, place == 0)
+            self._transport.send(member.address, message)
+
+    def _fetch(
         self,
         op: int,
         call: _Call,
         question: _Question,
         sets: tuple[ReplicaSet, ...],
-        *,
-        first: bool,
     ) -> None:
-        members: dict[str, Member] = {}
-        for replicas in sets:
-            members.update((member.address, member) for member in replicas.members)
-        order = holder_order(tuple(members.values()), self._domain)
-        for place, member in enumerate(order):
-            known = call.replies.get(member.disk)
-            if known is not None and not (known.has_chain and not known.turns):
-                continue
-            # The nearest replica sends the chain; the others only say if they have it.
-            with_turns = place == 0 or not first
-            message = question.message(op, self.view.number, with_turns)
-            self._transport.send(member.address, message)
+        """Ask a replica that has the chain to send it; the nearest one had not."""
+        for member in holder_order(tuple(_all_members(sets)), self._domain):
+            reply = call.replies.get(member.disk)
+            if reply is not None and reply.has_chain:
+                message = question.message(op, self.view.number, True)
+                self._transport.send(member.address, message)
+                return
 
 
 class _Question(ABC):
     """What is asked of a set of replicas, and when it is answered."""
 
     chain = ""
+    # Whether it carries so much that it is first sent to as few as will do.
+    heavy = False
 
     @abstractmethod
     def sets(self, view: View, losses: int) -> tuple[ReplicaSet, ...]:
@@ -336,6 +407,13 @@
             return False
         return not _chain_awaited(replies)
 
+    def lacks_chain(
+        self, sets: tuple[ReplicaSet, ...], replies: dict[str, WriteReply]
+    ) -> bool:
+        """Whether only the chain is missing, and a replica is known to have it."""
+        readable = all(s.readable(set(replies)) for s in sets)
+        return readable and _chain_awaited(replies)
+
 
 class _Reserve(_Question):
     """Write records to a program's slot, and read its account and a chain."""
@@ -343,6 +421,7 @@
     def __init__(self, entry: Entry, chain: str) -> None:
         self._entry = entry
         self.chain = chain
+        self.heavy = len(entry.turns) > 0
 
     def sets(self, view: View, losses: int) -> tuple[ReplicaSet, ...]:
         """Ask the replicas of the program's slot."""
@@ -380,6 +459,12 @@
         return readable and not _chain_awaited(replies)
 
 
+def _all_members(sets: tuple[ReplicaSet, ...]) -> list[Member]:
+    """List the members of some sets, each address once."""
+    members = {member.address: member for s in sets for member in s.members}
+    return list(members.values())
+
+
 def _chain_in(replies: list[WriteReply]) -> Granted | None:
     for reply in replies:
         if reply.turns:
