--- a/tests/core/test_keeper.py
+++ b/tests/core/test_keeper.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from wisteriastair.core.keeper import KeeperCore
-from wisteriastair.core.ledger import Attempt, Entry
+from wisteriastair.core.ledger import Attempt, Entry, Turn
 from wisteriastair.core.ledgerwire import Verdict, Write, WriteReply
 from wisteriastair.core.membership import Member, View, next_view
 
@@ -187,3 +187,28 @@
     deployment.deliver(first)
     assert second.view == changed
     assert second.view_revision == 99
+
+
+def test_a_keeper_that_is_full_of_turns_refuses_one_more_and_goes_on() -> None:
+    """Chains grow faster than they expire.
+
+    Killed for its memory the process would take all its replicas away; refused, only
+    the turn that did not fit is lost, visibly, to its caller.
+    """
+    me = Member("k", "disk", "k:1", "d")
+    view = View(1, (me,))
+    core = KeeperCore(me, 0, view=view, entries=[], now=0.0, most_turn_bytes=2_500)
+    verdicts = []
+    for number in range(4):
+        turn = Turn(f"t{number}", "", b"x" * 1_000)
+        entry = Entry("p", 60.0, {f"a{number}": Attempt(1, True)}, [turn])
+        core.receive("r:1#a", Write(number, 1, entry), 0.0)
+        batch = core.take_batch()
+        if batch is not None:
+            core.synced(batch)
+        (_, reply), *_ = core.take_outbox()
+        assert isinstance(reply, WriteReply)
+        verdicts.append(reply.verdict)
+    assert verdicts == [Verdict.DONE, Verdict.DONE, Verdict.NOT_NOW, Verdict.NOT_NOW]
+    core.receive("r:1#a", Write(9, 1, Entry("q", 60.0, {"b": Attempt(1, True)})), 0.0)
+    assert core.take_batch() is not None
--- a/tests/relay/test_ledger.py
+++ b/tests/relay/test_ledger.py
@@ -13,13 +13,8 @@
 from wisteriastair.core.ledgerwire import LedgerMessage
 from wisteriastair.core.membership import View
 from wisteriastair.peers.transport import Transport
-from wisteriastair.relay.ledger import (
-    Granted,
-    NoSuchTurn,
-    Reservation,
-    Spent,
-    Unavailable,
-)
+from wisteriastair.relay.ledger import NoSuchTurn, Reservation, Spent, Unavailable
+from wisteriastair.relay.questions import Granted
 
 PATIENCE_S = 0.5
 
--- a/wisteriastair/core/keeper.py
+++ b/wisteriastair/core/keeper.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Final, NamedTuple
 
 from .ledger import Attempt, Entry, Ledger
@@ -78,10 +79,20 @@
         Records that the disk held.
     now : float
         Seconds of a clock that never goes back.
+    most_turn_bytes : float
+        Bytes of turns that are held; a turn beyond is refused.  Without a bound a burst
+        of long chains would have the process killed, and all its replicas with it.
     """
 
     def __init__(
-        self, me: Member, losses: int, *, view: View, entries: list[Entry], now: float
+        self,
+        me: Member,
+        losses: int,
+        *,
+        view: View,
+        entries: list[Entry],
+        now: float,
+        most_turn_bytes: float = math.inf,
     ) -> None:
         self.me = me
         self.view = view
@@ -91,6 +102,7 @@
         self.stale_refused = 0
         self.batches_synced = 0
         self._losses = losses
+        self._most_turn_bytes = most_turn_bytes
         self._started = now
         self._heard: dict[str, float] = {}
         self._pinged_by: dict[str, float] = {}
@@ -129,6 +141,8 @@
 
     def _on_request(self, sender: str, request: Write | Find, now: float) -> None:
         verdict = self._verdict(request.view)
+        if verdict is Verdict.DONE and self._is_full_for(request):
+            verdict = Verdict.NOT_NOW
         if verdict is not Verdict.DONE:
             view = self.view if verdict is Verdict.STALE_VIEW else None
             reply = WriteReply(request.op, self.me.disk, verdict, view=view)
@@ -140,6 +154,12 @@
                 self._entries.append(new)
         self._answers.append((sender, request))
 
+    def _is_full_for(self, request: Write | Find) -> bool:
+        if not isinstance(request, Write) or not request.entry.turns:
+            return False
+        size = sum(len(turn.said) for turn in request.entry.turns)
+        return self.ledger.held_bytes + size > self._most_turn_bytes
+
     def _verdict(self, number: int) -> Verdict:
         if number < self.view.number:
             self.stale_refused += 1
--- a/wisteriastair/keeper/daemon.py
+++ b/wisteriastair/keeper/daemon.py
@@ -46,6 +46,8 @@
 from .storage import Storage
 
 TICK_S: Final = 0.1
+# Share of the process's memory that kept turns may take.
+TURN_SHARE: Final = 0.4
 # Pause before another proposal after one that did not take effect, in seconds.
 PROPOSE_PAUSE_S: Final = 0.3
 # Expired accounts and old segments are looked for this often, in seconds.
@@ -86,6 +88,7 @@
             view=loaded.view,
             entries=loaded.entries,
             now=now,
+            most_turn_bytes=TURN_SHARE * self._cfg.memory_bytes,
         )
         self._storage = Storage(self._log, self._core, self._metrics)
         log.info(
--- a/wisteriastair/nodes.py
+++ b/wisteriastair/nodes.py
@@ -9,6 +9,7 @@
 import gc
 import os
 import sys
+from collections.abc import Callable
 from typing import Final
 
 import anyio
@@ -33,15 +34,7 @@
     log_level : str
         debug, info, warning or error.
     """
-    from .relay.daemon import Relay
-
-    cfg = _prepare(settings, log_level)
-    if isinstance(cfg, BadNodeSetting):
-        return _complain(cfg)
-    if not cfg.callers or not cfg.ready:
-        return _complain(BadNodeSetting("listen.front, listen.ready", "missing"))
-    anyio.run(Relay(cfg).run)
-    return 0
+    return _start(settings, log_level, _run_relay)
 
 
 def keeper(*, settings: str = "", log_level: str = "info") -> int:
@@ -54,23 +47,35 @@
     log_level : str
         debug, info, warning or error.
     """
+    return _start(settings, log_level, _run_keeper)
+
+
+def _run_relay(cfg: NodeOptions) -> BadNodeSetting | None:
+    from .relay.daemon import Relay
+
+    if not cfg.callers or not cfg.ready:
+        return BadNodeSetting("listen.front, listen.ready", "missing")
+    anyio.run(Relay(cfg).run)
+    return None
+
+
+def _run_keeper(cfg: NodeOptions) -> BadNodeSetting | None:
     from .keeper.daemon import Keeper
 
-    cfg = _prepare(settings, log_level)
-    if isinstance(cfg, BadNodeSetting):
-        return _complain(cfg)
     if not cfg.data_dir:
-        return _complain(BadNodeSetting("dataDir", "missing"))
+        return BadNodeSetting("dataDir", "missing")
     anyio.run(Keeper(cfg).run)
-    return 0
+    return None
 
 
-def _prepare(settings: str, log_level: str) -> NodeOptions | BadNodeSetting:
+def _start(
+    settings: str, log_level: str, run: Callable[[NodeOptions], BadNodeSetting | None]
+) -> int:
     set_up_daemon_logs(log_level)
     gc.set_threshold(GC_THRESHOLD)
-    return load_settings(settings or os.environ.get(SETTINGS_VARIABLE, ""))
-
-
-def _complain(bad: BadNodeSetting) -> int:
+    cfg = load_settings(settings or os.environ.get(SETTINGS_VARIABLE, ""))
+    bad = cfg if isinstance(cfg, BadNodeSetting) else run(cfg)
+    if bad is None:
+        return 0
     print(f"wisteriastair: {bad}", file=sys.stderr)
     return EXIT_BAD_SETTING
--- a/wisteriastair/platform/store.py
+++ b/wisteriastair/platform/store.py
@@ -187,31 +187,25 @@
         self, key: str, revision: int, value: bytes
     ) -> Swapped | SwapRefused | StoreTrouble:
         """Write a key if it is still at a revision; 0 means that it does not exist."""
-        body = {
-            "precondition": [{"key": key, "rev": revision}],
-            "puts": [{"key": key, "value": b64encode(value).decode()}],
-            "remove": [],
-        }
-        answer = await self._call("POST", "/v1/kv-txn", json=body)
-        if isinstance(answer, StoreTrouble):
-            return answer
-        if answer.status_code == httpx.codes.PRECONDITION_FAILED:
-            return SwapRefused()
-        written = _decoded(answer, _Written)
-        if isinstance(written, StoreTrouble):
-            return written
-        return Swapped(written.rev)
+        return await self._write([{"key": key, "rev": revision}], key, value)
 
-    async def put(self, key: str, value: bytes) -> Swapped | StoreTrouble:
+    async def put(self, key: str, value: bytes) -> Swapped | SwapRefused | StoreTrouble:
         """Write a key whatever it holds; repeating it is harmless."""
+        return await self._write([], key, value)
+
+    async def _write(
+        self, precondition: list[dict[str, str | int]], key: str, value: bytes
+    ) -> Swapped | SwapRefused | StoreTrouble:
         body = {
-            "precondition": [],
+            "precondition": precondition,
             "puts": [{"key": key, "value": b64encode(value).decode()}],
             "remove": [],
         }
         answer = await self._call("POST", "/v1/kv-txn", json=body)
         if isinstance(answer, StoreTrouble):
             return answer
+        if answer.status_code == httpx.codes.PRECONDITION_FAILED:
+            return SwapRefused()
         written = _decoded(answer, _Written)
         if isinstance(written, StoreTrouble):
             return written
--- a/wisteriastair/relay/ledger.py
+++ b/wisteriastair/relay/ledger.py
@@ -1,35 +1,40 @@
 """The relay's side of the ledger: reservations, settlements and chains by quorum.
 
-Requests go to all replicas of a program's slot at once and count when enough have
-answered; the slowest, or a lost one, is not waited for.  A request is sent again until
-then, which is harmless since records only merge.  A replica that knows a newer view
-sends it along, so a relay learns of a change without the platform's store.
+A request counts when enough replicas of a program's slot have answered.  Small ones go
+to all at once, so that the slowest, or a lost one, is not waited for; a kept turn goes
+first to as few as must answer.  A request is sent again until it counts, which is
+harmless since records only merge.  A replica that knows a newer view sends it along, so
+a relay learns of a change without the platform's store.
 """
 
 from __future__ import annotations
 
 import asyncio
 import logging
-from abc import ABC, abstractmethod
 from typing import Final, NamedTuple
 
 import anyio
 from anyio.abc import TaskGroup
 
 from ..core.ledger import Attempt, Entry, Turn, fits_budget, merged_attempts
-from ..core.ledgerwire import Find, LedgerMessage, Verdict, Write, WriteReply
+from ..core.ledgerwire import LedgerMessage, Verdict, WriteReply
 from ..core.membership import (
-    SLOTS,
     Member,
     ReplicaSet,
     View,
     holder_order,
     preferred,
-    replica_sets,
-    slot_of_program,
 )
 from ..core.reach import Reach
 from ..peers.transport import Transport
+from .questions import (
+    Granted,
+    Question,
+    SearchTurn,
+    WriteRecords,
+    all_members,
+    chain_in,
+)
 
 # A request is sent again after this time without a quorum, in seconds: several times
 # the usual answer, which takes one way there and back and one or two syncs.
@@ -74,22 +79,6 @@
     previous: str
 
 
-class Granted(NamedTuple):
-    """The reservation is durable.
-
-    Attributes
-    ----------
-    chain : tuple of Turn
-        What was wanted, the oldest turn first.
-    home : str
-        Program that the chain belongs to; another one than the turn's if any of it
-        does.
-    """
-
-    chain: tuple[Turn, ...]
-    home: str
-
-
 class Spent(NamedTuple):
     """The budget does not hold the turn."""
 
@@ -189,14 +178,14 @@
             return Unavailable(0, self._losses + 1, self.view.number)
         mine = {wish.attempt: Attempt(wish.tokens, False)}
         entry = Entry(wish.program, wish.keep_s, mine)
-        replies = await self._ask(_Reserve(entry, wish.previous), until)
+        replies = await self._ask(WriteRecords(entry, wish.previous), until)
         if isinstance(replies, Unavailable):
             self.settle_later(wish, 0)
             return replies
         attempts = merged_attempts([reply.attempts for reply in replies])
         granted: Granted | NoSuchTurn | Unavailable = Granted((), wish.program)
         if wish.previous:
-            granted = await self._whole_chain(wish, _chain_in(replies), until)
+            granted = await self._whole_chain(wish, chain_in(replies), until)
         if not isinstance(granted, Granted):
             self.settle_later(wish, 0)
             return granted
@@ -219,10 +208,10 @@
         homes = {found.home} if found else set()
         missing = chain[0].previous if chain else wish.previous
         while missing:
-            replies = await self._ask(_Search(missing), until)
+            replies = await self._ask(SearchTurn(missing), until)
             if isinstance(replies, Unavailable):
                 return replies
-            found = _chain_in(replies)
+            found = chain_in(replies)
             if found is None and not chain:
                 return NoSuchTurn()
             if found is None:
@@ -239,7 +228,7 @@
         """Settle a reservation with what was handed out; True once it is durable."""
         attempts = {wish.attempt: Attempt(tokens, True)}
         entry = Entry(wish.program, wish.keep_s, attempts, list(turns))
-        replies = await self._ask(_Reserve(entry, ""), until)
+        replies = await self._ask(WriteRecords(entry, ""), until)
         return not isinstance(replies, Unavailable)
 
     def settle_later(self, wish: Reservation, tokens: int) -> None:
@@ -265,7 +254,7 @@
         """Find out whether the replicas can be reached, unless requests just have."""
         now = asyncio.get_running_loop().time()
         if self.view.members and self._reach.wants_probe(now):
-            await self._ask(_Search(""), now + PROBE_LIMIT_S)
+            await self._ask(SearchTurn(""), now + PROBE_LIMIT_S)
 
     def _note_success(self, now: float) -> None:
         if self._reach.succeeded(now):
@@ -278,7 +267,7 @@
     # Quorums
 
     async def _ask(
-        self, question: _Question, until: float
+        self, question: Question, until: float
     ) -> list[WriteReply] | Unavailable:
         loop = asyncio.get_running_loop()
         began = loop.time()
@@ -301,7 +290,7 @@
                 return Unavailable(len(call.replies), wanted, self.view.number)
 
     async def _ask_in_view(
-        self, op: int, call: _Call, question: _Question, until: float
+        self, op: int, call: _Call, question: Question, until: float
     ) -> list[WriteReply] | None:
         """Ask under the present view; None if it changed or time ran out."""
         loop = asyncio.get_running_loop()
@@ -329,12 +318,12 @@
                     call.not_now = False
                     again_at = min(again_at, loop.time() + NOT_NOW_S)
             self._suspect(targets, call, loop.time())
-            targets = _all_members(sets)
+            targets = all_members(sets)
             self.resent += 1
         return None
 
     def _first_targets(
-        self, question: _Question, sets: tuple[ReplicaSet, ...]
+        self, question: Question, sets: tuple[ReplicaSet, ...]
     ) -> list[Member]:
         """Choose whom to ask first: all, or for much data only as many as must answer.
 
@@ -342,7 +331,7 @@
         Mbit/s; sent again while it queued there, it never got through.
         """
         if not question.heavy:
-            return _all_members(sets)
+            return all_members(sets)
         now = asyncio.get_running_loop().time()
         suspects = {disk for disk, until in self._suspects.items() if until > now}
         chosen: dict[str, Member] = {}
@@ -358,7 +347,7 @@
                 self._suspects[member.disk] = now + SUSPECT_S
 
     def _send(
-        self, op: int, call: _Call, question: _Question, targets: list[Member]
+        self, op: int, call: _Call, question: Question, targets: list[Member]
     ) -> None:
         for place, member in enumerate(holder_order(tuple(targets), self._domain)):
             if member.disk in call.replies:
@@ -371,108 +360,13 @@
         self,
         op: int,
         call: _Call,
-        question: _Question,
+        question: Question,
         sets: tuple[ReplicaSet, ...],
     ) -> None:
         """Ask a replica that has the chain to send it; the nearest one had not."""
-        for member in holder_order(tuple(_all_members(sets)), self._domain):
+        for member in holder_order(tuple(all_members(sets)), self._domain):
             reply = call.replies.get(member.disk)
             if reply is not None and reply.has_chain:
                 message = question.message(op, self.view.number, True)
                 self._transport.send(member.address, message)
                 return
-
-
-class _Question(ABC):
-    """What is asked of a set of replicas, and when it is answered."""
-
-    chain = ""
-    # Whether it carries so much that it is first sent to as few as will do.
-    heavy = False
-
-    @abstractmethod
-    def sets(self, view: View, losses: int) -> tuple[ReplicaSet, ...]:
-        """Whom to ask."""
-
-    @abstractmethod
-    def message(self, op: int, view: int, with_turns: bool) -> LedgerMessage:
-        """How to ask."""
-
-    def answered(
-        self, sets: tuple[ReplicaSet, ...], replies: dict[str, WriteReply]
-    ) -> bool:
-        """Whether the replies are enough."""
-        disks = set(replies)
-        if not all(s.written(disks) and s.readable(disks) for s in sets):
-            return False
-        return not _chain_awaited(replies)
-
-    def lacks_chain(
-        self, sets: tuple[ReplicaSet, ...], replies: dict[str, WriteReply]
-    ) -> bool:
-        """Whether only the chain is missing, and a replica is known to have it."""
-        readable = all(s.readable(set(replies)) for s in sets)
-        return readable and _chain_awaited(replies)
-
-
-class _Reserve(_Question):
-    """Write records to a program's slot, and read its account and a chain."""
-
-    def __init__(self, entry: Entry, chain: str) -> None:
-        self._entry = entry
-        self.chain = chain
-        self.heavy = len(entry.turns) > 0
-
-    def sets(self, view: View, losses: int) -> tuple[ReplicaSet, ...]:
-        """Ask the replicas of the program's slot."""
-        return replica_sets(view, slot_of_program(self._entry.program), losses)
-
-    def message(self, op: int, view: int, with_turns: bool) -> LedgerMessage:
-        """Write the records."""
-        wanted = with_turns and bool(self.chain)
-        return Write(op, view, self._entry, self.chain, wanted)
-
-
-class _Search(_Question):
-    """Look for a chain in all slots."""
-
-    def __init__(self, chain: str) -> None:
-        self.chain = chain
-
-    def sets(self, view: View, losses: int) -> tuple[ReplicaSet, ...]:
-        """Ask the replicas of every slot."""
-        found = [s for slot in range(SLOTS) for s in replica_sets(view, slot, losses)]
-        return tuple(dict.fromkeys(found))
-
-    def message(self, op: int, view: int, with_turns: bool) -> LedgerMessage:
-        """Ask for the chain."""
-        return Find(op, view, self.chain, with_turns)
-
-    def answered(
-        self, sets: tuple[ReplicaSet, ...], replies: dict[str, WriteReply]
-    ) -> bool:
-        """Whether the chain is here, or nobody can have it."""
-        if _chain_in(list(replies.values())) is not None:
-            return True
-        disks = set(replies)
-        readable = all(s.readable(disks) for s in sets)
-        return readable and not _chain_awaited(replies)
-
-
-def _all_members(sets: tuple[ReplicaSet, ...]) -> list[Member]:
-    """List the members of some sets, each address once."""
-    members = {member.address: member for s in sets for member in s.members}
-    return list(members.values())
-
-
-def _chain_in(replies: list[WriteReply]) -> Granted | None:
-    for reply in replies:
-        if reply.turns:
-            return Granted(tuple(reply.turns), reply.home)
-    return None
-
-
-def _chain_awaited(replies: dict[str, WriteReply]) -> bool:
-    """Whether a replica has the chain, but none has sent it yet."""
-    somewhere = any(reply.has_chain for reply in replies.values())
-    return somewhere and not any(reply.turns for reply in replies.values())
--- a/wisteriastair/relay/streams.py
+++ b/wisteriastair/relay/streams.py
@@ -24,7 +24,6 @@
 from .events import EventSplitter
 from .job import Job
 from .ledger import (
-    Granted,
     LedgerClient,
     NoSuchTurn,
     Reservation,
@@ -32,6 +31,7 @@
     Unavailable,
 )
 from .plain import COME_BACK_S, MOST_ANSWER_BYTES, MOST_REFUSALS, PROMISES, SUCCESS
+from .questions import Granted
 
 # Longest wait for a reservation, in seconds; then the caller is told to come back.
 RESERVE_S: Final = 0.6
