After a cut relays find back to the keepers sooner

Connections were replaced at 1.5, 3, then 6 s; and the time that settlements spent waiting out the cut counted as usual, so that new requests were not sent again within their limit. Now connections of the ledger are replaced every 0.8 s, one whose peer is heard at once, and only requests that were hardly sent again tell the usual time. Both tests failed before. Not all gone: why one keeper's answers are missing for up to three seconds is open.

--- a/tests/peers/test_transport.py
+++ b/tests/peers/test_transport.py
@@ -9,6 +9,7 @@
 
 from wisteriastair.core.wire import DocPull, Message
 from wisteriastair.peers.corecodec import CORE_CODEC
+from wisteriastair.peers.ledgercodec import LEDGER_PATIENCE
 from wisteriastair.peers.transport import Transport
 from wisteriastair.standins.deployment import free_address
 
@@ -24,6 +25,10 @@
         self._target = target
         self._forgotten = 0
 
+    def cut(self) -> None:
+        """Swallow everything, on new connections too."""
+        self._forgotten = 1_000_000
+
     def forget_open_connections(self) -> None:
         self._forgotten = self.accepted
 
@@ -109,6 +114,52 @@
     anyio.run(send_through_a_silent_connection)
 
 
+async def send_after_a_cut() -> float:
+    """Return the seconds from the end of a cut until a message gets through."""
+    inbox = Inbox()
+    listen = free_address()
+    forwarder = Forwarder(listen)
+    receiver = transport(f"{forwarder.address}#1", inbox, listen=listen)
+    sender = Transport(
+        f"{free_address()}#1",
+        Inbox().take,
+        deployment="ours",
+        codec=CORE_CODEC,
+        patience=LEDGER_PATIENCE,
+    )
+    async with anyio.create_task_group() as group:
+        group.start_soon(forwarder.run)
+        group.start_soon(receiver.run)
+        group.start_soon(sender.run)
+        sender.send(forwarder.address, DocPull({"first": 1}))
+        await wait_for(lambda: bool(inbox.messages))
+        forwarder.cut()
+        for number in range(40):
+            sender.send(forwarder.address, DocPull({f"lost {number}": 1}))
+            await anyio.sleep(0.1)
+        forwarder.forget_open_connections()
+        healed = anyio.current_time()
+
+        def repeat_until_heard() -> bool:
+            sender.send(forwarder.address, DocPull({"second": 2}))
+            return DocPull({"second": 2}) in inbox.messages
+
+        await wait_for(repeat_until_heard)
+        took_s = anyio.current_time() - healed
+        group.cancel_scope.cancel()
+    return took_s
+
+
+def test_the_way_is_found_again_soon_after_a_long_cut() -> None:
+    """A relay is cut off from the keepers for four seconds.
+
+    Each replaced connection is silent too.  If the wait doubled with each, callers
+    would be refused for seconds after the cut has healed; new connections are tried at
+    a steady pace instead.
+    """
+    assert anyio.run(send_after_a_cut) < 2.0
+
+
 async def send_to_an_earlier_incarnation() -> None:
     inbox = Inbox()
     address = free_address()
--- a/tests/relay/test_ledger.py
+++ b/tests/relay/test_ledger.py
@@ -223,3 +223,30 @@
         assert granted.home == "p"
 
     play(keepers, story)
+
+
+def test_after_a_cut_requests_are_sent_again_as_soon_as_before() -> None:
+    """Settlements wait out a cut; then it heals, but single messages are still lost.
+
+    If the time that those settlements took counted as usual, the next reservation would
+    not be sent again in time, and turns would go on being refused after the cut.
+    """
+    keepers = Keepers(3)
+
+    async def story() -> None:
+        client = keepers.client
+        for number in range(5):
+            early = wish(f"p{number}", "a")
+            assert isinstance(await client.reserve(early, soon()), Granted)
+            client.settle_later(early, 1)
+        keepers.cut = {"k0:1", "k1:1", "k2:1"}
+        for number in range(5):
+            client.settle_later(wish(f"p{number}", "b"), 1)
+        await asyncio.sleep(2.0)
+        keepers.cut = set()
+        await asyncio.sleep(1.5)
+        keepers.cut = {"k0:1", "k1:1"}
+        asyncio.get_running_loop().call_later(0.1, keepers.cut.clear)
+        assert isinstance(await client.reserve(wish("q", "c"), soon()), Granted)
+
+    play(keepers, story)
--- a/wisteriastair/keeper/daemon.py
+++ b/wisteriastair/keeper/daemon.py
@@ -28,7 +28,12 @@
 from ..logs import dropped_lines
 from ..nodemetrics import KeeperMetrics, serve_metrics
 from ..nodeoptions import NodeOptions
-from ..peers.ledgercodec import LEDGER_CODEC, LEDGER_DEPLOYMENT, LEDGER_GATHER_S
+from ..peers.ledgercodec import (
+    LEDGER_CODEC,
+    LEDGER_DEPLOYMENT,
+    LEDGER_GATHER_S,
+    LEDGER_PATIENCE,
+)
 from ..peers.transport import Transport
 from ..platform.documents import (
     CONFIG_KEY,
@@ -108,6 +113,7 @@
             deployment=LEDGER_DEPLOYMENT,
             codec=LEDGER_CODEC,
             gather_s=LEDGER_GATHER_S,
+            patience=LEDGER_PATIENCE,
         )
         async with anyio.create_task_group() as group:
             self._start(group)
--- a/wisteriastair/peers/transport.py
+++ b/wisteriastair/peers/transport.py
@@ -37,6 +37,31 @@
 SOCKET_BUFFER: Final = 128
 MAX_FRAME_BYTES: Final = 64 * 1024 * 1024
 
+# A peer that is heard while our frames to it have not been echoed for this many seconds
+# is reached by a new connection at once: ours was dialled while it was cut off, and
+# waits for the next of ever rarer attempts.
+HEARD_UNECHOED_S: Final = 0.5
+
+
+class Patience(NamedTuple):
+    """When a connection counts as silent.
+
+    Attributes
+    ----------
+    echo_s : float
+        Seconds after which a frame is echoed if there is nothing else to send.
+    silence_s, silence_max_s : float
+        Seconds without an echo before a connection is replaced, at first and at most;
+        the wait doubles with each replacement.
+    """
+
+    echo_s: float = ECHO_S
+    silence_s: float = SILENCE_S
+    silence_max_s: float = SILENCE_MAX_S
+
+
+DEFAULT_PATIENCE: Final = Patience()
+
 M = TypeVar("M")
 
 
@@ -94,7 +119,7 @@
 class _Link:
     """The sending side towards one peer."""
 
-    def __init__(self, address: str, now: float) -> None:
+    def __init__(self, address: str, now: float, silence_s: float) -> None:
         self.address = address
         self.queues: dict[str, list[bytes]] = {}
         self.queued = 0
@@ -105,7 +130,7 @@
         self.unechoed_since = 0.0
         self.echo_due = 0.0
         self.used_at = now
-        self.silence_s = SILENCE_S
+        self.silence_s = silence_s
         self.socket = _dial(address)
 
 
@@ -133,6 +158,8 @@
         Address to listen on if it differs from the one that peers dial.
     gather_s : float
         Seconds for which messages to a peer gather before a frame is sent.
+    patience : Patience
+        When a connection counts as silent.
     """
 
     def __init__(
@@ -144,6 +171,7 @@
         codec: Codec[M],
         listen: str = "",
         gather_s: float = GATHER_S,
+        patience: Patience = DEFAULT_PATIENCE,
     ) -> None:
         self.counts = TransportCounts()
         self._deployment = deployment
@@ -151,6 +179,7 @@
         self._handler = handler
         self._codec = codec
         self._gather_s = gather_s
+        self._patience = patience
         self._links: dict[str, _Link] = {}
         self._dirty = anyio.Event()
         self._inbox = pynng.Pull0(recv_max_size=MAX_FRAME_BYTES)
@@ -166,7 +195,7 @@
             return
         link = self._links.get(address)
         if link is None:
-            link = self._links[address] = _Link(address, now)
+            link = self._links[address] = _Link(address, now, self._patience.silence_s)
         data = self._codec.encode(message)
         full = link.queued > 0 and link.queued_bytes + len(data) > QUEUE_BYTES
         if full or link.queued >= QUEUE_LIMIT:
@@ -210,14 +239,17 @@
         address = address_of(frame.sender)
         link = self._links.get(address)
         if link is None:
-            link = self._links[address] = _Link(address, now)
+            link = self._links[address] = _Link(address, now, self._patience.silence_s)
         if frame.number > 0:
             link.heard = frame.number
-            link.echo_due = link.echo_due or now + ECHO_S
+            link.echo_due = link.echo_due or now + self._patience.echo_s
         if frame.echo >= link.echoed and frame.echo <= link.number:
             link.echoed = frame.echo
-            link.silence_s = SILENCE_S
+            link.silence_s = self._patience.silence_s
             link.unechoed_since = now if link.echoed < link.number else 0.0
+        unechoed = link.unechoed_since and now - link.unechoed_since
+        if unechoed > HEARD_UNECHOED_S:
+            self._redial(link)
         if frame.target and frame.target != self._member:
             return
         for message in messages:
@@ -296,4 +328,4 @@
         link.socket = _dial(link.address)
         link.unechoed_since = 0.0
         link.echoed = link.number
-        link.silence_s = min(SILENCE_MAX_S, link.silence_s * 2)
+        link.silence_s = min(self._patience.silence_max_s, link.silence_s * 2)
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -20,7 +20,12 @@
 from ..logs import dropped_lines
 from ..nodemetrics import RelayMetrics, serve_metrics
 from ..nodeoptions import NodeOptions
-from ..peers.ledgercodec import LEDGER_CODEC, LEDGER_DEPLOYMENT, LEDGER_GATHER_S
+from ..peers.ledgercodec import (
+    LEDGER_CODEC,
+    LEDGER_DEPLOYMENT,
+    LEDGER_GATHER_S,
+    LEDGER_PATIENCE,
+)
 from ..peers.transport import Transport
 from ..platform.documents import (
     CONFIG_KEY,
@@ -87,6 +92,7 @@
             deployment=LEDGER_DEPLOYMENT,
             codec=LEDGER_CODEC,
             gather_s=LEDGER_GATHER_S,
+            patience=LEDGER_PATIENCE,
         )
         async with anyio.create_task_group() as group:
             self._ledger.start(transport, group)
--- a/wisteriastair/relay/ledger.py
+++ b/wisteriastair/relay/ledger.py
@@ -47,6 +47,10 @@
 AGAIN_USUAL: Final = 4.0
 # Weight of a new measurement of what requests take.
 USUAL_GAIN: Final = 0.1
+# Requests sent more often than this tell nothing of the usual time, and no more than so
+# many seconds are believed: a wait has to end while the request still has time.
+USUAL_SENDS: Final = 2
+USUAL_MOST_S: Final = 0.15
 # A replica that has not answered in time is not among the first asked for this time.
 SUSPECT_S: Final = 2.0
 # Pause after replicas have said that they cannot answer yet.
@@ -300,13 +304,15 @@
         pause_s = max(AGAIN_S, AGAIN_USUAL * self._usual_s)
         targets = self._first_targets(question, sets)
         fetched = False
+        sends = 0
         while view is self.view and loop.time() < until:
             self._send(op, call, question, targets)
+            sends += 1
             again_at = min(until, loop.time() + pause_s)
             pause_s = min(AGAIN_MOST_S, pause_s * 2)
             while view is self.view and loop.time() < again_at:
                 if call.replies and question.answered(sets, call.replies):
-                    self._usual_s += USUAL_GAIN * (loop.time() - began - self._usual_s)
+                    self._note_time(loop.time() - began, sends)
                     return list(call.replies.values())
                 if question.lacks_chain(sets, call.replies) and not fetched:
                     fetched = True
@@ -322,6 +328,17 @@
             self.resent += 1
         return None
 
+    def _note_time(self, seconds: float, sends: int) -> None:
+        """Learn what requests usually take, from those that were hardly sent again.
+
+        One that was sent many times met replicas that were away.  Counted, the ones
+        that had waited out a cut of twelve seconds kept later ones from being sent
+        again for seconds after it had healed.
+        """
+        if sends <= USUAL_SENDS:
+            sample_s = min(seconds, USUAL_MOST_S)
+            self._usual_s += USUAL_GAIN * (sample_s - self._usual_s)
+
     def _first_targets(
         self, question: Question, sets: tuple[ReplicaSet, ...]
     ) -> list[Member]:
