A server that leaves just after an outage of the store has not lapsed

Only entries missing in the first answer after the outage can have lapsed; the others are used for 1.4 s at most. Test failed before (used at 11.5 after an end at 10.0).

--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -54,13 +54,27 @@
     under_test = fleet("a", "b", "c")
     under_test.store_unsure = True
     for server_id in ("a", "b", "c"):
-        under_test.remove(server_id, 10.0)
+        under_test.remove(server_id, 10.0, lapsed=True)
     under_test.put(server("a"))
     assert usable(under_test, 11.0) == {"a", "b", "c"}
     assert usable(under_test, 12.7) == {"a"}
     assert [gone.id for gone in under_test.expire(12.7)] == ["b", "c"]
 
 
+def test_a_server_that_leaves_just_after_an_outage_is_not_taken_for_lapsed() -> None:
+    """The store has been back for a moment when a server's entry ends.
+
+    It was there in the first answer after the outage, so it has not lapsed: the server
+    leaves, and exits two seconds later.  Used for as long as lapsed ones, it got
+    requests 2.4 s after it had said so.
+    """
+    under_test = fleet("a", "b")
+    under_test.store_unsure = True
+    under_test.remove("a", 10.0)
+    assert usable(under_test, 11.3) == {"a", "b"}
+    assert usable(under_test, 11.5) == {"b"}
+
+
 def test_failures_in_a_row_make_a_server_rest_but_never_all_of_them() -> None:
     under_test = fleet("a", "b")
     for server_id in ("a", "b"):
--- a/wisteriastair/core/fleet.py
+++ b/wisteriastair/core/fleet.py
@@ -78,6 +78,7 @@
         self.server = server
         self.open = 0
         self.vanished_at: float | None = None
+        self.lapsed = False
         self.failures = 0
         self.rests_until = 0.0
         self.rest_s = REST_S
@@ -171,17 +172,26 @@
         self._servers[server.id] = state
         self._by_service.setdefault(server.service, []).append(state)
 
-    def remove(self, server_id: str, now: float) -> None:
-        """Take the end of an entry."""
+    def remove(self, server_id: str, now: float, *, lapsed: bool = False) -> None:
+        """Take the end of an entry.
+
+        Parameters
+        ----------
+        lapsed : bool
+            It may have ended only because the store was away: it was missing in the
+            first answer after that.  What ends later has left, and a server that has
+            left must get nothing for longer than it serves.
+        """
         state = self._servers.get(server_id)
         if state is not None and state.vanished_at is None:
             state.vanished_at = now
+            state.lapsed = lapsed
 
     def keep_only(self, present: set[str], now: float) -> None:
         """Take a full listing: what is not in it has vanished."""
         for server_id in self._servers:
             if server_id not in present:
-                self.remove(server_id, now)
+                self.remove(server_id, now, lapsed=self.store_unsure)
 
     def expire(self, now: float) -> list[Server]:
         """Forget servers that vanished long ago and have nothing under way."""
@@ -210,11 +220,15 @@
         present = [state for state in states if state.vanished_at is None]
         ready = present
         if self.store_unsure or not present:
-            usable_s = LAPSE_S if self.store_unsure else LAST_RESORT * self._drain_s
-            ready = present + [s for s in states if s.vanished_within(usable_s, now)]
+            ready = present + [s for s in states if self._still_serves(s, now)]
         awake = [state for state in ready if state.rests_until <= now]
         return awake or ready
 
+    def _still_serves(self, state: ServerState, now: float) -> bool:
+        lapse = self.store_unsure and state.lapsed
+        usable_s = LAPSE_S if lapse else LAST_RESORT * self._drain_s
+        return state.vanished_within(usable_s, now)
+
     def _forget(self, state: ServerState) -> None:
         del self._servers[state.server.id]
         self._by_service[state.server.service].remove(state)
--- a/wisteriastair/platform/mirror.py
+++ b/wisteriastair/platform/mirror.py
@@ -52,6 +52,8 @@
         self.revision = 0
         self.in_touch = False
         self.was_lost = False
+        # While the first answer after an outage is taken in.
+        self.catching_up = False
         self.regained_at = float("-inf")
         self._store = store
         self._on_change = on_change
@@ -83,6 +85,7 @@
                 self._on_change(Item(key, snapshot.revision, None))
         self.revision = snapshot.revision
         self._on_listed(present)
+        self.catching_up = False
         return True
 
     async def _watch(self) -> bool:
@@ -100,6 +103,7 @@
                 self._fine()
                 for item in items:
                     self._take(item)
+                self.catching_up = False
                 self.revision = max(self.revision, revision)
                 if items:
                     await anyio.sleep(GATHER_S)
@@ -119,6 +123,7 @@
         self._pause_s = PAUSE_S
         if not self.in_touch:
             self.in_touch = True
+            self.catching_up = True
             self.regained_at = time.monotonic()
             log.info("store in touch", extra={"revision": self.revision})
 
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -240,7 +240,8 @@
         now = asyncio.get_running_loop().time()
         server_id = item.key.removeprefix(SERVERS)
         if item.value is None:
-            self._fleet.remove(server_id, now)
+            lapsed = self._fleet.store_unsure and self._mirror.catching_up
+            self._fleet.remove(server_id, now, lapsed=lapsed)
             log.info("server vanished", extra={"server": server_id})
             return
         server = decode_server(item.key, item.value)
