An old echo no longer keeps a dead connection of the ledger alive

Cause: a frame that repeats the last echo set the time since which frames are unechoed anew. A relay that finds back after a cut asks a keeper many times a second, each frame with the echo from before the cut, so the keeper never took its own dead connection for silent and its answers were lost.

Ruled out before: the time that closing a connecting socket takes, and the pace of the relay's own dials.

Before: the new test fails (no answer within 30 s while the peer is heard); after: answered in under 1.5 s. A line "connection replaced" tells peer, reason and time.

--- a/tests/peers/test_transport.py
+++ b/tests/peers/test_transport.py
@@ -160,6 +160,53 @@
     assert anyio.run(send_after_a_cut) < 2.0
 
 
+async def answer_over_a_dead_connection() -> float:
+    """Return the seconds until a peer that asks all the time is answered again."""
+    answers = Inbox()
+    asker_listens = free_address()
+    forwarder = Forwarder(asker_listens)
+    asker = transport(f"{forwarder.address}#1", answers, listen=asker_listens)
+    answerer_address = free_address()
+
+    def reply(sender: str, message: Message) -> None:
+        answerer.send(sender, message)
+
+    answerer = Transport(
+        f"{answerer_address}#1",
+        reply,
+        deployment="ours",
+        codec=CORE_CODEC,
+        patience=LEDGER_PATIENCE,
+    )
+    async with anyio.create_task_group() as group:
+        group.start_soon(forwarder.run)
+        group.start_soon(asker.run)
+        group.start_soon(answerer.run)
+        asker.send(answerer_address, DocPull({"before": 1}))
+        await wait_for(lambda: bool(answers.messages))
+        forwarder.forget_open_connections()
+        began = anyio.current_time()
+
+        def ask_until_answered() -> bool:
+            asker.send(answerer_address, DocPull({"after": 2}))
+            return DocPull({"after": 2}) in answers.messages
+
+        await wait_for(ask_until_answered)
+        took_s = anyio.current_time() - began
+        group.cancel_scope.cancel()
+    return took_s
+
+
+def test_a_dead_connection_is_replaced_although_the_peer_is_heard() -> None:
+    """A relay that was cut off reaches a keeper again and asks it all the time.
+
+    The keeper's own connection to the relay is dead: answers are lost, and callers
+    are refused.  Each question repeats the last echo from before the cut; taken for a
+    sign of life of the connection, it kept the keeper from replacing it.
+    """
+    assert anyio.run(answer_over_a_dead_connection) < 1.5
+
+
 async def send_to_an_earlier_incarnation() -> None:
     inbox = Inbox()
     address = free_address()
--- a/wisteriastair/peers/transport.py
+++ b/wisteriastair/peers/transport.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+import logging
 import time
 from collections.abc import Callable
 from typing import Final, Generic, NamedTuple, TypeVar
@@ -30,6 +31,7 @@
 CHECK_S: Final = 0.1
 GATHER_S: Final = 0.001
 IDLE_S: Final = 60.0
+MS_PER_S: Final = 1000.0
 QUEUE_LIMIT: Final = 20_000
 # Bytes that may wait for a peer.  What waits for a peer that is cut off is sent again
 # by its sender anyway; without a bound it took 100 MB within ten seconds of a cut.
@@ -41,6 +43,7 @@
 # is reached by a new connection at once: ours was dialled while it was cut off, and
 # waits for the next of ever rarer attempts.
 HEARD_UNECHOED_S: Final = 0.5
+log = logging.getLogger(__name__)
 
 
 class Patience(NamedTuple):
@@ -243,13 +246,16 @@
         if frame.number > 0:
             link.heard = frame.number
             link.echo_due = link.echo_due or now + self._patience.echo_s
-        if frame.echo >= link.echoed and frame.echo <= link.number:
+        if link.echoed < frame.echo <= link.number:
+            # Only an echo of something new shows that our frames arrive.  A peer that
+            # is heard often repeats the old one, which put off the replacement of a
+            # dead connection for as long as it was heard.
             link.echoed = frame.echo
             link.silence_s = self._patience.silence_s
             link.unechoed_since = now if link.echoed < link.number else 0.0
         unechoed = link.unechoed_since and now - link.unechoed_since
         if unechoed > HEARD_UNECHOED_S:
-            self._redial(link)
+            self._redial(link, "heard but not echoed", unechoed)
         if frame.target and frame.target != self._member:
             return
         for message in messages:
@@ -312,18 +318,29 @@
             self._flush_link(link, now)
         silent = link.unechoed_since and now - link.unechoed_since > link.silence_s
         if silent:
-            self._redial(link)
+            self._redial(link, "not echoed", now - link.unechoed_since)
         elif now - link.used_at > IDLE_S and not link.queues:
             link.socket.close()
             del self._links[link.address]
 
-    def _redial(self, link: _Link) -> None:
-        """Replace a connection on which nothing is echoed any more.
+    def _redial(self, link: _Link, reason: str, seconds: float) -> None:
+        """Replace a connection that may not carry anything any more.
 
         Without this, a connection that a middlebox has forgotten would swallow every
-        message for hours, while a new one would work.
+        message for hours, while a new one would work.  After a cut, TCP tries a
+        connection from before it again only every few seconds: a peer that has found
+        its way here would get no answers for as long.
         """
         self.counts.redials += 1
+        log.info(
+            "connection replaced",
+            extra={
+                "peer": link.address,
+                "reason": reason,
+                "after_ms": round(seconds * MS_PER_S),
+                "messages_waiting": link.queued,
+            },
+        )
         link.socket.close()
         link.socket = _dial(link.address)
         link.unechoed_since = 0.0
