Numbers in callers' headers must be finite and not negative

Cause: 'nan' or 'inf' as a time was taken and failed where it was used, so the channel ended without an answer; a negative number of tokens was reserved as it was and made room in the program's budget for more than it holds. Found by reading. Before: six of the new cases fail; after: 400 with a typed error.

--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,70 @@
+"""Headers of requests: what is read, what is refused, what a server is sent."""
+
+from __future__ import annotations
+
+import pytest
+
+from wisteriastair.http1.messages import Headers, Request
+from wisteriastair.platform.headers import (
+    BadHeader,
+    CallerRequest,
+    decode_request,
+    server_headers,
+)
+
+
+def request(**more: str) -> Request:
+    headers: Headers = [(b"Host", b"h:80"), (b"X-Request-Id", b"q")]
+    headers += [(k.replace("_", "-").encode(), v.encode()) for k, v in more.items()]
+    return Request("POST", "/turn/x", headers, b"", True, 0.0)
+
+
+def test_a_turn_says_what_it_needs() -> None:
+    asked = decode_request(
+        request(
+            X_Deadline_Ms="3000",
+            X_Token_Usage="1460,80",
+            X_Token_Budget="4640",
+            X_Prompt_Prefix="5c:800, 91:410",
+        )
+    )
+    assert isinstance(asked, CallerRequest)
+    assert (asked.host, asked.wait_s, asked.budget) == ("h", 3.0, 4640)
+    assert (asked.prompt_tokens, asked.output_tokens) == (1460, 80)
+    assert [(part.id, part.tokens) for part in asked.parts] == [("5c", 800), ("91", 410)]
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("X_Deadline_Ms", "nan"),
+        ("X_Deadline_Ms", "inf"),
+        ("X_Deadline_Ms", "-5"),
+        ("X_Finish_Ms", "soon"),
+        ("X_Token_Budget", "1e400"),
+        ("X_Token_Usage", "10,-200"),
+        ("X_Token_Usage", "many,1"),
+        ("X_Prompt_Prefix", "5c:-1"),
+        ("X_Prompt_Prefix", "5c"),
+    ],
+)
+def test_numbers_that_make_no_sense_are_refused(name: str, value: str) -> None:
+    """A caller sends a number that is none, endless or negative.
+
+    Taken as it is, "nan" ends the channel without an answer when it is used, and a
+    negative number of tokens makes room in the budget for more than it holds.
+    """
+    assert isinstance(decode_request(request(**{name: value})), BadHeader)
+
+
+def test_what_only_the_system_sets_is_not_taken_from_callers() -> None:
+    """A caller sends headers that would hold memory of an engine or go on from it."""
+    req = request(X_Hold="1", X_Pin_Ms="9", Kv_From="a/b", X_Other="kept")
+    headers = dict(
+        server_headers(req, left_s=1.5, server_id="s1", body_bytes=0, urgency=3)
+    )
+    assert headers[b"X-Other"] == b"kept"
+    assert headers[b"X-Deadline-Ms"] == b"1500"
+    assert headers[b"X-Expect-Instance"] == b"s1"
+    assert headers[b"X-Request-Priority"] == b"3"
+    assert not {b"X-Hold", b"X-Pin-Ms", b"Kv-From"} & headers.keys()
--- a/wisteriastair/platform/headers.py
+++ b/wisteriastair/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Final, NamedTuple
 
 from ..core.fleet import Load
@@ -118,22 +119,54 @@
 
 
 def _number(values: dict[bytes, str], name: bytes) -> float | None:
+    """Read a number that is finite and not negative.
+
+    A time of "nan" or "inf" would only fail where it is used, in the middle of a
+    request, and its channel would end without an answer.
+
+    Raises
+    ------
+    ValueError
+        If it is anything else.
+    """
     value = values.get(name)
-    return None if value is None else float(value)
+    if value is None:
+        return None
+    number = float(value)
+    if not math.isfinite(number) or number < 0:
+        raise ValueError(value)
+    return number
+
+
+def _count(value: str) -> int:
+    """Read a number of tokens.
+
+    A negative one would be reserved as it is, and make room in the program's budget for
+    tokens that the budget does not hold.
+
+    Raises
+    ------
+    ValueError
+        If it is no number, or negative.
+    """
+    count = int(value)
+    if count < 0:
+        raise ValueError(value)
+    return count
 
 
 def _usage(value: str) -> tuple[int, int]:
     if not value:
         return 0, 0
     prompt, _, output = value.partition(",")
-    return int(prompt), int(output or 0)
+    return _count(prompt), _count(output or "0")
 
 
 def _parts(value: str) -> tuple[PromptPart, ...]:
     if not value:
         return ()
     pairs = (part.strip().partition(":") for part in value.split(","))
-    return tuple(PromptPart(name, int(tokens)) for name, _, tokens in pairs)
+    return tuple(PromptPart(name, _count(tokens)) for name, _, tokens in pairs)
 
 
 def server_headers(
