wisteriastair trace tells a request's way out of log lines

Purpose: from an id to its cause needed several greps over several processes, and lines did not say which instance wrote them.

--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -31,7 +31,10 @@
     assert isinstance(asked, CallerRequest)
     assert (asked.host, asked.wait_s, asked.budget) == ("h", 3.0, 4640)
     assert (asked.prompt_tokens, asked.output_tokens) == (1460, 80)
-    assert [(part.id, part.tokens) for part in asked.parts] == [("5c", 800), ("91", 410)]
+    assert [(part.id, part.tokens) for part in asked.parts] == [
+        ("5c", 800),
+        ("91", 410),
+    ]
 
 
 @pytest.mark.parametrize(
--- a/wisteriastair/logs.py
+++ b/wisteriastair/logs.py
@@ -23,7 +23,17 @@
 
 
 class JsonFormatter(logging.Formatter):
-    """Formats a record as JSON with the fields that were given as ``extra``."""
+    """Formats a record as JSON with the fields that were given as ``extra``.
+
+    Parameters
+    ----------
+    instance : str
+        Name of the instance, for whoever reads lines of several; empty for none.
+    """
+
+    def __init__(self, instance: str = "") -> None:
+        super().__init__()
+        self._instance = instance
 
     def format(self, record: logging.LogRecord) -> str:
         """Format one record."""
@@ -33,6 +43,8 @@
             "logger": record.name,
             "text": record.getMessage(),
         }
+        if self._instance:
+            line["instance"] = self._instance
         for name, value in vars(record).items():
             if name not in STANDARD and value not in ("", None):
                 line[name] = value
@@ -71,9 +83,9 @@
     _install(handler, level)
 
 
-def set_up_daemon_logs(level: str) -> None:
+def set_up_daemon_logs(level: str, instance: str = "") -> None:
     """Send all logs to standard output as JSON lines, without ever blocking."""
-    _install(NeverBlockingHandler(sys.stdout.fileno()), level)
+    _install(NeverBlockingHandler(sys.stdout.fileno()), level, instance)
 
 
 def dropped_lines() -> int:
@@ -82,8 +94,8 @@
     return sum(h.dropped for h in handlers if isinstance(h, NeverBlockingHandler))
 
 
-def _install(handler: logging.Handler, level: str) -> None:
-    handler.setFormatter(JsonFormatter())
+def _install(handler: logging.Handler, level: str, instance: str = "") -> None:
+    handler.setFormatter(JsonFormatter(instance))
     root = logging.getLogger()
     root.handlers = [handler]
     root.setLevel(level.upper())
--- a/wisteriastair/main.py
+++ b/wisteriastair/main.py
@@ -20,6 +20,7 @@
 from .logs import set_up_logs
 from .nodes import EXIT_BAD_SETTING, keeper, relay
 from .operators.ctl import run_command
+from .operators.trace import run_trace
 from .options import (
     ENV_PREFIX,
     BadSetting,
@@ -261,12 +262,26 @@
     )
 
 
+def trace(wanted: str, *files: str) -> int:
+    """Tell the way of a request or a program out of log lines.
+
+    Parameters
+    ----------
+    wanted : str
+        Id of the request or the program.
+    files : str
+        Log files of as many processes as can be had; standard input if there is none.
+    """
+    return run_trace(wanted, files)
+
+
 COMMANDS: Final[dict[str, Callable[..., int]]] = {
     "entry": entry,
     "side": side,
     "relay": relay,
     "keeper": keeper,
     "ctl": ctl,
+    "trace": trace,
     "demo": demo,
     "faults": faults,
     "load": load,
--- a/wisteriastair/nodes.py
+++ b/wisteriastair/nodes.py
@@ -71,9 +71,10 @@
 def _start(
     settings: str, log_level: str, run: Callable[[NodeOptions], BadNodeSetting | None]
 ) -> int:
-    set_up_daemon_logs(log_level)
     gc.set_threshold(GC_THRESHOLD)
     cfg = load_settings(settings or os.environ.get(SETTINGS_VARIABLE, ""))
+    name = "" if isinstance(cfg, BadNodeSetting) else cfg.name
+    set_up_daemon_logs(log_level, name)
     bad = cfg if isinstance(cfg, BadNodeSetting) else run(cfg)
     if bad is None:
         return 0
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -85,7 +85,7 @@
 
     async def run(self) -> None:
         """Run until told to stop."""
-        log.info("relay started", extra={"instance": self._cfg.name})
+        log.info("relay started")
         transport: Transport[LedgerMessage] = Transport(
             f"{self._cfg.internal}#{uuid.uuid4().hex[:8]}",
             self._on_message,
@@ -105,7 +105,7 @@
             group.start_soon(self._watch_signals)
             await self._serve(group)
             group.cancel_scope.cancel()
-        log.info("relay stopped", extra={"instance": self._cfg.name})
+        log.info("relay stopped")
 
     async def _serve(self, group: TaskGroup) -> None:
         loop = asyncio.get_running_loop()
