Shared beginnings of prompts are led to some servers each

Cause: on the grown Ben Ammar 16 beginnings of 12,600 tokens are in use and an engine holds 240,000 tokens.

Where all beginnings fit, as on the first two sites, nothing changes.

--- /dev/null
+++ b/wisteriastair/core/affinity.py
@@ -0,0 +1,94 @@
+"""Which backend servers a prompt's shared beginning is led to.
+
+The load pattern: prompts begin with one of a dozen texts of some 12,600 tokens that
+many programs share.  If every server gets every beginning and they do not fit into an
+engine's memory together, each one read evicts another that the next request needs.  On
+a busy day with 16 beginnings and memory for 240,000 tokens, 44 of 100 tokens read were
+of beginnings that had been read before, and requests were preempted for lack of memory.
+
+A beginning is therefore led to some of the servers only, its homes: as many as let the
+beginnings at one server take a bounded share of its memory.  Where all of them fit,
+there are no homes and nothing is restricted.  Homes are worked out by rendezvous hash
+in each failure domain apart, so that relays agree without talking, a server that goes
+moves only its own beginnings, and none is led across domains for this.  A home is a
+preference that load outweighs, not a rule.
+"""
+
+from __future__ import annotations
+
+from functools import lru_cache
+from typing import Final, NamedTuple
+
+from .fleet import ServerState
+from .hashing import rank
+
+# A beginning that was not asked for in this time does not count, in seconds: several
+# times as long as a program pauses between two turns.
+WINDOW_S: Final = 10.0
+# Share of an engine's memory that beginnings may take.  The rest is for requests that
+# run and for what belongs to single programs, about half of it each.
+MEMORY_SHARE: Final = 0.35
+# The part of the servers that are homes is rounded to such steps, so that processes
+# that count a beginning more or less agree all the same.
+STEPS: Final = 20
+
+
+class Place(NamedTuple):
+    """A server and its failure domain."""
+
+    domain: str
+    server: str
+
+
+class _Seen(NamedTuple):
+    """When a beginning was last asked for, and its size."""
+
+    at: float
+    tokens: int
+
+
+class Beginnings:
+    """The shared beginnings that are in use at one service.
+
+    Parameters
+    ----------
+    memory_tokens : int
+        Tokens that fit into the memory of one engine; 0 if that is not known.
+    """
+
+    def __init__(self, memory_tokens: int) -> None:
+        self._memory_tokens = memory_tokens
+        self._seen: dict[str, _Seen] = {}
+        self._tokens = 0
+
+    def note(self, beginning: str, tokens: int, now: float) -> None:
+        """Note that a beginning is asked for."""
+        known = self._seen.pop(beginning, None)
+        self._tokens += tokens - (known.tokens if known else 0)
+        # The dictionary keeps the order: those not asked for longest come first.
+        self._seen[beginning] = _Seen(now, tokens)
+        while (first := next(iter(self._seen))) and (
+            now - self._seen[first].at > WINDOW_S
+        ):
+            self._tokens -= self._seen.pop(first).tokens
+
+    def homes(self, beginning: str, servers: list[ServerState]) -> frozenset[str]:
+        """Ids of the servers that a beginning is led to; empty for no restriction."""
+        room = MEMORY_SHARE * self._memory_tokens
+        if room <= 0 or self._tokens <= room:
+            return frozenset()
+        step = max(1, int(STEPS * room / self._tokens))
+        places = tuple(Place(s.server.domain, s.server.id) for s in servers)
+        return _homes(beginning, places, step)
+
+
+@lru_cache(maxsize=4096)
+def _homes(beginning: str, places: tuple[Place, ...], step: int) -> frozenset[str]:
+    by_domain: dict[str, list[str]] = {}
+    for place in places:
+        by_domain.setdefault(place.domain, []).append(place.server)
+    chosen: list[str] = []
+    for servers in by_domain.values():
+        count = max(1, round(len(servers) * step / STEPS))
+        chosen += rank(f"beginning {beginning}", servers)[:count]
+    return frozenset(chosen)
--- a/wisteriastair/core/choice.py
+++ b/wisteriastair/core/choice.py
@@ -3,8 +3,9 @@
 The load pattern: several relays choose at once for the same servers, each knowing its
 own requests and reports that are some answers old.  The cost of a server is the share
 of its places that are taken, plus what it lacks of the prompt, plus the way to another
-failure domain.  Costs that are nearly equal are decided by a draw, so that relays with
-the same reports do not all go to the same server.
+failure domain, plus a charge where the prompt's beginning is led to other servers.
+Costs that are nearly equal are decided by a draw, so that relays with the same reports
+do not all go to the same server.
 """
 
 from __future__ import annotations
@@ -26,6 +27,9 @@
 # Worth of having read a part of the prompt before, at most, and for its last part,
 # which belongs to the program's own line and grows with every turn.
 PARTS_KNOWN: Final = 0.35
+# A server that the prompt's beginning is not led to counts as fuller by this share of
+# its places: more than one own request at a server of eight places, less than two.
+NOT_A_HOME: Final = 0.5
 # Costs closer than this are decided by a draw.
 NEARLY_EQUAL: Final = 0.01
 # A server that is slower than the mean of its service counts as fuller by this times
@@ -49,6 +53,8 @@
         Size of the request.
     connected : frozenset of str
         Servers to which a channel is open and idle.
+    homes : frozenset of str
+        Servers that the prompt's beginning is led to; empty for no restriction.
     """
 
     domain: str
@@ -56,6 +62,7 @@
     tried: frozenset[str]
     kilobytes: float
     connected: frozenset[str]
+    homes: frozenset[str] = frozenset()
 
 
 def choose(
@@ -85,6 +92,8 @@
         cost += OTHER_DOMAIN + OTHER_DOMAIN_PER_KB * want.kilobytes
     if state.server.id not in want.connected:
         cost += CHANNEL_OPEN
+    if want.homes and state.server.id not in want.homes:
+        cost += NOT_A_HOME
     if want.parts:
         known = sum(part in state.parts for part in want.parts) / len(want.parts)
         cost += PARTS_KNOWN * (1 - known)
--- a/wisteriastair/relay/dispatch.py
+++ b/wisteriastair/relay/dispatch.py
@@ -13,11 +13,12 @@
 from contextlib import asynccontextmanager
 from typing import Final, NamedTuple
 
+from ..core.affinity import Beginnings
 from ..core.choice import Want, choose
 from ..core.fleet import Fleet, ServerState
 from ..http1.messages import Head, Headers, Request, write_head
 from ..http1.server import EndKind, Exchange, ServerChannel
-from ..platform.headers import reported_load, said_not_run
+from ..platform.headers import PromptPart, reported_load, said_not_run
 from .pool import Pool
 
 # A server that says that it is full is passed over for this time, in seconds.
@@ -65,6 +66,7 @@
         self.fleet = fleet
         self.pool = pool
         self._domain = domain
+        self._beginnings: dict[tuple[str, int], Beginnings] = {}
         self._draw = random.Random().randrange
 
     def pick(
@@ -72,18 +74,36 @@
         service: str,
         tried: frozenset[str],
         *,
-        parts: tuple[str, ...] = (),
+        parts: tuple[PromptPart, ...] = (),
+        memory_tokens: int = 0,
         body_bytes: int = 0,
     ) -> ServerState | None:
-        """Choose a server for a request."""
+        """Choose a server for a request.
+
+        Parameters
+        ----------
+        parts : tuple of PromptPart
+            Parts of the prompt; the last one is the request's or its program's own.
+        memory_tokens : int
+            Tokens that fit into an engine of the service; 0 if that is not known.
+        """
         now = asyncio.get_running_loop().time()
         servers = self.fleet.usable(service, now)
+        homes: frozenset[str] = frozenset()
+        if len(parts) > 1:
+            key = service, memory_tokens
+            beginnings = self._beginnings.get(key)
+            if beginnings is None:
+                beginnings = self._beginnings[key] = Beginnings(memory_tokens)
+            beginnings.note(parts[0].id, parts[0].tokens, now)
+            homes = beginnings.homes(parts[0].id, servers)
         want = Want(
             self._domain,
-            parts,
+            tuple(part.id for part in parts),
             tried,
             body_bytes / BYTES_PER_KB,
             self.pool.connected(),
+            homes,
         )
         return choose(servers, want, self._draw, now)
 
--- a/wisteriastair/relay/streams.py
+++ b/wisteriastair/relay/streams.py
@@ -154,7 +154,8 @@
             state = again or self._dispatcher.pick(
                 job.service,
                 frozenset(refused),
-                parts=tuple(part.id for part in job.asked.parts),
+                parts=job.asked.parts,
+                memory_tokens=job.engine.memory_tokens if job.engine else 0,
                 body_bytes=len(body),
             )
             again = None
