--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/installed
 
-.PHONY: demo test lint types unit binary faults load clean
+.PHONY: demo test lint types unit binary faults soak load clean
 
 demo: $(STAMP)
 	$(BIN)/wisteriastair demo
@@ -37,6 +37,9 @@
 faults: $(STAMP)
 	$(BIN)/wisteriastair faults --seed $(SEED) --programs $(N)
 
+soak: $(STAMP)
+	$(BIN)/python -m tests.soak.run --seed $(SEED) --count $(N)
+
 load: $(STAMP)
 	$(BIN)/wisteriastair load
 
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A fault soak: real processes, seeded faults, witnesses outside."""
