An outlet never holds two connections; what is dropped as out of date is logged

Found by reading: a connection that is made just as its time limit ends could be followed by a second one on the same object, whose loss would then count for both. Before: two dialling tasks were possible; after: one.

--- a/wisteriastair/core/affinity.py
+++ b/wisteriastair/core/affinity.py
@@ -65,12 +65,16 @@
         """Note that a beginning is asked for."""
         known = self._seen.pop(beginning, None)
         self._tokens += tokens - (known.tokens if known else 0)
-        # The dictionary keeps the order: those not asked for longest come first.
         self._seen[beginning] = _Seen(now, tokens)
-        while (first := next(iter(self._seen))) and (
-            now - self._seen[first].at > WINDOW_S
-        ):
-            self._tokens -= self._seen.pop(first).tokens
+        self._forget_before(now - WINDOW_S)
+
+    def _forget_before(self, oldest: float) -> None:
+        # The dictionary keeps the order: those not asked for longest come first.
+        for beginning, seen in list(self._seen.items()):
+            if seen.at >= oldest:
+                return
+            del self._seen[beginning]
+            self._tokens -= seen.tokens
 
     def homes(self, beginning: str, servers: list[ServerState]) -> frozenset[str]:
         """Ids of the servers that a beginning is led to; empty for no restriction."""
--- a/wisteriastair/peers/frames.py
+++ b/wisteriastair/peers/frames.py
@@ -126,11 +126,11 @@
         host, _, port = self._address.rpartition(":")
         loop = asyncio.get_running_loop()
         pause_s = RETRY_S
-        while True:
+        # Also true again if the connection is lost before this task has noticed it.
+        while self._transport is None:
             try:
                 with anyio.fail_after(CONNECT_S):
                     await loop.create_connection(lambda: self, host, int(port))
-                return
             except TimeoutError:
                 # Nobody answers: each attempt has waited long enough by itself.
                 continue
@@ -154,7 +154,7 @@
         """Connect again."""
         self._transport = None
         self._writable = False
-        if not self._closed:
+        if not self._closed and self._dialling.done():
             self._dialling = asyncio.get_running_loop().create_task(self._dial())
 
     def pause_writing(self) -> None:
--- a/wisteriastair/peers/transport.py
+++ b/wisteriastair/peers/transport.py
@@ -321,7 +321,7 @@
 
     def _flush_link(self, link: _Link, now: float) -> None:
         if link.queues and now - link.queued_since > STALE_S:
-            self.counts.dropped += link.clear()
+            self._drop_stale(link)
         while link.queues:
             target, messages = next(iter(link.queues.items()))
             number = link.number + 1
@@ -335,6 +335,14 @@
             link.unechoed_since = link.unechoed_since or now
             self.counts.messages_sent += len(messages)
 
+    def _drop_stale(self, link: _Link) -> None:
+        dropped = link.clear()
+        self.counts.dropped += dropped
+        log.info(
+            "messages out of date dropped",
+            extra={"peer": link.address, "messages": dropped},
+        )
+
     def _frame(
         self, link: _Link, target: str, number: int, messages: tuple[bytes, ...]
     ) -> Frame:
