--- /dev/null
+++ b/tests/platform/settings_file.py
@@ -0,0 +1,47 @@
+"""The platform's settings file, as tests write it for processes that they start."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+
+def write_settings(
+    path: Path,
+    *,
+    name: str,
+    ip: str,
+    zone: str,
+    internal_port: int,
+    store: str,
+    data_dir: Path,
+    seeds: tuple[str, ...] = (),
+    front: str = "",
+    ready: str = "",
+) -> Path:
+    """Write a settings file and return its path.
+
+    Parameters
+    ----------
+    seeds : tuple of str
+        ``IP:PORT`` of instances with a disk.
+    front, ready : str
+        Addresses that a relay listens on; empty for a keeper.
+    """
+    path.write_text(
+        f"""
+nodeName = "{name}"
+ip = "{ip}"
+zone = "{zone}"
+internalPorts = [{internal_port}, {internal_port}]
+seeds = {json.dumps(list(seeds))}
+bootstrap = true
+dataDir = "{data_dir}"
+listen = {{ front = "{front}", ready = "{ready}" }}
+limits = {{ memoryMb = 150 }}
+tolerate = {{ machines = 1 }}
+bounds = {{ drainMs = 2000, graceS = 8 }}
+platform = {{ address = "{store}" }}
+"""
+    )
+    return path
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -48,15 +48,17 @@
 async def kill_relay(world: World, draw: random.Random) -> None:
     """Kill a relay with all that is open on it."""
     name = draw.choice(RELAYS)
-    await world.end(name)
-    world.start(name)
+    async with world.relays:
+        await world.end(name)
+        world.start(name)
 
 
 async def stop_relay(world: World, draw: random.Random) -> None:
     """Stop a relay as planned; it ends by itself once it has nothing to do."""
     name = draw.choice(RELAYS)
-    await world.end(name, signal.SIGTERM)
-    world.start(name)
+    async with world.relays:
+        await world.end(name, signal.SIGTERM)
+        world.start(name)
 
 
 async def reload_all(world: World, draw: random.Random) -> None:
@@ -67,9 +69,10 @@
 
 async def kill_everything(world: World, draw: random.Random) -> None:
     """Kill all processes at the same moment; all disks stay."""
-    world.kill_all()
-    for name in (*KEEPERS, *RELAYS):
-        world.start(name)
+    async with world.relays:
+        world.kill_all()
+        for name in (*KEEPERS, *RELAYS):
+            world.start(name)
     await anyio.sleep(1.0)
 
 
