--- a/tests/core/test_ledger_model.py
+++ b/tests/core/test_ledger_model.py
@@ -84,6 +84,7 @@
     accepts: Callable[[int, int], bool] = lambda asked, known: asked == known
     counts: Callable[[World, int], bool] = lambda world, number: _written(world, number)
     keeps_view: bool = True
+    keeps_records: bool = True
 
 
 def member(index: int, disk: str) -> Member:
@@ -215,6 +216,9 @@
         changed = node._replace(view=world.views[0], copied=frozenset())
         after = put(world, index, changed)._replace(restarts=1)
         steps.append((f"{node.disk} restarts", after))
+    if not rules.keeps_records and world.restarts < 1 and node.holds:
+        after = put(world, index, node._replace(holds=False))._replace(restarts=1)
+        steps.append((f"{node.disk} restarts without its records", after))
     return steps
 
 
@@ -319,6 +323,7 @@
     "one synced copy counts": Rules(counts=counts_one),
     "the new list alone counts": Rules(counts=counts_new_only),
     "a restart forgets the view": Rules(keeps_view=False),
+    "a restart forgets its records": Rules(keeps_records=False),
 }
 
 
