A member that is gone for good leaves a list of 2t + 1 keepers or fewer

Cause: a silent member left the list only if more than 2t + 1 were there.

Change: the list to have is whoever is there and is not to be emptied; silent members and those to be emptied fill it up only where t + 1 would be missing. A change waits for the copies as before, so those that stay answer alone. A member that said that it stops, or after which a newcomer came, counts as lost after 2 s instead of 4 s: the successor's four seconds begin at its start.

Tests: four sequences at the keepers' cores, each failing before.

--- a/tests/core/test_keeper.py
+++ b/tests/core/test_keeper.py
@@ -149,6 +149,91 @@
         assert len(deployment.cores[name].ledger.accounts) == 20
 
 
+def test_a_lost_disk_beside_a_member_that_is_gone_for_good_ends_no_service() -> None:
+    """A caller's turns are refused for ever after a third machine is lost in turn.
+
+    One keeper is emptied and leaves; another is gone for good and an empty one comes at
+    another address; long after that has caught up, the oldest disk is lost.  If the
+    member that is gone stays in the list, the list is then three of whom two are lost,
+    and the newcomer holds everything but is no quorum.
+    """
+    deployment = Deployment(3)
+    deployment.pass_time(5)
+    for number in range(20):
+        deployment.write(f"p{number}")
+    for core in deployment.cores.values():
+        core.leaving = frozenset({"k2"})
+    deployment.pass_time(4)
+    deployment.down |= {"k2:1", "k1:1"}
+    deployment.pass_time(1)
+    successor = deployment.start("k9", "disk")
+    deployment.pass_time(4)
+    assert deployment.names() == ["k0", "k9"]
+    assert deployment.view.old == ()
+    assert len(successor.ledger.accounts) == 20
+    deployment.start("k0", "second")
+    deployment.pass_time(4)
+    assert deployment.write("after the loss") == 2
+    assert len(deployment.cores["k0:1"].ledger.accounts) == 21
+
+
+def test_one_that_is_gone_as_planned_leaves_the_list_with_its_successor_there() -> None:
+    """A machine is replaced as planned: the new one starts, then the old one stops.
+
+    Nothing comes after the old one's last heartbeat that could be its successor.  It
+    says that it stops, so it need not be waited for as long as one that may be back.
+    """
+    deployment = Deployment(2)
+    deployment.pass_time(5)
+    deployment.start("k9", "disk")
+    deployment.pass_time(1)
+    old = deployment.cores["k1:1"]
+    old.say_stopping(deployment.now)
+    deployment.deliver(old)
+    deployment.down.add("k1:1")
+    deployment.pass_time(3)
+    assert deployment.names() == ["k0", "k9"]
+    assert deployment.view.old == ()
+
+
+def test_a_member_to_be_emptied_stays_while_too_few_others_are_there() -> None:
+    """The operators empty one keeper of three while another falls silent.
+
+    Without the one that is to be emptied no write could count.  It stays until a
+    newcomer holds everything, and then leaves.
+    """
+    deployment = Deployment(3)
+    deployment.pass_time(5)
+    deployment.write("p")
+    deployment.down.add("k2:1")
+    for core in deployment.cores.values():
+        core.leaving = frozenset({"k1"})
+    deployment.pass_time(6)
+    assert deployment.names() == ["k0", "k1"]
+    assert deployment.view.old == ()
+    assert deployment.write("q") == 2
+    newcomer = deployment.start("k9", "disk")
+    newcomer.leaving = frozenset({"k1"})
+    deployment.pass_time(4)
+    assert deployment.names() == ["k0", "k9"]
+    assert len(newcomer.ledger.accounts) == 2
+
+
+def test_a_member_that_was_away_joins_again() -> None:
+    """A keeper is cut off for longer than the others wait, then comes back."""
+    deployment = Deployment(3)
+    deployment.pass_time(5)
+    deployment.down.add("k1:1")
+    deployment.pass_time(6)
+    assert deployment.names() == ["k0", "k2"]
+    deployment.write("while it was away")
+    deployment.down.clear()
+    deployment.pass_time(3)
+    assert deployment.names() == ["k0", "k1", "k2"]
+    assert deployment.view.old == ()
+    assert "while it was away" in deployment.cores["k1:1"].ledger.accounts
+
+
 def test_requests_under_an_older_view_are_refused_with_the_newer_one() -> None:
     deployment = Deployment(3)
     deployment.pass_time(5)
--- a/wisteriastair/core/keeper.py
+++ b/wisteriastair/core/keeper.py
@@ -28,12 +28,18 @@
 
 # Heartbeats between keepers, in seconds.
 PING_S: Final = 0.4
+NEVER: Final = -math.inf
 # A member that was heard from within this time counts as there.
 HEARD_S: Final = 1.5
 # A member silent for this long is taken as lost.  Longer than a restart or a short loss
-# of power, which bring the disk back; a successor still becomes a full replica within
-# five seconds of its start.
+# of power, which bring the disk back.
 SILENT_S: Final = 4.0
+# The same for a member that said that it stops, or after whose last heartbeat another
+# one came, which may be its successor: five heartbeats.  The place of a member that is
+# gone for good is then free three seconds after its end, before its successor counts
+# as caught up (four seconds after its start on the deployments with the least time).
+# One that comes back after all joins again, which costs a few calls to the store.
+SUCCEEDED_S: Final = 2.0
 # A request to copy is sent again after this time without an answer.
 COPY_AGAIN_S: Final = 0.4
 # Members propose in their order, this many seconds apart: longer than a write and its
@@ -105,7 +111,12 @@
         self._losses = losses
         self._most_turn_bytes = most_turn_bytes
         self._started = now
+        # By disk: last heartbeat, when it entered the list, when it was first heard of
+        # without being in the list, and who said that it stops.
         self._heard: dict[str, float] = {}
+        self._entered: dict[str, float] = {}
+        self._arrived: dict[str, float] = {}
+        self._stopped: set[str] = set()
         self._pinged_by: dict[str, float] = {}
         self._outbox: list[tuple[str, LedgerMessage]] = []
         self._entries: list[Entry] = []
@@ -117,6 +128,8 @@
         self._op = 0
         self._next_ping = now
         self._syncing = False
+        if me not in view.members:
+            self._arrived[me.disk] = now
         for entry in entries:
             self.ledger.merge(entry, now)
         self._plan_copy(now)
@@ -131,8 +144,8 @@
             case Spread(write, others, origin):
                 self._pass_on(write, others, origin or sender)
                 self._on_request(origin or sender, write, now)
-            case Ping(disk, view, revision):
-                self._heard[disk] = now
+            case Ping(disk, view, revision, stopping):
+                self._note_heartbeat(disk, stopping, now)
                 self._pinged_by[sender.partition("#")[0]] = now
                 self.adopt(view, now, revision)
             case Copy():
@@ -143,6 +156,15 @@
                 # Answers to relays, and what the shell answers itself.
                 pass
 
+    def _note_heartbeat(self, disk: str, stopping: bool, now: float) -> None:
+        self._heard[disk] = now
+        if stopping:
+            self._stopped.add(disk)
+        else:
+            self._stopped.discard(disk)
+        if disk not in _disks(self.view):
+            self._arrived.setdefault(disk, now)
+
     def _pass_on(self, write: Write, others: list[str], origin: str) -> None:
         """Pass a write on, whatever becomes of it here: each replica judges itself."""
         for address in others:
@@ -290,6 +312,8 @@
             return False
         self._next_ping = now
         renumbered = view.number > self.view.number
+        for disk in _disks(view) - _disks(self.view):
+            self._entered[disk] = now
         self.view = view
         self._view_dirty = True
         if renumbered:
@@ -298,17 +322,31 @@
 
     def wishes(self, now: float) -> Wishes:
         """Tell what this member knows when it considers a change of the view."""
-        heard = {d for d, at in self._heard.items() if now - at <= HEARD_S}
-        silent = {
-            member.disk
-            for member in (*self.view.members, *self.view.old)
-            if now - self._heard.get(member.disk, self._started) > SILENT_S
-            and member.disk != self.me.disk
-        }
+        heard = {disk for disk in self._heard if self._is_heard(disk, now)}
+        silent = {disk for disk in _disks(self.view) if self._is_silent(disk, now)}
         return Wishes(
             self.me, frozenset(heard | {self.me.disk}), frozenset(silent), self.leaving
         )
 
+    def _is_heard(self, disk: str, now: float) -> bool:
+        return disk == self.me.disk or now - self._heard.get(disk, NEVER) <= HEARD_S
+
+    def _is_silent(self, disk: str, now: float) -> bool:
+        if disk == self.me.disk:
+            return False
+        # One that another member has just taken into the list is given time to be
+        # heard here: else two that disagree would change the list in turns.
+        last = self._heard.get(disk, self._started)
+        since = max(last, self._entered.get(disk, self._started))
+        gone = disk in self._stopped or self._has_successor(since, now)
+        return now - since > (SUCCEEDED_S if gone else SILENT_S)
+
+    def _has_successor(self, since: float, now: float) -> bool:
+        return any(
+            at > since and self._is_heard(disk, now)
+            for disk, at in self._arrived.items()
+        )
+
     def has_copied(self) -> bool:
         """Whether all that the present change needs of this member is durable here."""
         if not self.view.old or self.me not in self.view.members:
@@ -328,11 +366,10 @@
         All members see the same need at the same moment; if all wrote at once, all but
         one would have paid for a call that is refused.
         """
-        heard = [d for d, at in self._heard.items() if now - at <= HEARD_S]
         before = [
             member
             for member in self.view.members
-            if member.disk in heard and member < self.me
+            if member < self.me and self._is_heard(member.disk, now)
         ]
         return TURN_S * len(before)
 
@@ -387,12 +424,23 @@
         """Send heartbeats, and ask again where an answer is missing."""
         if now >= self._next_ping:
             self._next_ping = now + PING_S
-            ping = Ping(self.me.disk, self.view, self.view_revision)
-            addresses = {m.address for m in (*self.view.members, *self.view.old)}
-            # A newcomer is in no view yet, but must hear the members to propose itself.
-            addresses |= {a for a, at in self._pinged_by.items() if now - at <= HEARD_S}
-            for address in sorted(addresses - {self.me.address}):
-                self._outbox.append((address, ping))
+            self._ping(now)
         for source in list(self._sources.values()):
             if not source.done and now - source.asked_at > COPY_AGAIN_S:
                 self._ask(source, now)
+
+    def say_stopping(self, now: float) -> None:
+        """Tell the others that this process stops; it may come back or not."""
+        self._ping(now, stopping=True)
+
+    def _ping(self, now: float, *, stopping: bool = False) -> None:
+        ping = Ping(self.me.disk, self.view, self.view_revision, stopping)
+        addresses = {m.address for m in (*self.view.members, *self.view.old)}
+        # A newcomer is in no view yet, but must hear the members to propose itself.
+        addresses |= {a for a, at in self._pinged_by.items() if now - at <= HEARD_S}
+        for address in sorted(addresses - {self.me.address}):
+            self._outbox.append((address, ping))
+
+
+def _disks(view: View) -> set[str]:
+    return {member.disk for member in (*view.members, *view.old)}
--- a/wisteriastair/core/ledgerwire.py
+++ b/wisteriastair/core/ledgerwire.py
@@ -108,11 +108,14 @@
         The sender's view.
     revision : int
         Revision of the store at which it was written, for the next proposal.
+    stopping : bool
+        The sender was told to stop; this is its last heartbeat.
     """
 
     disk: str
     view: View
     revision: int
+    stopping: bool = False
 
 
 class Copy(msgspec.Struct, frozen=True, array_like=True, tag=4):
--- a/wisteriastair/core/membership.py
+++ b/wisteriastair/core/membership.py
@@ -190,27 +190,30 @@
 
 
 def _wanted(view: View, wishes: Wishes, losses: int) -> tuple[Member, ...]:
-    members = [m for m in view.members if m.name != wishes.me.name]
-    was_here = wishes.me in view.members
-    if wishes.me.name not in wishes.leaving or was_here:
-        members.append(wishes.me)
-    members = _without_leaving(members, wishes, losses)
-    full = 2 * losses + 1
-    for member in list(members):
-        if member.disk in wishes.silent and len(members) > full:
-            members.remove(member)
-    return tuple(sorted(members))
-
-
-def _without_leaving(
-    members: list[Member], wishes: Wishes, losses: int
-) -> list[Member]:
-    """Leave out who is to be emptied, as long as writes can still count."""
-    kept = list(members)
-    for member in members:
-        if member.name in wishes.leaving and len(kept) > losses + 1:
-            kept.remove(member)
-    return kept
+    """Work out the list to have: whoever is there and is not to be emptied.
+
+    The failure: a member that is gone for good stays in a list of 2t + 1 or fewer, and
+    the next lost disk leaves the list without a quorum for ever; every turn is refused.
+    So a silent member is left out whatever the size of the list.  Those that stay copy
+    before the change ends, and answer alone from then on, so that one of them is enough
+    to read all that ever counted.
+
+    Writes need t + 1 members.  Where fewer are there and stay, those that are to be
+    emptied but still live fill up the list, and then the silent ones.
+    """
+    known = {m.name: m for m in (*view.old, *view.members)}
+    listed = {m.name for m in view.members}
+    if wishes.me.name not in wishes.leaving or wishes.me in known.values():
+        known[wishes.me.name] = wishes.me
+        listed.add(wishes.me.name)
+    there = [m for m in known.values() if m.disk not in wishes.silent]
+    wanted = [m for m in there if m.name in listed and m.name not in wishes.leaving]
+    leaving = [m for m in there if m.name in wishes.leaving]
+    silent = [m for m in view.members if m.disk in wishes.silent]
+    # Those in the list come first, so that members agree on who fills it up.
+    fill = sorted(leaving, key=lambda m: (m.name not in listed, m)) + sorted(silent)
+    missing = losses + 1 - len(wanted)
+    return tuple(sorted((*wanted, *fill[: max(0, missing)])))
 
 
 def _hears_most(view: View, wishes: Wishes) -> bool:
--- a/wisteriastair/keeper/daemon.py
+++ b/wisteriastair/keeper/daemon.py
@@ -51,6 +51,9 @@
 from .storage import Storage
 
 TICK_S: Final = 0.1
+# Time for the last heartbeat to leave before the connections close, in seconds:
+# several times the way to another failure domain.
+LAST_WORD_S: Final = 0.03
 # Share of the process's memory that kept turns may take.
 TURN_SHARE: Final = 0.4
 # Pause before another proposal after one that did not take effect, in seconds.
@@ -119,6 +122,7 @@
             self._start(group)
             await serve_metrics(self._cfg.address, self._metrics.registry, group)
             await self._stop.wait()
+            await self._say_stopping()
             group.cancel_scope.cancel()
         self._log.close()
         log.info("keeper stopped", extra={"disk": me.disk})
@@ -145,6 +149,11 @@
                 log.info("stopping")
                 self._stop.set()
 
+    async def _say_stopping(self) -> None:
+        self._core.say_stopping(time.monotonic())
+        self._send()
+        await anyio.sleep(LAST_WORD_S)
+
     # Messages and batches
 
     def _on_message(self, sender: str, message: LedgerMessage) -> None:
