--- a/tests/relay/test_ledger.py
+++ b/tests/relay/test_ledger.py
@@ -58,7 +58,7 @@
             assert await client.settle(old, 10, (turn,), soon())
             new = wish(f"new{number}", f"b{number}", on=f"t{number}")
             granted = await client.reserve(new, soon())
-            assert granted == Granted((turn,), old.program, begins=True)
+            assert granted == Granted((turn,), old.program)
             more = Turn(f"u{number}", f"t{number}", b"more\n")
             assert await client.settle(new, 10, (turn, more), soon())
             for core in keepers.cores.values():
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -425,36 +425,3 @@
         assert (await at.ask("unsafe", "a", X_Deadline_Ms="200")).status == 504
 
     play([ScriptedServer("s1", silent)], story)
-
-
-def test_a_new_program_waits_for_room_and_one_under_way_does_not() -> None:
-    """The engine reports forty running turns of 5,000 tokens, twice its memory.
-
-    A caller with a program under way is served at once: its turns free memory.  One
-    that begins waits until the engine reports room, and is then served at once too.
-    """
-    load = "40,0,48"
-
-    async def reports(exchange: Exchange) -> None:
-        more = f"X-Server-Load: {load}\n"
-        await exchange.answer("id: 1\ndata: one\n\n", more=more)
-
-    server = ScriptedServer("s1", reports)
-    usage = {"X_Token_Usage": "5000,200", "X_Token_Budget": "9000"}
-
-    async def story(at: Stand) -> None:
-        nonlocal load
-        began = asyncio.get_running_loop().time()
-        for turn in ("a1", "a2", "a3"):
-            reply = await at.ask("turn", turn, X_Program_Id="a", **usage)
-            assert reply.status == 200
-        assert asyncio.get_running_loop().time() - began < 0.3
-        waiting = asyncio.ensure_future(at.ask("turn", "b1", X_Program_Id="b", **usage))
-        await asyncio.sleep(0.3)
-        assert not waiting.done() and len(server.got) == 3
-        load = "4,0,48"
-        await at.ask("turn", "a4", X_Program_Id="a", **usage)
-        assert (await waiting).status == 200
-        assert asyncio.get_running_loop().time() - began < 0.6
-
-    play([server], story)
--- a/wisteriastair/core/choice.py
+++ b/wisteriastair/core/choice.py
@@ -26,8 +26,8 @@
 # A server to which a channel is open is worth this share of its places: opening one
 # takes a round trip, and the server's time.  Less than one own request at a server of
 # 48 places: at 0.5 a busy server's turns went to wherever a channel was idle, away from
-# what had read their prompts (a burst on five relays, means of four seeds: 0.992 of the
-# programs' worth instead of 0.998).
+# what had read their prompts (a burst on five relays, means of four seeds, all else
+# alike: 0.992 of the programs' worth at 0.5, 0.999 at this).
 CHANNEL_OPEN: Final = 0.06
 # A server that has to read the whole prompt counts as fuller by this share of its
 # places.  Reading it stops the decoding of all that runs there: 5,000 tokens take as
--- a/wisteriastair/core/fleet.py
+++ b/wisteriastair/core/fleet.py
@@ -121,10 +121,6 @@
         reported = self._load.running + self._load.waiting
         return own + OTHERS_WEIGHT * max(0, reported - self._open_at_report)
 
-    def running(self, now: float) -> int | None:
-        """Return the running requests that were reported; None if that was long ago."""
-        return self._load.running if now - self._load_at <= LOAD_AGE_S else None
-
     def vanished_within(self, seconds: float, now: float) -> bool:
         """Whether the entry vanished at most so many seconds ago."""
         return self.vanished_at is not None and now - self.vanished_at <= seconds
--- a/wisteriastair/nodemetrics.py
+++ b/wisteriastair/nodemetrics.py
@@ -61,13 +61,6 @@
             buckets=LEDGER_BUCKETS,
             registry=self.registry,
         )
-        self.held = Histogram(
-            "wisteriastair_held_seconds",
-            "Seconds for which first turns of programs waited for room at the engines",
-            ["service"],
-            buckets=LATENCY_BUCKETS,
-            registry=self.registry,
-        )
         self.gauges = {
             name: Gauge(f"wisteriastair_{name}", text, registry=self.registry)
             for name, text in (
--- a/wisteriastair/relay/dispatch.py
+++ b/wisteriastair/relay/dispatch.py
@@ -16,7 +16,6 @@
 from ..core.affinity import Beginnings
 from ..core.choice import Want, choose
 from ..core.fleet import Fleet, ServerState
-from ..core.intake import Intake
 from ..core.reuse import PromptPart, agreed_server
 from ..http1.messages import Head, Headers, Request, write_head
 from ..http1.server import EndKind, Exchange, ServerChannel
@@ -69,7 +68,6 @@
         self.pool = pool
         self._domain = domain
         self._beginnings: dict[tuple[str, int], Beginnings] = {}
-        self._intakes: dict[str, Intake] = {}
         self._draw = random.Random().randrange
 
     def pick(
@@ -111,22 +109,6 @@
         )
         return choose(servers, want, self._draw, now)
 
-    def has_room(self, service: str, memory_tokens: int) -> bool:
-        """Whether a new program may begin at a service."""
-        now = asyncio.get_running_loop().time()
-        servers = self.fleet.usable(service, now)
-        return self._intake(service).has_room(servers, memory_tokens, now)
-
-    def note_prompt(self, service: str, tokens: int) -> None:
-        """Note the size of a prompt on its way to a service."""
-        self._intake(service).note(tokens)
-
-    def _intake(self, service: str) -> Intake:
-        intake = self._intakes.get(service)
-        if intake is None:
-            intake = self._intakes[service] = Intake()
-        return intake
-
     @asynccontextmanager
     async def send(
         self,
--- a/wisteriastair/relay/handler.py
+++ b/wisteriastair/relay/handler.py
@@ -113,8 +113,6 @@
         metrics.took.labels(job.service).observe(job.age_s())
         if job.first_s:
             metrics.first.labels(job.service).observe(job.first_s)
-        if job.held_s:
-            metrics.held.labels(job.service).observe(job.held_s)
         if job.ledger_s:
             metrics.ledger.observe(job.ledger_s)
 
--- a/wisteriastair/relay/job.py
+++ b/wisteriastair/relay/job.py
@@ -29,8 +29,6 @@
     until : float
         When the answer must be complete, on the loop's clock: the caller's patience or
         the route's limit, whichever ends first.
-    held_s : float
-        Seconds for which a new program waited for room at the engines.
     status : int
         What the caller was answered; 0 for a channel that ended without an answer.
     reason : str
@@ -64,7 +62,6 @@
         self.events = 0
         self.sent = False
         self.ledger_s = 0.0
-        self.held_s = 0.0
         self.first_s = 0.0
         self._config = table.version
         wait_s = WAIT_S if asked.wait_s is None else asked.wait_s
@@ -100,7 +97,6 @@
                 "sent": self.sent,
                 "events": self.events,
                 "ledger_ms": round(self.ledger_s * 1000, 1),
-                "held_ms": round(self.held_s * 1000, 1),
                 "first_ms": round(self.first_s * 1000, 1),
                 "took_ms": round(self.age_s() * 1000, 1),
                 "left_ms": round(self.left_s() * 1000),
--- a/wisteriastair/relay/ledger.py
+++ b/wisteriastair/relay/ledger.py
@@ -198,7 +198,7 @@
         ):
             self.settle_later(wish, 0)
             return Spent(sum(a.tokens for a in attempts.values()) - wish.tokens)
-        return granted._replace(begins=len(attempts) == 1)
+        return granted
 
     async def _whole_chain(
         self, wish: Reservation, found: Granted | None, until: float
--- a/wisteriastair/relay/questions.py
+++ b/wisteriastair/relay/questions.py
@@ -30,13 +30,10 @@
     home : str
         Program that the chain belongs to; another one than the turn's if any of it
         does.
-    begins : bool
-        Whether this is the first attempt of its program.
     """
 
     chain: tuple[Turn, ...]
     home: str
-    begins: bool = False
 
 
 class Question(ABC):
--- a/wisteriastair/relay/streams.py
+++ b/wisteriastair/relay/streams.py
@@ -13,7 +13,6 @@
 import anyio
 
 from ..core.fleet import ServerState
-from ..core.intake import LOOK_AGAIN_S, longest_wait_s
 from ..core.ledger import Turn
 from ..errors import Code, Failure
 from ..http1.messages import Head
@@ -92,7 +91,6 @@
         failure = await self._reserve(turn)
         if failure is not None:
             return failure
-        await self._await_room(turn)
         return await self._serve(turn)
 
     # Ledger
@@ -109,8 +107,7 @@
         outcome = await self._ledger.reserve(wish, until)
         job.ledger_s = job.age_s()
         match outcome:
-            case Granted(chain, home, begins):
-                turn.begins = begins
+            case Granted(chain, home):
                 turn.before = cached or b"".join(one.said for one in chain)
                 turn.chain = () if home == wish.program else chain
                 return None
@@ -147,22 +144,6 @@
 
     # Servers
 
-    async def _await_room(self, turn: _TurnRun) -> None:
-        """Let the first turn of a program wait until the engines have memory."""
-        job = turn.job
-        if job.engine is None or job.asked.prompt_tokens <= 0:
-            return
-        self._dispatcher.note_prompt(job.service, job.asked.prompt_tokens)
-        if not turn.begins:
-            return
-        began = job.now()
-        until = began + longest_wait_s(job.left_s())
-        while job.now() < until:
-            if self._dispatcher.has_room(job.service, job.engine.memory_tokens):
-                break
-            await anyio.sleep(LOOK_AGAIN_S)
-        job.held_s = job.now() - began
-
     async def _serve(self, turn: _TurnRun) -> Failure | None:
         job = turn.job
         refused: set[str] = set()
@@ -288,7 +269,6 @@
         # Turns that are to be written with this one: the chain may be an earlier
         # program's, whose account expires on its own.
         self.chain: tuple[Turn, ...] = ()
-        self.begins = False
         self.begun = False
         self.reserved = False
         self.settled = False
