--- a/tests/core/test_keeper.py
+++ b/tests/core/test_keeper.py
@@ -76,6 +76,15 @@
         return [member.name for member in self.view.members]
 
 
+def with_programs(count: int) -> Deployment:
+    """Start three keepers and write a record of some programs to each."""
+    deployment = Deployment(3)
+    deployment.pass_time(5)
+    for number in range(count):
+        deployment.write(f"p{number}")
+    return deployment
+
+
 def test_the_first_start_ends_with_all_members_and_no_change_under_way() -> None:
     deployment = Deployment(3)
     deployment.pass_time(5)
@@ -107,10 +116,7 @@
     Within five seconds of its start the successor is a full replica and the lost member
     is dropped; otherwise a second loss would leave slots without a read quorum.
     """
-    deployment = Deployment(3)
-    deployment.pass_time(5)
-    for number in range(20):
-        deployment.write(f"p{number}")
+    deployment = with_programs(20)
     deployment.down.add("k0:1")
     deployment.pass_time(1)
     successor = deployment.start("k9", "disk")
@@ -136,10 +142,7 @@
 
 
 def test_an_emptied_instance_leaves_and_nothing_is_missing() -> None:
-    deployment = Deployment(3)
-    deployment.pass_time(5)
-    for number in range(20):
-        deployment.write(f"p{number}")
+    deployment = with_programs(20)
     for core in deployment.cores.values():
         core.leaving = frozenset({"k2"})
     deployment.pass_time(4)
@@ -157,10 +160,7 @@
     member that is gone stays in the list, the list is then three of whom two are lost,
     and the newcomer holds everything but is no quorum.
     """
-    deployment = Deployment(3)
-    deployment.pass_time(5)
-    for number in range(20):
-        deployment.write(f"p{number}")
+    deployment = with_programs(20)
     for core in deployment.cores.values():
         core.leaving = frozenset({"k2"})
     deployment.pass_time(4)
