A relay that stops says when it takes its last request

Cause: a relay that was told to stop answered new requests as ever until 0.7 s before the kill, and broke off what was then under way. The platform goes on using relays that report themselves not ready while most of a failure domain are, so new callers keep coming, and its wait for a moment without any channel never ended.

Ruled out: slow requests (none that was broken off was older than 0.97 s), channels that are kept open (requests were under way on them), readiness (it fails at once).

Change: core/stopping works out the last call, as late as whatever is taken can still use all of its time, and not before the platform can have noticed. Later requests are refused, 503 with the reason 'stopping', unseen by any server and with an early return; the process ends once what it took has ended and settlements that nobody waits for are durable. Request lines say how long after the signal a request came, 'last call' and the gauge stop_stage tell the stage, and refusals are counted.

--- a/tests/relay/test_ledger.py
+++ b/tests/relay/test_ledger.py
@@ -321,3 +321,21 @@
         assert isinstance(await client.reserve(wish("q", "c"), soon()), Granted)
 
     play(keepers, story)
+
+
+def test_settlements_that_nobody_waits_for_are_counted_until_they_are_durable() -> None:
+    """A relay that stops must not end before them: their tokens would stay taken."""
+    keepers = Keepers(3)
+
+    async def story() -> None:
+        client = keepers.client
+        assert isinstance(await client.reserve(wish("p", "a"), soon()), Granted)
+        keepers.cut = set(keepers.cores)
+        client.settle_later(wish("p", "a"), 10)
+        await anyio.sleep(0.2)
+        assert client.unsettled == 1
+        keepers.cut = set()
+        while client.unsettled:
+            await anyio.sleep(0.05)
+
+    play(keepers, story)
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -425,3 +425,18 @@
         assert (await at.ask("unsafe", "a", X_Deadline_Ms="200")).status == 504
 
     play([ScriptedServer("s1", silent)], story)
+
+
+def test_after_the_last_call_requests_are_sent_elsewhere_unseen_by_servers() -> None:
+    server = ScriptedServer("s1", good)
+
+    async def story(at: Stand) -> None:
+        at.handler.last_call = True
+        for name in ("safe", "unsafe", "talk"):
+            reply = await at.ask(name)
+            assert reply.status == 503
+            assert b'"ran":"no"' in reply.body and b'"stopping"' in reply.body
+            assert "Retry-After: 0.050" in reply.head
+        assert not server.got
+
+    play([server], story)
--- a/wisteriastair/core/routes.py
+++ b/wisteriastair/core/routes.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from .hashing import hash_word
 
 HASH_RANGE = 2.0**64
+# For a caller that does not say how long it waits, on a route without a limit; seconds.
+WAIT_S: Final = 30.0
 
 
 class RequestKind(Enum):
@@ -137,6 +139,11 @@
     ----------
     version : int
         Grows with each change; a lower one never replaces a higher one.
+
+    Attributes
+    ----------
+    longest_s : float
+        The longest time that any route gives a request, in seconds.
     """
 
     def __init__(
@@ -153,6 +160,7 @@
         self._by_host: dict[str, dict[str, Route]] = {}
         for route in routes:
             self._by_host.setdefault(route.host, {})[route.prefix] = route
+        self.longest_s = max((r.timeout_s or WAIT_S for r in routes), default=WAIT_S)
 
     def find(self, host: str, path: str) -> Route | None:
         """Find the route of a request.
--- a/wisteriastair/nodemetrics.py
+++ b/wisteriastair/nodemetrics.py
@@ -67,6 +67,7 @@
                 ("config_version", "Configuration in force"),
                 ("view_number", "View of the ledger's members"),
                 ("ready", "1 if callers are wanted here"),
+                ("stop_stage", "0 serving, 1 told to stop, 2 takes nothing more"),
                 ("ledger_reachable", "1 if reservations can be expected to succeed"),
                 ("servers_known", "Backend servers known"),
                 ("caller_channels", "Open channels of callers"),
--- a/wisteriastair/relay/handler.py
+++ b/wisteriastair/relay/handler.py
@@ -8,8 +8,10 @@
 
 import logging
 from collections.abc import Callable
+from typing import Final
 
 from ..core.routes import CallerLimits, RequestKind, RouteTable
+from ..core.stopping import Stop
 from ..errors import Code, Failure
 from ..http1.caller import CallerChannel, Handler
 from ..http1.messages import BadRequest, Request
@@ -21,6 +23,10 @@
 from .plain import COME_BACK_S, run_plain
 from .streams import StreamRelay
 
+# When to come back to another process if this one is stopping, in seconds: at once,
+# but for a pause that keeps a caller from spinning where all of them are.
+ELSEWHERE_S: Final = 0.05
+
 log = logging.getLogger(__name__)
 
 
@@ -37,6 +43,13 @@
         Whether callers are wanted here.
     metrics : RelayMetrics
         Counts what becomes of requests.
+
+    Attributes
+    ----------
+    stop : Stop or None
+        The planned stop under way.
+    under_way : int
+        Requests that were taken and have not ended.
     """
 
     def __init__(
@@ -49,7 +62,10 @@
         self.table: RouteTable | None = None
         # Whether the configuration is known to be the newest one.
         self.certain = True
-        self.stopping = False
+        self.stop: Stop | None = None
+        # Whether requests that come now are refused, since the process is about to end.
+        self.last_call = False
+        self.under_way = 0
         self._dispatcher = dispatcher
         self._streams = streams
         self._is_ready = is_ready
@@ -62,7 +78,7 @@
         meet refusals here for as long as they keep it; on a new channel the platform
         leads them elsewhere.
         """
-        return self.stopping or not self._is_ready()
+        return self.stop is not None or not self._is_ready()
 
     def limits(self) -> CallerLimits:
         """Limits in force."""
@@ -96,13 +112,22 @@
             detail = f"no route for {asked.host}{req.path} in version {table.version}"
             self._deny(channel, asked.id, Failure(Code.UNKNOWN_ROUTE, detail))
             return
-        job = Job(req, asked, route, table, channel)
+        if self.last_call:
+            # Taken now it would be cut by the end of the process, with its server at
+            # work.  Nothing has been sent anywhere, so another relay can run it.
+            detail = "this process is stopping"
+            failure = Failure(Code.STOPPING, detail, "no", ELSEWHERE_S)
+            self._deny(channel, asked.id, failure)
+            return
+        job = Job(req, asked, route, table, channel, self.stop)
+        self.under_way += 1
         try:
             if route.kind is RequestKind.STREAM:
                 await self._streams.run(job)
             else:
                 await run_plain(job, self._dispatcher)
         finally:
+            self.under_way -= 1
             job.log()
             self._count(job)
 
@@ -118,6 +143,7 @@
 
     def _deny(self, channel: CallerChannel, request_id: str, failure: Failure) -> None:
         status = fail(channel, request_id, failure)
+        self._metrics.requests.labels("", status, failure.code.value).inc()
         log.info(
             "request refused",
             extra={
--- a/wisteriastair/relay/job.py
+++ b/wisteriastair/relay/job.py
@@ -7,17 +7,14 @@
 
 import asyncio
 import logging
-from typing import Final
 
-from ..core.routes import Route, RouteTable
+from ..core.routes import WAIT_S, Route, RouteTable
+from ..core.stopping import Stop
 from ..errors import Failure
 from ..http1.caller import CallerChannel
 from ..http1.messages import Request
 from ..platform.headers import CallerRequest
 
-# For a caller that does not say how long it waits, on a route without a limit; seconds.
-WAIT_S: Final = 30.0
-
 log = logging.getLogger(__name__)
 
 
@@ -35,6 +32,11 @@
         Why it did not go well; empty if it did.
     failure : Failure or None
         What the system itself answered.
+
+    Parameters
+    ----------
+    stop : Stop or None
+        The planned stop that was under way when the request was taken.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         route: Route,
         table: RouteTable,
         channel: CallerChannel,
+        stop: Stop | None,
     ) -> None:
         self.req = req
         self.asked = asked
@@ -64,6 +67,7 @@
         self.ledger_s = 0.0
         self.first_s = 0.0
         self._config = table.version
+        self._stop = stop
         wait_s = WAIT_S if asked.wait_s is None else asked.wait_s
         if route.timeout_s > 0:
             wait_s = min(wait_s, route.timeout_s)
@@ -83,9 +87,14 @@
 
     def log(self) -> None:
         """Write the line that explains the request."""
+        stopping = {}
+        if self._stop is not None:
+            taken_s = self.req.received_at - self._stop.began
+            stopping["stopping_ms"] = round(taken_s * 1000)
         log.info(
             "request ended" if self.status else "request broken off",
             extra={
+                **stopping,
                 "request": self.asked.id,
                 "program": self.asked.program,
                 "route": self.route.name,
--- a/wisteriastair/relay/ledger.py
+++ b/wisteriastair/relay/ledger.py
@@ -124,6 +124,8 @@
     def __init__(self, domain: str, losses: int) -> None:
         self.view = View()
         self.resent = 0
+        # Settlements that nobody waits for and that are not durable yet.
+        self.unsettled = 0
         self._reach = Reach()
         self._usual_s = 0.0
         self._suspects: dict[str, float] = {}
@@ -237,11 +239,16 @@
 
     def settle_later(self, wish: Reservation, tokens: int) -> None:
         """Settle a reservation that nobody waits for."""
+        self.unsettled += 1
         self._group.start_soon(self._settle_unwatched, wish, tokens)
 
     async def _settle_unwatched(self, wish: Reservation, tokens: int) -> None:
         until = asyncio.get_running_loop().time() + SETTLE_S
-        if not await self.settle(wish, tokens, (), until):
+        try:
+            settled = await self.settle(wish, tokens, (), until)
+        finally:
+            self.unsettled -= 1
+        if not settled:
             log.warning(
                 "a reservation stays unsettled",
                 extra={"program": wish.program, "request": wish.attempt},
