Metrics no longer import the daemons that import them

The collectors took whole shells, so the two packages formed a circle. They now take what they read: the core, the counts of the connections and, for a side process, a function that tells its busy seconds.

--- a/wisteriastair/daemons/entry.py
+++ b/wisteriastair/daemons/entry.py
@@ -111,7 +111,10 @@
         cfg = self._cfg
         callers = CallerApi(self, split_pairs(cfg.caller_tokens), cfg.max_body)
         operators = OperatorApi(self, split_pairs(cfg.operator_tokens))
-        own = [Route("/healthz", self._health), entry_metrics_route(self)]
+        own = [
+            Route("/healthz", self._health),
+            entry_metrics_route(self.core, self.transport.counts),
+        ]
         return Starlette(routes=[*callers.routes(), *operators.routes(), *own])
 
     async def _health(self, http: Request) -> Response:
--- a/wisteriastair/daemons/side.py
+++ b/wisteriastair/daemons/side.py
@@ -114,7 +114,8 @@
             log.info("side process started", extra={"member": self.member})
             # The server ends by itself once the stop is set.  Cancelling it in its own
             # shutdown makes it raise, and a planned stop would look like a crash.
-            app = make_side_app(self)
+            counts = self.transport.counts
+            app = make_side_app(self.member, self.core, counts, lambda: self.busy_s)
             await serve_http(app, self._cfg.common.http, self._stop)
             group.cancel_scope.cancel()
         log.info("side process stopped", extra={"member": self.member})
--- a/wisteriastair/metrics.py
+++ b/wisteriastair/metrics.py
@@ -6,8 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Iterable
 
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
@@ -17,12 +16,10 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
+from .core.entry import EntryCore
+from .core.side import SideCore
 from .peers.transport import TransportCounts
 
-if TYPE_CHECKING:
-    from .daemons.entry import EntryShell
-    from .daemons.side import SideShell
-
 
 def _gauge(name: str, text: str, value: float) -> Metric:
     return GaugeMetricFamily(f"wisteriastair_{name}", text, value=value)
@@ -42,19 +39,23 @@
 
 
 class _SideCollector(Collector):
-    def __init__(self, shell: SideShell) -> None:
-        self._shell = shell
+    def __init__(
+        self, core: SideCore, counts: TransportCounts, busy_s: Callable[[], float]
+    ) -> None:
+        self._core = core
+        self._counts = counts
+        self._busy_s = busy_s
 
     def collect(self) -> Iterable[Metric]:
-        core = self._shell.core
-        yield from _transport_metrics(self._shell.transport.counts)
+        core = self._core
+        yield from _transport_metrics(self._counts)
         yield _gauge("slots_held", "Slots carried or copied", core.slots.count())
         yield _gauge("programs_active", "Programs under way", core.programs.active)
         yield _counter("programs_ended", "Programs ended", core.carrier.finished)
         yield _counter("programs_refused", "Starts refused", core.admission.refused)
         yield _counter("table_writes", "Slot table writes", core.placement.writes)
         yield _counter("docs_refused", "Older documents refused", core.docs.refused)
-        yield _counter("busy_seconds", "Seconds in the core", self._shell.busy_s)
+        yield _counter("busy_seconds", "Seconds in the core", self._busy_s())
         for key, revision in core.docs.revisions().items():
             metric = GaugeMetricFamily(
                 "wisteriastair_revision", "Document revision", labels=["key"]
@@ -76,12 +77,13 @@
 
 
 class _EntryCollector(Collector):
-    def __init__(self, shell: EntryShell) -> None:
-        self._shell = shell
+    def __init__(self, core: EntryCore, counts: TransportCounts) -> None:
+        self._core = core
+        self._counts = counts
 
     def collect(self) -> Iterable[Metric]:
-        core = self._shell.core
-        yield from _transport_metrics(self._shell.transport.counts)
+        core = self._core
+        yield from _transport_metrics(self._counts)
         yield _gauge("requests_waiting", "Requests waiting", core.waiting)
         yield _gauge("config_revision", "Configuration in force", core.revision)
 
@@ -97,14 +99,30 @@
     return Route("/metrics", scrape)
 
 
-def make_side_app(shell: SideShell) -> Starlette:
-    """HTTP application of a side process: metrics and health."""
+def make_side_app(
+    member: str,
+    core: SideCore,
+    counts: TransportCounts,
+    busy_s: Callable[[], float],
+) -> Starlette:
+    """Make the HTTP application of a side process: metrics and health.
+
+    Parameters
+    ----------
+    member : str
+        The process by address and start.
+    core : SideCore
+        Whose values are read at each scrape.
+    counts : TransportCounts
+        What its connections to other processes have carried.
+    busy_s : callable
+        Returns the seconds that the core has taken since the start.
+    """
 
     async def health(http: Request) -> Response:
-        core = shell.core
         return JSONResponse(
             {
-                "member": shell.member,
+                "member": member,
                 "slots": core.slots.count(),
                 "carried": len(core.slots.carried()),
                 "active": core.programs.active,
@@ -114,11 +132,10 @@
             }
         )
 
-    return Starlette(
-        routes=[metrics_route(_SideCollector(shell)), Route("/healthz", health)]
-    )
+    collector = _SideCollector(core, counts, busy_s)
+    return Starlette(routes=[metrics_route(collector), Route("/healthz", health)])
 
 
-def entry_metrics_route(shell: EntryShell) -> Route:
+def entry_metrics_route(core: EntryCore, counts: TransportCounts) -> Route:
     """Route that answers a scrape of an entry."""
-    return metrics_route(_EntryCollector(shell))
+    return metrics_route(_EntryCollector(core, counts))
