One log line is read on its own, and what is no line is named

Cause: a count of lines needs to know what was left out, and trace ended with an exception at a JSON object whose time is no number or that is nested too deeply (ValueError, TypeError, RecursionError, seen with the code before).

Change: read_line gives the line or why it is none; read_lines keeps what it did, and leaves out such objects too.

--- a/tests/operators/test_trace.py
+++ b/tests/operators/test_trace.py
@@ -7,7 +7,14 @@
 import pytest
 
 from tests.golden import check_cases
-from wisteriastair.operators.trace import read_lines, run_trace, trace
+from wisteriastair.operators.trace import (
+    Line,
+    NoLine,
+    read_line,
+    read_lines,
+    run_trace,
+    trace,
+)
 
 GOLDEN = Path(__file__).parent / "golden" / "trace.txt"
 
@@ -34,3 +41,27 @@
     log.write_text('{"time":1.0,"text":"request ended","request":"q1","status":200}\n')
     assert run_trace("q1", [str(log)]) == 0
     assert run_trace("q2", [str(log)]) == 1
+
+
+@pytest.mark.parametrize(
+    ("raw", "expected"),
+    [
+        ("", NoLine.NO_OBJECT),
+        ("Traceback (most recent call last):", NoLine.NO_OBJECT),
+        ('{"time":1.0,"text":"requ', NoLine.BROKEN),
+        ('{"a":' * 100_000, NoLine.BROKEN),
+        ('{"time":1.0,"level":"info"}', NoLine.FOREIGN),
+        ('{"time":"noon","text":"sings"}', NoLine.FOREIGN),
+        ('{"time":[1],"text":"sings"}', NoLine.FOREIGN),
+        ('{"time":1' + "0" * 400 + ',"text":"sings"}', NoLine.FOREIGN),
+    ],
+)
+def test_what_is_no_line_is_named_and_left_out(raw: str, expected: NoLine) -> None:
+    assert read_line(raw) is expected
+    assert read_lines([raw]) == []
+
+
+def test_a_collectors_prefix_is_left_out() -> None:
+    fields = {"time": 1.5, "text": "stopping"}
+    line = read_line('  31.7 relay-1 {"time":1.5,"text":"stopping"}\n')
+    assert line == Line(1.5, "?", "stopping", fields)
--- a/wisteriastair/operators/trace.py
+++ b/wisteriastair/operators/trace.py
@@ -13,6 +13,7 @@
 
 import sys
 from collections.abc import Iterable, Sequence
+from enum import StrEnum
 from typing import Any, Final, NamedTuple
 
 import msgspec
@@ -55,19 +56,37 @@
     fields: Fields
 
 
+class NoLine(StrEnum):
+    """Why something in a log is no line of the system."""
+
+    NO_OBJECT = "no JSON object"
+    BROKEN = "a JSON object that is broken"
+    FOREIGN = "a JSON object without a time and a text"
+
+
+def read_line(raw: str) -> Line | NoLine:
+    """Read one line of a log; what stands before its JSON object is left out."""
+    _, brace, rest = raw.partition("{")
+    if not brace:
+        return NoLine.NO_OBJECT
+    try:
+        fields = msgspec.json.decode(brace + rest, type=Fields)
+    except (msgspec.DecodeError, RecursionError):
+        return NoLine.BROKEN
+    if "time" not in fields or "text" not in fields:
+        return NoLine.FOREIGN
+    try:
+        at = float(fields["time"])
+    except (TypeError, ValueError, OverflowError):
+        return NoLine.FOREIGN
+    text = str(fields["text"])
+    return Line(at, str(fields.get("instance", "?")), text, fields)
+
+
 def read_lines(raw: Iterable[str]) -> list[Line]:
     """Read log lines in the order of their times; others are left out."""
-    lines: list[Line] = []
-    for each in raw:
-        _, brace, rest = each.partition("{")
-        try:
-            fields = msgspec.json.decode(brace + rest, type=Fields)
-        except msgspec.DecodeError:
-            continue
-        if "time" not in fields or "text" not in fields:
-            continue
-        at, text = float(fields["time"]), str(fields["text"])
-        lines.append(Line(at, str(fields.get("instance", "?")), text, fields))
+    read = [read_line(each) for each in raw]
+    lines = [line for line in read if isinstance(line, Line)]
     return sorted(lines, key=lambda line: line.at)
 
 
