Command: losses, the table of lost worth

Cause: the table of lost worth was left to scripts.

Change: wisteriastair losses counts relays' lines by how they ended, by time, by instance and by program, as tables or JSON.

--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from wisteriastair.main import with_environment
+from wisteriastair.main import with_environment, with_joined_aims
 
 
 def test_environment_adds_what_no_flag_gives() -> None:
@@ -27,3 +27,19 @@
 
 def test_unknown_subcommand_is_left_to_the_parser() -> None:
     assert with_environment(["sing"], {"WISTERIASTAIR_SLOTS": "1"}) == ["sing"]
+
+
+def test_aims_are_joined_wherever_they_stand() -> None:
+    argv = ["losses", "a.log", "--aim", "turn=3", "--every=1", "--aim=chat=2", "b.log"]
+    assert with_joined_aims(argv) == [
+        "losses",
+        "--aim=turn=3,chat=2",
+        "a.log",
+        "--every=1",
+        "b.log",
+    ]
+
+
+def test_other_commands_and_an_aim_without_a_value_are_left_to_the_parser() -> None:
+    for argv in ([], ["trace", "--aim", "x"], ["losses", "a.log", "--aim"]):
+        assert with_joined_aims(argv) == argv
--- a/wisteriastair/main.py
+++ b/wisteriastair/main.py
@@ -20,6 +20,7 @@
 from .logs import set_up_logs
 from .nodes import EXIT_BAD_SETTING, keeper, relay
 from .operators.ctl import run_command
+from .operators.losses import run_losses
 from .operators.trace import run_trace
 from .options import (
     ENV_PREFIX,
@@ -275,6 +276,28 @@
     return run_trace(wanted, files)
 
 
+def losses(
+    *files: str,
+    aim: str = "",
+    every: float = 2.0,
+    json: bool = False,
+) -> int:
+    """Tell which requests lose worth, when and why, out of log lines.
+
+    Parameters
+    ----------
+    files : str
+        Log files of as many relays as can be had; standard input if there is none.
+    aim : str
+        ROUTE=SECONDS in which its answers are to be whole; may be given several times.
+    every : float
+        Seconds of a row of the table by time.
+    json : bool
+        Print JSON instead of tables.
+    """
+    return run_losses(files, aim, every, json)
+
+
 COMMANDS: Final[dict[str, Callable[..., int]]] = {
     "entry": entry,
     "side": side,
@@ -282,6 +305,7 @@
     "keeper": keeper,
     "ctl": ctl,
     "trace": trace,
+    "losses": losses,
     "demo": demo,
     "faults": faults,
     "load": load,
@@ -320,8 +344,28 @@
     return [flag, value]
 
 
+def with_joined_aims(argv: Sequence[str]) -> list[str]:
+    """Join the aims of `losses` with commas, since the parser keeps a flag's last."""
+    if not argv or argv[0] != "losses":
+        return list(argv)
+    aims: list[str] = []
+    rest: list[str] = []
+    words = iter(argv)
+    for word in words:
+        flag, is_joined, value = word.partition("=")
+        if flag != "--aim":
+            rest.append(word)
+            continue
+        given = value if is_joined else next(words, None)
+        if given is None:
+            # The parser says what is missing.
+            return list(argv)
+        aims.append(given)
+    return [rest[0], "--aim=" + ",".join(aims), *rest[1:]] if aims else rest
+
+
 def main() -> int:
     """Run the command line."""
-    argv = with_environment(sys.argv[1:], dict(os.environ))
+    argv = with_joined_aims(with_environment(sys.argv[1:], dict(os.environ)))
     status = defopt.run(COMMANDS, argv=argv, no_negated_flags=True)
     return int(status)
