Tests: what follows the last answer of a caller's channel (red)

Three failures, all with the same cause: once an answer has ended a channel, requests that wait behind it on the channel are still served.

- While a relay stops each answer ends its channel.
A pipelined request behind it goes on to a server; its answer cannot be written, and the channel is reset.
- Behind a request with 'Connection: close', and behind one that is followed by bytes that are no request, stands a refusal.

--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -6,8 +6,10 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
+import pytest
 
 from tests.relay.stand import Exchange, ScriptedServer, Stand, stand
+from wisteriastair.core.stopping import Stop
 
 EVENTS = ("id: 1\ndata: one\n\n", "id: 2\ndata: two\n\n")
 TURN = {
@@ -440,3 +442,64 @@
         assert not server.got
 
     play([server], story)
+
+
+PIPELINED = (
+    "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {id}\r\n"
+    "X-Deadline-Ms: 2000\r\nContent-Length: 0\r\n{more}\r\n"
+)
+
+
+def test_requests_behind_the_last_answer_of_a_channel_are_not_run() -> None:
+    """A caller has sent several requests at once when the process is told to stop.
+
+    The first answer says that it is the channel's last one.  A request behind it that
+    went on to a server ran for nobody: its answer could not be written any more, and
+    the channel was reset.
+    """
+    server = ScriptedServer("s1", good)
+
+    async def story(at: Stand) -> None:
+        at.handler.stop = Stop(0.0, 8.0)
+        caller = await at.open()
+        names = ("a", "b", "c")
+        await caller.raw("".join(PIPELINED.format(id=n, more="") for n in names))
+        reply = await caller.read()
+        assert (reply.status, reply.body) == (200, b"fine")
+        assert "Connection: close" in reply.head
+        assert await caller.reader.read() == b""
+        assert [exchange.header("X-Request-Id") for exchange in server.got] == ["a"]
+
+    play([server], story)
+
+
+@pytest.mark.parametrize(
+    "first, then",
+    [("Connection: close\r\n", PIPELINED.format(id="b", more="")), ("", "?!\r\n\r\n")],
+    ids=["ended", "no-request"],
+)
+def test_bytes_behind_a_last_request_end_no_other_callers_channel(
+    first: str, then: str
+) -> None:
+    """All callers of a relay lose their channels when one sends bytes behind a request.
+
+    It had ended its channel with that request, or what follows is no request.  The
+    refusal of those bytes was written behind the end of the channel, which failed, and
+    the failure ended the process.
+    """
+
+    async def slow(exchange: Exchange) -> None:
+        await anyio.sleep(0.3 if exchange.header("X-Request-Id") == "other" else 0.0)
+        await exchange.answer("fine")
+
+    async def story(at: Stand) -> None:
+        other = await at.open()
+        await other.send("unsafe", "other")
+        caller = await at.open()
+        await caller.raw(PIPELINED.format(id="a", more=first) + then)
+        reply = await caller.read()
+        assert (reply.status, reply.body) == (200, b"fine")
+        reply = await other.read()
+        assert (reply.status, reply.body) == (200, b"fine")
+
+    play([ScriptedServer("s1", slow)], story)
