A channel's last answer is its last: nothing behind it is served

Cause: a channel's requests are served one after another until none waits. An answer that ends the channel did not end that: what waited behind it went on to a server, or was refused, and the answer was written behind the end of the channel. That raises an error; for a request it reset the channel, for a refusal it ended the process.

Ruled out: a fault of one route or kind (the error comes from the channel alone), and of the stop alone ('Connection: close' by the caller shows the same while serving).

Change: what waits behind the last answer is dropped unseen by any server. The caller was told 'Connection: close' and may send it elsewhere.

--- a/wisteriastair/http1/caller.py
+++ b/wisteriastair/http1/caller.py
@@ -360,6 +360,9 @@
         What the caller still sends is read for a moment: bytes left unread would turn
         the close into a reset that can overtake the answer.
         """
+        # What waits behind the last answer could not be answered any more, and has been
+        # passed on to nobody: the caller may send it elsewhere.
+        self._waiting.clear()
         if not self.closed and not self._transport.is_closing():
             self._ended = True
             self._since = self._loop.time()
