A request is not broken off for what follows it on its channel

Cause: a channel that is to end is closed a second after that was decided. What is behind a request can decide it (bytes that are no request, a head or body that is too long) while the request is still at its server; its answer was cut off.

Ruled out: the caller's own close, which cancels too (it keeps its channel open in the test).

Change: the second begins once nothing is under way or waits on the channel.

Measured: the test for it fails before and passes after.

--- a/wisteriastair/http1/caller.py
+++ b/wisteriastair/http1/caller.py
@@ -154,11 +154,11 @@
         """Close or refuse a channel that took too long; called from time to time."""
         limits = self._handler.limits()
         waited_s = now - self._since
+        if self.busy or self._waiting:
+            return
         if self._ended:
             if waited_s > LINGER_S:
                 self._transport.close()
-        elif self.busy or self._waiting:
-            return
         elif not self._begun:
             if waited_s > limits.idle_s:
                 self._transport.close()
