Test: turns that come before the ledger's members are known (red)

A relay may know routes and servers before it knows who keeps the ledger, at a first start, or while the store answers slowly. A turn that comes then ends without an answer: the question has nobody to go to, and that raises an error instead of waiting. The settlement that follows it raises the same error where nothing catches it, and the process ends: seen with a relay as a process and no keeper (reply 0, exit status 1).

--- a/tests/relay/test_ledger.py
+++ b/tests/relay/test_ledger.py
@@ -13,7 +13,13 @@
 from wisteriastair.core.ledgerwire import LedgerMessage
 from wisteriastair.core.membership import View
 from wisteriastair.peers.transport import Transport
-from wisteriastair.relay.ledger import NoSuchTurn, Reservation, Spent, Unavailable
+from wisteriastair.relay.ledger import (
+    LedgerClient,
+    NoSuchTurn,
+    Reservation,
+    Spent,
+    Unavailable,
+)
 from wisteriastair.relay.questions import Granted
 
 PATIENCE_S = 0.5
@@ -339,3 +345,26 @@
             await anyio.sleep(0.05)
 
     play(keepers, story)
+
+
+def test_before_the_members_are_known_turns_are_told_to_come_back() -> None:
+    """Callers of a relay that has just started lose their channels.
+
+    It knows routes and servers already, but not who keeps the ledger.  A turn that came
+    then ended without an answer, and its settlement, for which there was nobody to ask
+    either, ended the process and with it the requests of all others.
+    """
+    keepers = Keepers(3)
+    keepers.client = LedgerClient("domain0", 1)
+
+    async def story() -> None:
+        client = keepers.client
+        outcome = await client.reserve(wish("p", "a"), soon())
+        assert isinstance(outcome, Unavailable)
+        client.adopt(keepers.view)
+        while client.unsettled:
+            await anyio.sleep(0.05)
+        kept = [core.ledger.accounts.get("p") for core in keepers.cores.values()]
+        assert sum(account is not None for account in kept) >= 2
+
+    play(keepers, story)
