Questions to the ledger wait until its members are known

Cause: a question is sent to the nearest replica first. With no member known there is none, and taking it raised an error: a turn's channel ended without an answer, and the settlement that nobody waits for ended the process.

Ruled out: the judgement whether the ledger can be reached, which counts it as there until a question fails, so such turns are asked for.

Change: without anybody to ask, the question waits for a view or for the end of its time.

--- a/wisteriastair/relay/ledger.py
+++ b/wisteriastair/relay/ledger.py
@@ -376,6 +376,10 @@
         self, op: int, question: Question, targets: list[Member]
     ) -> Member | None:
         """Ask the nearest replica to ask the others; None if each is to be asked."""
+        if not targets:
+            # Members are not known yet.  Failing here would end the process, since
+            # settlements ask too; as it is, the question waits for a view, or its end.
+            return None
         nearest, *others = holder_order(tuple(targets), self._domain)
         addresses = [member.address for member in others]
         message = question.spread(op, self.view.number, addresses)
