Test: a relay that stops settles what its last turns took

Two relays and two keepers as processes. The other relay then takes one more turn of the program.

No fault found: it passes on the code as it stands.

--- a/tests/relay/test_daemon.py
+++ b/tests/relay/test_daemon.py
@@ -18,11 +18,14 @@
 from tests.platform.settings_file import write_settings
 from tests.platform.standin_store import StoreStandin, standin_store
 from tests.relay.stand import Caller, Exchange, Reply, ScriptedServer
+from wisteriastair.core.stopping import NOTICE_S
 from wisteriastair.standins.deployment import free_address
 
 LIMIT_S = 30.0
 RELAY_IP = "127.0.0.1"
+OTHER_RELAY_IP = "127.0.0.4"
 KEEPER_IP = "127.0.0.2"
+OTHER_KEEPER_IP = "127.0.0.3"
 CONFIG = {
     "version": 3,
     "routes": [
@@ -33,7 +36,15 @@
             "kind": "unsafe",
             "timeoutMs": 5000,
             "service": "svc",
-        }
+        },
+        {
+            "name": "t",
+            "host": "h",
+            "prefix": "/talk/",
+            "kind": "stream",
+            "timeoutMs": 5000,
+            "service": "svc",
+        },
     ],
     "services": [{"name": "svc", "maxConns": 10}],
     "limits": {},
@@ -55,15 +66,16 @@
         self._store = store
 
     def _settings(self, role: str, ip: str) -> Path:
+        name = f"{role}-{ip}"
         return write_settings(
-            self._folder / f"{role}.toml",
-            name=f"{role}-1",
+            self._folder / f"{name}.toml",
+            name=name,
             ip=ip,
             zone="z1",
             internal_port=self._internal,
             store=self._store.address,
-            data_dir=self._folder / role,
-            seeds=(f"{KEEPER_IP}:1",),
+            data_dir=self._folder / name,
+            seeds=(f"{KEEPER_IP}:1", f"{OTHER_KEEPER_IP}:1"),
             front=f"{ip}:{self.front}",
             ready=f"{ip}:{self.ready}",
         )
@@ -83,11 +95,11 @@
             process.kill()
             await anyio.to_thread.run_sync(process.wait)
 
-    async def open(self, port: int) -> Caller:
+    async def open(self, port: int, ip: str = RELAY_IP) -> Caller:
         """Open a channel to the relay as soon as it listens."""
         while True:
             try:
-                reader, writer = await asyncio.open_connection(RELAY_IP, port)
+                reader, writer = await asyncio.open_connection(ip, port)
             except OSError:
                 await anyio.sleep(0.05)
                 continue
@@ -98,6 +110,29 @@
         await caller.send("unsafe", request_id)
         return await caller.read()
 
+    async def take_turn(self, ip: str, program: str, turn: str) -> Reply:
+        """Ask for a turn of 200 tokens of a program that has 300, until one is taken.
+
+        Relays that do not reach the ledger say that it has not run.
+        """
+        number = 0
+        while True:
+            number += 1
+            caller = await self.open(self.front, ip)
+            await caller.send(
+                "talk",
+                f"{turn}-{number}",
+                X_Deadline_Ms="5000",
+                X_Program_Id=program,
+                X_Token_Usage="10,200",
+                X_Token_Budget="300",
+            )
+            reply = await caller.read()
+            caller.writer.close()
+            if reply.status != 503:
+                return reply
+            await anyio.sleep(0.05)
+
     async def ask_ready(self) -> int:
         caller = await self.open(self.ready)
         await caller.raw("GET /v1/ready HTTP/1.1\r\nHost: r\r\n\r\n")
@@ -224,6 +259,64 @@
     play(server, tmp_path, story)
 
 
+def test_a_relay_that_stops_settles_what_its_last_turns_took(tmp_path: Path) -> None:
+    """A program is told that its budget of 300 tokens is spent; it has got one.
+
+    Its last turn ended whole just before the relay's planned stop, while the keepers
+    were being started again.  Nobody waits for the settlement of a turn that is not
+    kept; if the relay ends first, all that the turn could have taken stays reserved.
+    """
+    ending = anyio.Event()
+
+    async def talk(exchange: Exchange) -> None:
+        await exchange.stream_part("id: 1\ndata: one\n\n")
+        if exchange.header("X-Request-Id").startswith("last"):
+            await ending.wait()
+        await exchange.stream_end()
+
+    server = ScriptedServer("s1", talk)
+
+    async def story(
+        machines: Machines, store: StoreStandin, stack: AsyncExitStack
+    ) -> None:
+        keeper_ips = (KEEPER_IP, OTHER_KEEPER_IP)
+        keepers = [
+            await stack.enter_async_context(machines.run("keeper", ip))
+            for ip in keeper_ips
+        ]
+        relay_ips = (RELAY_IP, OTHER_RELAY_IP)
+        relay, _ = [
+            await stack.enter_async_context(machines.run("relay", ip))
+            for ip in relay_ips
+        ]
+        for ip in relay_ips:
+            first = await machines.take_turn(ip, f"first-{ip}", f"first-{ip}")
+            assert first.status == 200
+        relay.send_signal(signal.SIGTERM)
+        await anyio.sleep(NOTICE_S - 0.5)
+        replies: list[Reply] = []
+
+        async def take_last() -> None:
+            replies.append(await machines.take_turn(RELAY_IP, "p", "last"))
+
+        async with anyio.create_task_group() as callers:
+            callers.start_soon(take_last)
+            await anyio.sleep(1.0)
+            for keeper in keepers:
+                keeper.kill()
+                await anyio.to_thread.run_sync(keeper.wait)
+            ending.set()
+        assert replies[0].status == 200 and replies[0].whole
+        await anyio.sleep(0.5)
+        for ip in keeper_ips:
+            await stack.enter_async_context(machines.run("keeper", ip))
+        assert await anyio.to_thread.run_sync(relay.wait) == 0
+        after = await machines.take_turn(OTHER_RELAY_IP, "p", "after")
+        assert after.status == 200, after.body
+
+    play(server, tmp_path, story)
+
+
 def test_a_relay_that_starts_while_the_store_is_away_learns_from_a_keeper(
     tmp_path: Path,
 ) -> None:
