Test: calls are not sent to a gate that has left (red)

A side process that is told to stop refuses new calls at its gate, ends those under way, hands its slots over and exits. In the virtual deployment, with no message lost, 14 of 90 planned stops (three processes, thirty moments each) ended a program with an unknown outcome: a call was sent to the gate after its process had left, 0.15 s after in the case that was traced.

--- a/tests/core/test_failures.py
+++ b/tests/core/test_failures.py
@@ -208,6 +208,26 @@
     assert reserved(deployment) == 8
 
 
+@pytest.mark.parametrize(
+    "name, moment_s", [("side-p1", 0.98), ("side-p1", 2.03), ("side-p2", 0.35)]
+)
+def test_calls_are_not_sent_to_a_gate_that_has_left(name: str, moment_s: float) -> None:
+    """A program fails with an unknown outcome, since a side process was stopped.
+
+    Its process refused new calls, ended those under way and left as planned.  Other
+    processes did not know: a call that was sent there a moment later reached nobody,
+    and one that must not be repeated had to be given up.
+    """
+    deployment = office()
+    requests = [deployment.ask(start(f"k{n}"), 1 + n % 2) for n in range(8)]
+    deployment.run(moment_s)
+    deployment.stop_side(name)
+    assert deployment.run_until(lambda: deployment.nodes[name].drained, 60.0)
+    run_all(deployment, requests)
+    assert answers(deployment, requests) == [ANSWER] * 8
+    assert reserved(deployment) == 8
+
+
 def test_lost_messages_are_repeated_or_looked_up() -> None:
     """One message in ten is lost on the way, and every answer is still whole."""
     deployment = office()
