--- a/wisteriastair/http1/caller.py
+++ b/wisteriastair/http1/caller.py
@@ -154,11 +154,11 @@
         """Close or refuse a channel that took too long; called from time to time."""
         limits = self._handler.limits()
         waited_s = now - self._since
+        if self.busy or self._waiting:
+            return
         if self._ended:
             if waited_s > LINGER_S:
                 self._transport.close()
-        elif self.busy or self._waiting:
-            return
         elif not self._begun:
             if waited_s > limits.idle_s:
                 self._transport.close()
@@ -167,9 +167,14 @@
             self._serve_next()
 
     def finish_idle(self) -> None:
-        """Close a channel on which nothing is under way."""
-        if not self.busy and not self._waiting and not self._begun:
-            self._transport.close()
+        """Close a channel on which nothing is under way.
+
+        One that lingers after its last answer is left to `check`: closed beneath a
+        caller that still sends it would be reset, and the answer lost on its way.
+        """
+        if self._ended or self.busy or self._waiting or self._begun:
+            return
+        self._transport.close()
 
     # Parser
 
@@ -360,6 +365,9 @@
         What the caller still sends is read for a moment: bytes left unread would turn
         the close into a reset that can overtake the answer.
         """
+        # What waits behind the last answer could not be answered any more, and has been
+        # passed on to nobody: the caller may send it elsewhere.
+        self._waiting.clear()
         if not self.closed and not self._transport.is_closing():
             self._ended = True
             self._since = self._loop.time()
