--- /dev/null
+++ b/tests/relay/test_stopping.py
@@ -0,0 +1,332 @@
+"""The end of a relay that was told to stop: what it has read, it also answers."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import socket
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+import anyio
+import anyio.to_thread
+import pytest
+from anyio.abc import TaskGroup
+
+from tests.platform.settings_file import write_settings
+from tests.platform.standin_store import StoreStandin
+from tests.relay.stand import Caller, Exchange, Reply, ScriptedServer, route
+from tests.relay.test_daemon import (
+    CONFIG,
+    KEEPER_IP,
+    OTHER_KEEPER_IP,
+    OTHER_RELAY_IP,
+    RELAY_IP,
+    Machines,
+    free_port,
+    play,
+)
+from wisteriastair.core.fleet import Server
+from wisteriastair.core.routes import (
+    CallerLimits,
+    RequestKind,
+    RouteTable,
+    Service,
+)
+from wisteriastair.core.stopping import Stop
+from wisteriastair.nodeoptions import NodeOptions
+from wisteriastair.platform.settings import load_settings
+from wisteriastair.relay.daemon import Relay
+
+LARGE = "x" * (7 * 1024 * 1024)
+PIECE = 64 * 1024
+
+
+async def good(exchange: Exchange) -> None:
+    await exchange.answer("fine")
+
+
+async def read_slowly(request_id: str, port: int, rate: float) -> tuple[str, int]:
+    """Ask on a new channel and read the answer at some bytes a second."""
+    loop = asyncio.get_running_loop()
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, PIECE)
+    sock.setblocking(False)
+    await loop.sock_connect(sock, (RELAY_IP, port))
+    head = (
+        "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n"
+        f"X-Request-Id: {request_id}\r\nX-Deadline-Ms: 5000\r\n\r\n"
+    )
+    await loop.sock_sendall(sock, head.encode())
+    got = b""
+    began = loop.time()
+    try:
+        while data := await loop.sock_recv(sock, PIECE):
+            got += data
+            await anyio.sleep(max(0.0, began + len(got) / rate - loop.time()))
+    except ConnectionError:
+        pass
+    sock.close()
+    first, _, body = got.partition(b"\r\n\r\n")
+    return first.decode().partition("\r\n")[0], len(body)
+
+
+def test_an_answer_that_its_caller_still_reads_is_not_cut(tmp_path: Path) -> None:
+    """A caller reads 7 MB at 2 MB/s, and its answer breaks off.
+
+    That takes 3.5 s of the 6.3 s that the stop still has.  The relay had nothing more
+    to do for the request once it had handed the answer to its socket, and ended with
+    the rest of it unsent: 6,797,047 of 7,340,032 bytes came through.
+    """
+
+    async def large(exchange: Exchange) -> None:
+        big = exchange.header("X-Request-Id") == "big"
+        await exchange.answer(LARGE if big else "fine")
+
+    async def story(
+        machines: Machines, store: StoreStandin, stack: AsyncExitStack
+    ) -> None:
+        relay = await stack.enter_async_context(machines.run("relay", RELAY_IP))
+        await machines.until_served()
+        relay.send_signal(signal.SIGTERM)
+        await anyio.sleep(1.0)
+        status, size = await read_slowly("big", machines.front, 2_000_000)
+        assert status.startswith("HTTP/1.1 200")
+        assert size == len(LARGE)
+        assert await anyio.to_thread.run_sync(relay.wait) == 0
+
+    play(ScriptedServer("s1", large), tmp_path, story)
+
+
+def test_a_caller_that_sends_its_body_over_the_last_call_is_answered(
+    tmp_path: Path,
+) -> None:
+    """The head comes 0.6 s before the last call, the rest 0.7 s behind it.
+
+    The relay had nothing under way at the last call and ended, so the caller sent the
+    rest of its request to nobody.
+    """
+
+    async def story(
+        machines: Machines, store: StoreStandin, stack: AsyncExitStack
+    ) -> None:
+        relay = await stack.enter_async_context(machines.run("relay", RELAY_IP))
+        await machines.until_served()
+        caller = await machines.open(machines.front)
+        relay.send_signal(signal.SIGTERM)
+        await anyio.sleep(1.9)
+        await caller.raw(
+            "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: up\r\n"
+            "X-Deadline-Ms: 3000\r\nContent-Length: 10\r\n\r\n12345"
+        )
+        await anyio.sleep(1.3)
+        try:
+            await caller.raw("67890")
+            reply = await caller.read()
+        except OSError:
+            reply = Reply(0, "", b"", False)
+        assert reply.status in (200, 503)
+
+    play(ScriptedServer("s1", good), tmp_path, story)
+
+
+def test_a_relay_that_stood_still_over_its_end_takes_nothing_more(
+    tmp_path: Path,
+) -> None:
+    """A process is told to stop, freezes, and wakes when its stop should be over.
+
+    A request that came meanwhile was passed on to a server and broken off at once: the
+    relay looked at the clock only every 50 ms, and took requests until then.
+    """
+
+    async def slow(exchange: Exchange) -> None:
+        if exchange.header("X-Request-Id") == "late":
+            await asyncio.sleep(0.5)
+        await exchange.answer("fine")
+
+    server = ScriptedServer("s1", slow)
+
+    async def story(
+        machines: Machines, store: StoreStandin, stack: AsyncExitStack
+    ) -> None:
+        relay = await stack.enter_async_context(machines.run("relay", RELAY_IP))
+        await machines.until_served()
+        caller = await machines.open(machines.front)
+        await anyio.sleep(0.1)
+        relay.send_signal(signal.SIGTERM)
+        await anyio.sleep(0.3)
+        relay.send_signal(signal.SIGSTOP)
+        await anyio.sleep(7.3)
+        await caller.send("unsafe", "late")
+        relay.send_signal(signal.SIGCONT)
+        reply = await caller.read()
+        ran = {exchange.header("X-Request-Id") for exchange in server.got}
+        assert reply.status == 503
+        assert "late" not in ran
+
+    play(server, tmp_path, story)
+
+
+@pytest.mark.parametrize("turns", range(8))
+def test_a_caller_that_comes_as_the_last_channel_goes_is_not_cut(
+    turns: int, tmp_path: Path
+) -> None:
+    """A stop ends early once no channel is left; a caller comes at that moment.
+
+    A channel that was accepted is known some turns of the loop later.  Served as ever
+    in the moment before the process ends, its request would reach a server and get no
+    answer; how many turns lie between decides.
+    """
+
+    async def slow(exchange: Exchange) -> None:
+        if exchange.header("X-Request-Id") == "late":
+            await asyncio.sleep(0.6)
+        await exchange.answer("fine")
+
+    async def main() -> None:
+        server = ScriptedServer("s1", slow)
+        await server.start()
+        relay = Relay(_relay_settings(tmp_path))
+        relay._fleet.put(Server(server.id, "svc", server.address, "z1", 8, False, 0.0))
+        short = route("unsafe", RequestKind.UNSAFE, timeout_s=1.0)
+        services = {"svc": Service("svc", 10, None)}
+        relay._handler.table = RouteTable(1, (short,), services, CallerLimits())
+        host, _, port = relay._cfg.callers.rpartition(":")
+
+        async def serve(group: TaskGroup) -> None:
+            await relay._serve(group)
+            group.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(serve, group)
+            await anyio.sleep(0.1)
+            reader, writer = await asyncio.open_connection(host, int(port))
+            first = Caller(reader, writer)
+            await first.send("unsafe", "first")
+            assert (await first.read()).status == 200
+            writer.close()
+            await anyio.sleep(0.1)
+            relay._handler.stop = Stop(asyncio.get_running_loop().time() - 3.0, 8.0)
+            late = socket.create_connection((host, int(port)))
+            late.sendall(
+                b"POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: late\r\n"
+                b"X-Deadline-Ms: 1000\r\nContent-Length: 0\r\n\r\n"
+            )
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            relay._stop.set()
+        await anyio.sleep(0.1)
+        late.settimeout(0.1)
+        try:
+            reply = late.recv(PIECE)
+        except OSError:
+            reply = b""
+        late.close()
+        server.stop()
+        assert relay._handler.last_call
+        ran = {exchange.header("X-Request-Id") for exchange in server.got}
+        assert "late" not in ran or reply.startswith(b"HTTP/1.1 200")
+
+    anyio.run(main)
+
+
+def _relay_settings(folder: Path) -> NodeOptions:
+    path = write_settings(
+        folder / "relay.toml",
+        name="relay",
+        ip=RELAY_IP,
+        zone="z1",
+        internal_port=free_port(),
+        store=f"{RELAY_IP}:1",
+        data_dir=folder,
+        front=f"{RELAY_IP}:{free_port()}",
+        ready=f"{RELAY_IP}:{free_port()}",
+    )
+    cfg = load_settings(str(path))
+    assert isinstance(cfg, NodeOptions)
+    return cfg
+
+
+def test_a_turn_that_the_stop_breaks_off_gives_back_what_it_did_not_use(
+    tmp_path: Path,
+) -> None:
+    """A program is told that its budget is spent, with 950 of 1,000 tokens left.
+
+    A turn that had reserved 900 tokens was broken off at the end of the grace period,
+    after two events, 50 tokens.  The process ended before it had settled the turn, so
+    all 900 stayed taken.  The next turn needs 200.
+    """
+
+    async def streams(exchange: Exchange) -> None:
+        if "/unsafe/" in exchange.head:
+            await exchange.answer("fine")
+            return
+        await exchange.stream("id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", end=False)
+        if exchange.header("X-Request-Id") == "cut":
+            await asyncio.sleep(20)
+        await exchange.stream_end()
+
+    async def turn(machines: Machines, ip: str, name: str, tokens: int) -> Reply:
+        caller = await machines.open(machines.front, ip)
+        await caller.send(
+            "long",
+            name,
+            X_Deadline_Ms="20000",
+            X_Program_Id="p",
+            X_Token_Usage=f"10,{tokens}",
+            X_Token_Budget="1000",
+        )
+        return await caller.read()
+
+    async def story(
+        machines: Machines, store: StoreStandin, stack: AsyncExitStack
+    ) -> None:
+        store.put("op/config", json.dumps(LONG_TURNS).encode())
+        for ip in (KEEPER_IP, OTHER_KEEPER_IP):
+            await stack.enter_async_context(machines.run("keeper", ip))
+        relay, _ = [
+            await stack.enter_async_context(machines.run("relay", ip))
+            for ip in (RELAY_IP, OTHER_RELAY_IP)
+        ]
+        for ip in (RELAY_IP, OTHER_RELAY_IP):
+            assert (await machines.take_turn(ip, f"first-{ip}", ip)).status == 200
+        replies: list[Reply] = []
+
+        async def ask() -> None:
+            replies.append(await turn(machines, RELAY_IP, "cut", 900))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask)
+            await anyio.sleep(0.5)
+            relay.send_signal(signal.SIGTERM)
+        assert not replies[0].whole
+        assert await anyio.to_thread.run_sync(relay.wait) == 0
+        after = await turn(machines, OTHER_RELAY_IP, "after", 200)
+        assert after.status == 200, after.body
+
+    play(ScriptedServer("s1", streams), tmp_path, story)
+
+
+LONG_TURNS = {
+    **CONFIG,
+    "version": 4,
+    "routes": [
+        *CONFIG["routes"],  # type: ignore[misc]
+        {
+            "name": "l",
+            "host": "h",
+            "prefix": "/long/",
+            "kind": "stream",
+            "timeoutMs": 30000,
+            "service": "svc",
+        },
+    ],
+    "services": [
+        {
+            "name": "svc",
+            "maxConns": 10,
+            "engine": {"slots": 8, "kvCapacityTokens": 100000, "tokensPerEvent": 25},
+        }
+    ],
+}
