A relay that stops ends once all that it has read is answered and through

Cause: after the last call the stop looked only at requests under way and at settlements. It ended under answers that callers were still reading and under requests that were arriving; it made no last call where it ended early or found its end already past; it looked at the clock each 50 ms only; and it cancelled requests at the end of the grace period together with the task group that settles them.

Ruled out: a longer fixed wait after the last call (0.2 s before), since how long a caller reads is not the relay's to know.

Change: relay/drain has the stop as a sequence of its own. The last call is made on every way; requests are refused by the clock; listeners close once nothing is under way; the process ends when no channel is open and no settlement waits, at the latest at the end of the grace period, where what is left is broken off and then settled. A route without a limit counts as one without an end. The last call leaves 0.1 s for the final answers of requests whose time is over.

Two tests of pipelined requests began their stop at second 0 of the loop's clock, hours past its end; they now begin it at the moment of the test. What they check is the same.

--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -463,7 +463,7 @@
     server = ScriptedServer("s1", good)
 
     async def story(at: Stand) -> None:
-        at.handler.stop = Stop(0.0, 8.0)
+        at.handler.stop = Stop(asyncio.get_running_loop().time(), 8.0)
         caller = await at.open()
         names = ("a", "b", "c")
         await caller.raw("".join(PIPELINED.format(id=n, more="") for n in names))
@@ -584,7 +584,7 @@
         await exchange.answer(LONG_ANSWER)
 
     async def story(at: Stand) -> None:
-        at.handler.stop = Stop(0.0, 8.0)
+        at.handler.stop = Stop(asyncio.get_running_loop().time(), 8.0)
         answer = await call_slowly(at, sent)
         head, _, body = answer.partition(b"\r\n\r\n")
         length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
--- a/wisteriastair/core/routes.py
+++ b/wisteriastair/core/routes.py
@@ -6,14 +6,13 @@
 
 from __future__ import annotations
 
+import math
 from enum import Enum
-from typing import Final, NamedTuple
+from typing import NamedTuple
 
 from .hashing import hash_word
 
 HASH_RANGE = 2.0**64
-# For a caller that does not say how long it waits, on a route without a limit; seconds.
-WAIT_S: Final = 30.0
 
 
 class RequestKind(Enum):
@@ -143,7 +142,8 @@
     Attributes
     ----------
     longest_s : float
-        The longest time that any route gives a request, in seconds.
+        The longest time that any route gives a request, in seconds; infinite if one
+        has no limit.
     """
 
     def __init__(
@@ -160,7 +160,9 @@
         self._by_host: dict[str, dict[str, Route]] = {}
         for route in routes:
             self._by_host.setdefault(route.host, {})[route.prefix] = route
-        self.longest_s = max((r.timeout_s or WAIT_S for r in routes), default=WAIT_S)
+        self.longest_s = max(
+            (r.timeout_s or math.inf for r in routes), default=math.inf
+        )
 
     def find(self, host: str, path: str) -> Route | None:
         """Find the route of a request.
--- a/wisteriastair/core/stopping.py
+++ b/wisteriastair/core/stopping.py
@@ -15,6 +15,8 @@
 NOTICE_S: Final = 2.5
 # Kept free before the kill that follows the grace period, in seconds.
 MARGIN_S: Final = 0.7
+# A request whose time is over still gets its final answer within this, in seconds.
+ANSWER_S: Final = 0.1
 
 
 class Stop(NamedTuple):
@@ -45,7 +47,9 @@
         """Return when the last request is taken.
 
         As late as whatever is taken can still use all of its time: callers that come
-        later are better off elsewhere, at once.  Where requests may take longer than
+        later are better off elsewhere, at once.  It is one moment for all routes, since
+        short requests that are taken beyond it would keep the process from ending, and
+        it refuses the others meanwhile.  Where requests may take longer than
         the grace period the platform gets the time that it needs to notice, and those
         that outlast the rest are broken off.
 
@@ -54,4 +58,4 @@
         longest_s : float
             The longest time that a request may take, in seconds.
         """
-        return max(self.noticed_at, self.ends_at - longest_s)
+        return max(self.noticed_at, self.ends_at - ANSWER_S - longest_s)
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -16,7 +16,6 @@
 from ..core.fleet import LAPSE_S, Fleet
 from ..core.ledgerwire import AskDocuments, KnownDocuments, LedgerMessage
 from ..core.membership import View
-from ..core.routes import WAIT_S
 from ..core.stopping import Stop
 from ..http1.caller import CallerChannel
 from ..logs import dropped_lines
@@ -41,6 +40,7 @@
 from ..platform.store import Item, Store
 from .chains import ChainCache
 from .dispatch import Dispatcher
+from .drain import Drain
 from .handler import ReadyHandler, RelayHandler
 from .ledger import LedgerClient
 from .pool import Pool
@@ -53,10 +53,6 @@
 LISTEN_BACKLOG: Final = 1024
 # Share of the process's memory that cached chains may take.
 CHAIN_SHARE: Final = 0.12
-# Pause between two looks at what is left to do before a stop, in seconds.
-DRAIN_TICK_S: Final = 0.05
-# Once all is done, callers get this long to read their answers and close, in seconds.
-FLUSH_S: Final = 0.2
 
 log = logging.getLogger(__name__)
 
@@ -125,10 +121,8 @@
         ]
         await self._stop.wait()
         assert self._handler.stop is not None, "the signal's handler has set it"
-        await self._drain(self._handler.stop)
-        for listener in listeners:
-            listener.close()
-        await self._flush()
+        drain = Drain(self._handler, self._ledger, self._channels)
+        await drain.run(self._handler.stop, listeners)
 
     # Stopping
 
@@ -146,58 +140,6 @@
                     self._handler.stop = Stop(now, self._cfg.grace_s)
                 self._stop.set()
 
-    async def _drain(self, stop: Stop) -> None:
-        """Let what is under way end before the process does.
-
-        The platform goes on sending callers until it has noticed, and for as long as
-        most relays of the failure domain are leaving.  They are served as ever, and
-        each answer ends its channel, until the last call; later ones are refused.
-        """
-        loop = asyncio.get_running_loop()
-        while (now := loop.time()) < stop.ends_at:
-            if now >= stop.noticed_at:
-                for channel in list(self._channels):
-                    channel.finish_idle()
-            if now >= stop.last_call_at(self._longest_s()):
-                self._call_last()
-            unwanted = self._handler.last_call or not self._channels
-            if now >= stop.noticed_at and unwanted and self._is_idle():
-                return
-            await anyio.sleep(DRAIN_TICK_S)
-        log.warning(
-            "stopped before all was done",
-            extra={
-                "requests": self._handler.under_way,
-                "settlements": self._ledger.unsettled,
-            },
-        )
-
-    def _call_last(self) -> None:
-        if not self._handler.last_call:
-            self._handler.last_call = True
-            log.info(
-                "last call",
-                extra={
-                    "requests": self._handler.under_way,
-                    "channels": len(self._channels),
-                },
-            )
-
-    def _is_idle(self) -> bool:
-        # A settlement that is not durable is lost with the process, and its program
-        # could not use the tokens any more.
-        return not self._handler.under_way and not self._ledger.unsettled
-
-    def _longest_s(self) -> float:
-        table = self._handler.table
-        return table.longest_s if table else WAIT_S
-
-    async def _flush(self) -> None:
-        """Give callers that were just answered a moment to read and to close."""
-        with anyio.move_on_after(FLUSH_S):
-            while self._channels:
-                await anyio.sleep(DRAIN_TICK_S)
-
     def _is_ready(self) -> bool:
         listed = self._listed or self._hinted
         known = self._handler.table is not None and listed
--- a/wisteriastair/relay/handler.py
+++ b/wisteriastair/relay/handler.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
+import math
 from collections.abc import Callable
 from typing import Final
 
@@ -48,6 +50,8 @@
     ----------
     stop : Stop or None
         The planned stop under way.
+    last_call : bool
+        Whether the stop has come so far that nothing more is taken, early or in time.
     under_way : int
         Requests that were taken and have not ended.
     """
@@ -63,7 +67,6 @@
         # Whether the configuration is known to be the newest one.
         self.certain = True
         self.stop: Stop | None = None
-        # Whether requests that come now are refused, since the process is about to end.
         self.last_call = False
         self.under_way = 0
         self._dispatcher = dispatcher
@@ -80,6 +83,18 @@
         """
         return self.stop is not None or not self._is_ready()
 
+    def takes_no_more(self) -> bool:
+        """Whether requests that come now are refused, since the process is to end.
+
+        The clock decides, not who looks at it from time to time: a process that stood
+        still would take requests at its end, and cut them.
+        """
+        if self.stop is None or self.last_call:
+            return self.last_call
+        longest_s = self.table.longest_s if self.table else math.inf
+        now = asyncio.get_running_loop().time()
+        return now >= self.stop.last_call_at(longest_s)
+
     def limits(self) -> CallerLimits:
         """Limits in force."""
         return self.table.limits if self.table else CallerLimits()
@@ -112,7 +127,7 @@
             detail = f"no route for {asked.host}{req.path} in version {table.version}"
             self._deny(channel, asked.id, Failure(Code.UNKNOWN_ROUTE, detail))
             return
-        if self.last_call:
+        if self.takes_no_more():
             # Taken now it would be cut by the end of the process, with its server at
             # work.  Nothing has been sent anywhere, so another relay can run it.
             detail = "this process is stopping"
--- a/wisteriastair/relay/job.py
+++ b/wisteriastair/relay/job.py
@@ -7,14 +7,18 @@
 
 import asyncio
 import logging
+from typing import Final
 
-from ..core.routes import WAIT_S, Route, RouteTable
+from ..core.routes import Route, RouteTable
 from ..core.stopping import Stop
 from ..errors import Failure
 from ..http1.caller import CallerChannel
 from ..http1.messages import Request
 from ..platform.headers import CallerRequest
 
+# For a caller that does not say how long it waits, on a route without a limit; seconds.
+WAIT_S: Final = 30.0
+
 log = logging.getLogger(__name__)
 
 
