Whoever may send calls to a side process is told that it stops

Cause: only the processes that share a slot with a side process heard that it stops, and even they went on choosing its gate. While it was there its gate refused, which is true and harmless. After it had left, calls sent there reached nobody until its silence was noticed, four seconds later; one that must not be repeated ended with an unknown outcome.

Ruled out: lost messages (none was), calls that were under way at the stop (all ended before the process left), and the outcomes of ended calls (they had arrived).

Carriers leave out gates whose process stops.

--- a/wisteriastair/core/dispatch.py
+++ b/wisteriastair/core/dispatch.py
@@ -141,7 +141,9 @@
             if instance is None or instance.leaving:
                 continue
             member = self._peers.member_at(instance.address, now)
-            if member and not self._peers.silent(member, now):
+            if not member or self._peers.silent(member, now):
+                continue
+            if not self._peers.is_draining(member):
                 found[server.name] = member
         if len(found) > 1:
             found.pop(avoid, None)
--- a/wisteriastair/core/peers.py
+++ b/wisteriastair/core/peers.py
@@ -104,7 +104,12 @@
         if now < self._next_beat:
             return
         self._next_beat = now + HEARTBEAT_S
-        for member in sorted(partners):
+        told = set(partners)
+        if self.draining:
+            # Whoever has asked for this process's incarnation may send calls to its
+            # gate; one that is not told goes on doing so after the process has left.
+            told |= {peer.member for peer in self._known.values()}
+        for member in sorted(told):
             self._out.send(member, self._heartbeat(reply=False))
 
     def _forgive_pause(self, now: float) -> None:
