--- /dev/null
+++ b/tests/relay/machines.py
@@ -0,0 +1,165 @@
+"""A small deployment of relays and keepers as processes, on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import subprocess
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+from pathlib import Path
+
+import anyio
+import anyio.to_thread
+
+from tests.platform.settings_file import write_settings
+from tests.platform.standin_store import StoreStandin, standin_store
+from tests.relay.stand import Caller, Reply, ScriptedServer
+from wisteriastair.standins.deployment import free_address
+
+LIMIT_S = 30.0
+RELAY_IP = "127.0.0.1"
+OTHER_RELAY_IP = "127.0.0.4"
+KEEPER_IP = "127.0.0.2"
+OTHER_KEEPER_IP = "127.0.0.3"
+CONFIG = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "r",
+            "host": "h",
+            "prefix": "/unsafe/",
+            "kind": "unsafe",
+            "timeoutMs": 5000,
+            "service": "svc",
+        },
+        {
+            "name": "t",
+            "host": "h",
+            "prefix": "/talk/",
+            "kind": "stream",
+            "timeoutMs": 5000,
+            "service": "svc",
+        },
+    ],
+    "services": [{"name": "svc", "maxConns": 10}],
+    "limits": {},
+}
+
+
+def free_port() -> int:
+    return int(free_address().rpartition(":")[2])
+
+
+class Machines:
+    """Settings files and processes of one small deployment."""
+
+    def __init__(self, folder: Path, store: StoreStandin) -> None:
+        self.front = free_port()
+        self.ready = free_port()
+        self._internal = free_port()
+        self._folder = folder
+        self._store = store
+
+    def _settings(self, role: str, ip: str) -> Path:
+        name = f"{role}-{ip}"
+        return write_settings(
+            self._folder / f"{name}.toml",
+            name=name,
+            ip=ip,
+            zone="z1",
+            internal_port=self._internal,
+            store=self._store.address,
+            data_dir=self._folder / name,
+            seeds=(f"{KEEPER_IP}:1", f"{OTHER_KEEPER_IP}:1"),
+            front=f"{ip}:{self.front}",
+            ready=f"{ip}:{self.ready}",
+        )
+
+    @asynccontextmanager
+    async def run(self, role: str, ip: str) -> AsyncIterator[subprocess.Popen[bytes]]:
+        """Run a relay or a keeper."""
+        boot = str(self._settings(role, ip))
+        process = subprocess.Popen(
+            [sys.executable, "-m", "wisteriastair", role],
+            env=os.environ | {"WISTERIASTAIR_BOOT": boot},
+            stdout=subprocess.DEVNULL,
+        )
+        try:
+            yield process
+        finally:
+            process.kill()
+            await anyio.to_thread.run_sync(process.wait)
+
+    async def open(self, port: int, ip: str = RELAY_IP) -> Caller:
+        """Open a channel to the relay as soon as it listens."""
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection(ip, port)
+            except OSError:
+                await anyio.sleep(0.05)
+                continue
+            return Caller(reader, writer)
+
+    async def ask(self, request_id: str) -> Reply:
+        caller = await self.open(self.front)
+        await caller.send("unsafe", request_id)
+        return await caller.read()
+
+    async def take_turn(self, ip: str, program: str, turn: str) -> Reply:
+        """Ask for a turn of 200 tokens of a program that has 300, until one is taken.
+
+        Relays that do not reach the ledger say that it has not run.
+        """
+        number = 0
+        while True:
+            number += 1
+            caller = await self.open(self.front, ip)
+            await caller.send(
+                "talk",
+                f"{turn}-{number}",
+                X_Deadline_Ms="5000",
+                X_Program_Id=program,
+                X_Token_Usage="10,200",
+                X_Token_Budget="300",
+            )
+            reply = await caller.read()
+            caller.writer.close()
+            if reply.status != 503:
+                return reply
+            await anyio.sleep(0.05)
+
+    async def ask_ready(self) -> int:
+        caller = await self.open(self.ready)
+        await caller.raw("GET /v1/ready HTTP/1.1\r\nHost: r\r\n\r\n")
+        return (await caller.read()).status
+
+    async def until_served(self) -> None:
+        number = 0
+        while (await self.ask(f"first-{number}")).status != 200:
+            number += 1
+            await anyio.sleep(0.05)
+
+
+def entry_of(server: ScriptedServer, **more: object) -> bytes:
+    entry = {"service": "svc", "address": server.address, "zone": "z1"}
+    return json.dumps(entry | {"slots": 8, "state": "ready"} | more).encode()
+
+
+def play(
+    server: ScriptedServer,
+    folder: Path,
+    story: Callable[[Machines, StoreStandin, AsyncExitStack], Awaitable[None]],
+) -> None:
+    async def main() -> None:
+        async with standin_store() as store, AsyncExitStack() as stack:
+            await server.start()
+            store.put("op/config", json.dumps(CONFIG).encode())
+            store.put(f"servers/{server.id}", entry_of(server))
+            with anyio.fail_after(LIMIT_S):
+                await story(Machines(folder, store), store, stack)
+            server.stop()
+
+    anyio.run(main)
--- a/tests/relay/test_stopping.py
+++ b/tests/relay/test_stopping.py
@@ -16,8 +16,7 @@
 
 from tests.platform.settings_file import write_settings
 from tests.platform.standin_store import StoreStandin
-from tests.relay.stand import Caller, Exchange, Reply, ScriptedServer, route
-from tests.relay.test_daemon import (
+from tests.relay.machines import (
     CONFIG,
     KEEPER_IP,
     OTHER_KEEPER_IP,
@@ -27,6 +26,7 @@
     free_port,
     play,
 )
+from tests.relay.stand import Caller, Exchange, Reply, ScriptedServer, route
 from wisteriastair.core.fleet import Server
 from wisteriastair.core.routes import (
     CallerLimits,
