--- a/tests/relay/stand.py
+++ b/tests/relay/stand.py
@@ -281,3 +281,18 @@
         for server in servers:
             server.stop()
         group.cancel_scope.cancel()
+
+
+def play(
+    servers: list[ScriptedServer], story: Callable[[Stand], Awaitable[None]]
+) -> None:
+    async def main() -> None:
+        async with stand(*servers) as under_test:
+            with anyio.fail_after(10):
+                await story(under_test)
+
+    anyio.run(main)
+
+
+async def good(exchange: Exchange) -> None:
+    await exchange.answer("fine")
