Soak: planned stops in series, callers that keep channels, a witness for both

Cause: the soak missed relays that took requests until just before their kill and cut them. Its callers opened a channel for each request, and its stops ended at once, since nobody kept coming.

Callers keep their channels as long as a relay allows, and use relays that are stopping. A request that a server began to run must be answered whole, a channel must not end late without an answer, and no process may need the kill.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,11 +9,7 @@
 
 import anyio
 
-from tests.soak.world import KEEPERS, RELAYS, World
-
-# A keeper that lost its disk, or was away for long, is a full replica again after this
-# time, in seconds; only then may the next one be lost.
-CATCH_UP_S: Final = 5.0
+from tests.soak.world import CATCH_UP_S, KEEPERS, World
 
 Fault = Callable[[World, random.Random], Coroutine[Any, Any, None]]
 
@@ -47,7 +43,7 @@
 
 async def kill_relay(world: World, draw: random.Random) -> None:
     """Kill a relay with all that is open on it."""
-    name = draw.choice(RELAYS)
+    name = draw.choice(world.relay_names)
     async with world.relays:
         await world.end(name)
         world.start(name)
@@ -55,7 +51,7 @@
 
 async def stop_relay(world: World, draw: random.Random) -> None:
     """Stop a relay as planned; it ends by itself once it has nothing to do."""
-    name = draw.choice(RELAYS)
+    name = draw.choice(world.relay_names)
     async with world.relays:
         await world.end(name, signal.SIGTERM)
         world.start(name)
@@ -63,7 +59,7 @@
 
 async def reload_all(world: World, draw: random.Random) -> None:
     """Tell every process that its settings have changed."""
-    for name in (*KEEPERS, *RELAYS):
+    for name in world.machines:
         world.signal(name, signal.SIGHUP)
 
 
@@ -71,16 +67,17 @@
     """Kill all processes at the same moment; all disks stay."""
     async with world.relays:
         world.kill_all()
-        for name in (*KEEPERS, *RELAYS):
+        for name in world.machines:
             world.start(name)
     await anyio.sleep(1.0)
 
 
 async def store_away(world: World, draw: random.Random) -> None:
     """Have the store refuse every call for a while."""
-    world.store.down = True
-    await anyio.sleep(draw.uniform(0.5, 2.5))
-    world.store.down = False
+    with world.witness.unplanned():
+        world.store.down = True
+        await anyio.sleep(draw.uniform(0.5, 2.5))
+        world.store.down = False
 
 
 async def store_loses_answers(world: World, draw: random.Random) -> None:
@@ -90,7 +87,8 @@
 
 async def store_forgets(world: World, draw: random.Random) -> None:
     """Have the store drop its history and cut its watches."""
-    world.store.forget_history()
+    with world.witness.unplanned():
+        world.store.forget_history()
 
 
 FAULTS: Final[tuple[Fault, ...]] = (
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,9 +1,11 @@
 """Runs soaks: ``python -m tests.soak.run --seed 1 --count 20``, or ``make soak``.
 
-Each seed starts three keepers and two relays as processes, before a store and servers
-that misbehave; callers play programs against the relays while faults strike.  At the
-end everything must be served again.  A seed that breaks a promise, or is not served at
-the end, is printed with what was broken and keeps its folder with the logs.
+Each seed starts three keepers and some relays as processes, before a store and servers
+that misbehave; callers play programs against the relays while faults strike.  With
+``--stops`` the faults are planned work in series and overlapping, and callers keep
+their channels.  At the end everything must be served again.  A seed that breaks a
+promise, or is not served at the end, is printed with what was broken and keeps its
+folder with the logs.
 """
 
 from __future__ import annotations
@@ -14,19 +16,36 @@
 import shutil
 import sys
 import tempfile
+import time
 from pathlib import Path
 from typing import Final, NamedTuple
 
 import anyio
 
 from tests.platform.standin_store import standin_store
-from tests.relay.stand import Reply
+from tests.relay.stand import Caller, Reply
 from tests.soak.faults import strike
-from tests.soak.witness import MOST_TOKENS, Turn, Witness
-from tests.soak.world import RELAYS, World
+from tests.soak.stops import strike_with_stops
+from tests.soak.witness import MOST_TOKENS, PROMISES, Failure, Turn, Witness
+from tests.soak.world import Variant, World
 
 CALLERS: Final = 6
 FAULTS: Final = 4
+# Each takes the grace period of eight seconds at most, and what strikes beside it.
+STOPS: Final = 3
+# Callers beside stops: two at each relay keep every stage of each stop busy; more than
+# this many are more than the servers have slots for.
+MOST_CALLERS: Final = 20
+# Servers take this many times as long beside stops: half a second at the mean, so that
+# a relay that ends at any moment has requests under way.
+SLOWNESS: Final = 8.0
+# How many requests a kept channel carries: one, a few, or all until the relay ends it.
+KEPT_FOR: Final = (1, 4, 10_000)
+# Share of requests that go on a kept channel, if there is one.
+KEPT_SHARE: Final = 0.8
+# Share of new channels that lead to a relay that is stopping, if there is one: a
+# platform that finds most relays leaving goes on using all of them.
+TO_STOPPING_SHARE: Final = 0.5
 TRIES: Final = 4
 # What a caller waits for an answer before it gives up, in seconds.
 PATIENCE_S: Final = 3.0
@@ -36,19 +55,50 @@
 
 
 class Result(NamedTuple):
-    """What a soak showed."""
+    """What a soak showed.
+
+    Attributes
+    ----------
+    stops : int
+        Planned stops.
+    excused : int
+        Failures during planned stops that something unplanned excuses.
+    held_up : int
+        Spans of a quarter of a second in which the machine held some process up.
+    """
 
     seed: int
     faults: list[str]
     answers: dict[int, int]
+    stops: int
+    excused: int
+    held_up: int
     broken: list[str]
 
 
+class Channel(NamedTuple):
+    """A caller's channel to a relay, and how many requests it still carries."""
+
+    relay: str
+    caller: Caller
+    left: int
+
+
 class Callers:
-    """Plays programs."""
+    """Plays programs.
 
-    def __init__(self, world: World, witness: Witness, draw: random.Random) -> None:
+    Parameters
+    ----------
+    keep : bool
+        Channels are used again, as long as the relay allows.
+    """
+
+    def __init__(
+        self, world: World, witness: Witness, draw: random.Random, keep: bool = False
+    ) -> None:
         self.stopped = False
+        self._keep = keep
+        self._kept: list[Channel] = []
         self._world = world
         self._witness = witness
         self._draw = draw
@@ -104,43 +154,87 @@
 
     async def _ask(self, route: str, request_id: str, body: str, **more: str) -> Reply:
         reply = Reply(0, "", b"", False)
-        channel = await self._world.open(self._draw.choice(RELAYS))
+        channel = await self._channel()
         if channel is not None:
+            sent = 0.0
             try:
                 with anyio.move_on_after(PATIENCE_S):
-                    await channel.send(route, request_id, body, **more)
-                    reply = await channel.read()
+                    await channel.caller.send(route, request_id, body, **more)
+                    sent = time.monotonic()
+                    reply = await channel.caller.read()
             except (ConnectionError, asyncio.IncompleteReadError):
                 # The relay died with the channel: an answer that promises nothing.
                 pass
-            channel.writer.close()
+            answered = reply.whole and reply.status in (200, 404, *PROMISES)
+            if sent and not answered:
+                now = time.monotonic()
+                self._witness.fails(
+                    Failure(request_id, channel.relay, sent, now, reply.status)
+                )
+            closes = not reply.whole or "connection: close" in reply.head.lower()
+            if closes or channel.left <= 1:
+                channel.caller.writer.close()
+            else:
+                self._kept.append(channel._replace(left=channel.left - 1))
         self._witness.answered(request_id, reply.status, reply.body, reply.whole)
         return reply
 
+    async def _channel(self) -> Channel | None:
+        """Take a kept channel, or open one."""
+        draw = self._draw
+        if not self._keep:
+            relay = draw.choice(self._world.relay_names)
+            caller = await self._world.open(relay)
+            return Channel(relay, caller, 1) if caller else None
+        while self._kept and draw.random() < KEPT_SHARE:
+            channel = self._kept.pop(draw.randrange(len(self._kept)))
+            if not channel.caller.reader.at_eof():
+                return channel
+            channel.caller.writer.close()
+        stopping = [n for n in self._world.stopping if n in self._world.relay_names]
+        if not stopping or draw.random() >= TO_STOPPING_SHARE:
+            stopping = list(self._world.relay_names)
+        relay = draw.choice(stopping)
+        caller = await self._world.open(relay)
+        return Channel(relay, caller, draw.choice(KEPT_FOR)) if caller else None
+
     def _next_id(self, prefix: str) -> str:
         self._ids += 1
         return f"{prefix}{self._ids}"
 
 
-async def soak(seed: int, folder: Path, variant: str = "") -> Result:
-    """Play one seed."""
+async def soak(
+    seed: int,
+    folder: Path,
+    variant: Variant | None = None,
+    stops: bool = False,
+    relays: int = 2,
+) -> Result:
+    """Play one seed; with `stops` its faults are planned work and what is beside it."""
     draw = random.Random(f"{seed} callers and servers")
     # A generator of their own: the faults of a seed are the same in each run.
     faults_draw = random.Random(f"{seed} faults")
     witness = Witness()
     async with standin_store() as store:
-        world = World(folder, store, witness, draw, variant)
+        slowness = SLOWNESS if stops else 1.0
+        world = World(folder, store, witness, draw, variant, relays, slowness)
         await world.start_servers()
         for name in world.machines:
             world.start(name)
-        callers = Callers(world, witness, draw)
+        callers = Callers(world, witness, draw, keep=stops)
+        count = min(max(CALLERS, 2 * relays + 4), MOST_CALLERS) if stops else CALLERS
         try:
             await _until_served(callers, "start")
             async with anyio.create_task_group() as group:
                 group.start_soon(world.restart_those_that_ended)
-                for number in range(CALLERS):
+                if stops:
+                    group.start_soon(world.watch_processor)
+                for number in range(count):
                     group.start_soon(callers.play, f"p{number}")
-                faults = await strike(world, faults_draw, FAULTS)
+                if stops:
+                    faults = await strike_with_stops(world, faults_draw, STOPS)
+                else:
+                    faults = await strike(world, faults_draw, FAULTS)
                 callers.stopped = True
                 world.stopped = True
             world.restart_ended()
@@ -152,7 +246,10 @@
             world.kill_all()
             for server in world.servers:
                 server.stop()
-    return Result(seed, faults, dict(witness.answers), witness.judge())
+    broken = witness.judge()
+    answers = dict(witness.answers)
+    counts = (len(witness.stops), witness.excused, len(witness.held_up))
+    return Result(seed, faults, answers, *counts, broken)
 
 
 async def _until_served(callers: Callers, name: str) -> bool:
@@ -169,13 +266,20 @@
     parser = argparse.ArgumentParser(description="fault soak")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--count", type=int, default=20)
+    parser.add_argument("--relays", type=int, default=2)
+    parser.add_argument("--stops", action="store_true", help="play planned work")
     wanted = parser.parse_args()
     failed = 0
     for seed in range(wanted.seed, wanted.seed + wanted.count):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        result = anyio.run(soak, seed, folder)
+        result = anyio.run(soak, seed, folder, None, wanted.stops, wanted.relays)
         answers = " ".join(f"{s}:{n}" for s, n in sorted(result.answers.items()))
-        print(f"seed {seed}: {', '.join(result.faults)}; answers {answers}", flush=True)
+        faults = ", ".join(result.faults)
+        print(
+            f"seed {seed}: {faults}; stops {result.stops}, failures excused "
+            f"{result.excused}, held up {result.held_up} times; answers {answers}",
+            flush=True,
+        )
         for line in result.broken:
             print(f"  BROKEN {line}; logs in {folder}", flush=True)
         failed += bool(result.broken)
--- a/tests/soak/witness.py
+++ b/tests/soak/witness.py
@@ -8,12 +8,25 @@
 from __future__ import annotations
 
 import random
+import time
 from collections import defaultdict
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Final, NamedTuple
 
 TOKENS_PER_EVENT: Final = 25
 MOST_EVENTS: Final = 6
 MOST_TOKENS: Final = TOKENS_PER_EVENT * MOST_EVENTS
+# A planned stop excuses no failure unless something unplanned happened, anywhere, from
+# this long before the request was sent to its end, in seconds: ``contactMs``, after
+# which machines count as in touch again.  It covers the restart of what was killed.
+CONTACT_S: Final = 3.0
+# What a caller says it will wait, less what clocks and sockets blur, in seconds:
+# nothing is promised once this time is over.  No route's own time is shorter.
+OWN_TIME_S: Final = 2.0 - 0.1
+# A channel may end without an answer this long after the last byte of a request, in
+# seconds: ``lossSlackMs``.
+LOSS_SLACK_S: Final = 0.2
 # Answers that promise that the request has not run and never will.
 PROMISES: Final = (402, 408, 421, 429, 503)
 
@@ -54,6 +67,29 @@
         return self.prompt() + events
 
 
+class Stop(NamedTuple):
+    """A planned stop of a process, from its signal to its end."""
+
+    name: str
+    began: float
+    ended: float
+
+
+class Failure(NamedTuple):
+    """A request that was wholly sent and got neither a whole answer nor a promise."""
+
+    id: str
+    relay: str
+    sent: float
+    ended: float
+    status: int
+
+
+def _near(spans: list[tuple[float, float]], since: float, until: float) -> bool:
+    """Return whether a span is within a time, or was shortly before it."""
+    return any(s <= until and since - CONTACT_S <= u for s, u in spans)
+
+
 class Witness:
     """Collects what was seen and tells which promises were broken."""
 
@@ -67,6 +103,15 @@
         self._refused: dict[str, int] = {}
         self._budgets: dict[str, int] = {}
         self._handed: dict[str, int] = defaultdict(int)
+        self.stops: list[Stop] = []
+        self._failures: list[Failure] = []
+        self._broke_off: set[str] = set()
+        self._unplanned: list[tuple[float, float]] = []
+        # When the machine gave some process no processor: unplanned as well.
+        self.held_up: list[tuple[float, float]] = []
+        # Failures during stops that something unplanned excuses.
+        self.excused = 0
+        self._killed: list[Stop] = []
 
     # What callers see
 
@@ -101,6 +146,34 @@
         if (whole and body != expected) or not expected.startswith(body):
             self.broken.append(f"order: {turn.id} got {body!r}, whole {whole}")
 
+    def fails(self, failure: Failure) -> None:
+        """Note a request whose caller was left without a whole answer or a promise."""
+        self._failures.append(failure)
+
+    # What the operators do
+
+    def stop_begins(self, name: str, now: float) -> int:
+        """Note the signal of a planned stop; return the stop's number."""
+        self.stops.append(Stop(name, now, float("inf")))
+        return len(self.stops) - 1
+
+    def stop_ends(self, number: int, now: float) -> None:
+        """Note that the process has ended."""
+        self.stops[number] = self.stops[number]._replace(ended=now)
+
+    def stop_fails(self, number: int) -> None:
+        """Note that the process had to be killed."""
+        self._killed.append(self.stops[number]._replace(ended=time.monotonic()))
+
+    @contextmanager
+    def unplanned(self) -> Iterator[None]:
+        """Note that something unplanned happens meanwhile."""
+        began = time.monotonic()
+        try:
+            yield
+        finally:
+            self._unplanned.append((began, time.monotonic()))
+
     # What servers see
 
     def runs(self, request_id: str, body: str) -> None:
@@ -115,11 +188,49 @@
         if turn is not None and body != turn.prompt():
             self.broken.append(f"chain: {request_id} ran with {body!r}")
 
+    def breaks_off(self, request_id: str) -> None:
+        """Note that a server breaks off an answer by itself."""
+        self._broke_off.add(request_id)
+
+    def _judge_stops(self) -> None:
+        """Look at the requests that failed at a relay that was told to stop."""
+        for stop in self._killed:
+            # Only a process that was held up itself may need longer.
+            if _near(self.held_up, stop.ended, stop.ended):
+                self.excused += 1
+            else:
+                self.broken.append(f"stop: {stop.name} had to be killed")
+        for failure in self._failures:
+            took_s = failure.ended - failure.sent
+            began = [
+                stop.began
+                for stop in self.stops
+                if stop.name == failure.relay
+                and stop.began <= failure.ended
+                and failure.sent <= stop.ended
+            ]
+            if not began or took_s >= OWN_TIME_S:
+                continue
+            unplanned = [*self._unplanned, *self.held_up]
+            if _near(unplanned, failure.sent, failure.ended):
+                self.excused += 1
+                continue
+            since_s = failure.sent - began[0]
+            seen = (
+                f"{failure.id} at {failure.relay}, sent {since_s:.2f} s after the "
+                f"signal, status {failure.status} after {took_s:.2f} s"
+            )
+            if self._runs[failure.id] and failure.id not in self._broke_off:
+                self.broken.append(f"cut: {seen}")
+            elif not failure.status and took_s > LOSS_SLACK_S:
+                self.broken.append(f"held: {seen}")
+
     def judge(self) -> list[str]:
         """Return the broken promises, those that only the end shows included."""
         for request_id, status in self._refused.items():
             if self._runs[request_id] and self._sent[request_id] != "safe":
                 self.broken.append(f"refused: {request_id} got {status} and has run")
+        self._judge_stops()
         for program, handed in self._handed.items():
             if handed > self._budgets[program] + MOST_TOKENS:
                 self.broken.append(f"budget: {program} was handed {handed} tokens")
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -10,6 +10,7 @@
 import signal
 import subprocess
 import sys
+import time
 from pathlib import Path
 from typing import Final, NamedTuple
 
@@ -23,18 +24,53 @@
 from wisteriastair.standins.deployment import free_address
 
 KEEPERS: Final = ("keeper-1", "keeper-2", "keeper-3")
-RELAYS: Final = ("relay-1", "relay-2")
+# A keeper that lost its disk, or was away for long, is a full replica again after this
+# time, in seconds; only then may the next one be lost.
+CATCH_UP_S: Final = 5.0
+ZONES: Final = 3
 CONFIG_KEY: Final = "op/config"
 # The platform starts a process that has ended again after a short delay, in seconds.
 RESTART_S: Final = 0.2
-# A keeper whose replay of its log is left out, as a check that the soak sees it.
-FORGETFUL: Final = """
+# The platform kills a process this long after its SIGTERM, in seconds: ``graceS`` of
+# the settings that the processes get.
+GRACE_S: Final = 8.0
+# Pause between two looks at whether a process has ended, in seconds.
+LOOK_S: Final = 0.02
+# How often it is looked at how long processes waited for a processor, and the wait in
+# that time from which on the machine held a process up, in seconds: half of the slack
+# that callers are promised, and far less than after which keepers are taken for lost.
+HELD_UP_LOOK_S: Final = 0.25
+HELD_UP_S: Final = 0.1
+
+
+class Variant(NamedTuple):
+    """A broken product that the soak must catch: what runs in a role's processes."""
+
+    role: str
+    code: str
+
+
+# A keeper whose replay of its log is left out.
+FORGETFUL: Final = Variant(
+    "keeper",
+    """
 from wisteriastair.keeper.log import Log
 from wisteriastair.main import main
 whole = Log.load
 Log.load = lambda self, now: whole(self, now)._replace(entries=[])
 raise SystemExit(main())
-"""
+""",
+)
+# A relay that takes requests until its stop ends by force.
+OBLIGING: Final = Variant(
+    "relay",
+    """
+from wisteriastair.relay.daemon import Relay
+from wisteriastair.main import main
+Relay._call_last = lambda self: None
+raise SystemExit(main())
+""",
+)
 
 
 class Machine(NamedTuple):
@@ -46,10 +82,10 @@
     zone: str
 
 
-def _routes() -> list[dict[str, object]]:
+def _routes(timeout_ms: int) -> list[dict[str, object]]:
     def route(name: str, kind: str, service: str, **more: object) -> dict[str, object]:
         plain = {"name": name, "host": "h", "prefix": f"/{name}/", "kind": kind}
-        return plain | {"timeoutMs": 2000, "service": service} | more
+        return plain | {"timeoutMs": timeout_ms, "service": service} | more
 
     kept = {"retainHistory": True, "retentionS": 60.0}
     return [
@@ -59,13 +95,26 @@
     ]
 
 
+def _waited_s(pid: int) -> float:
+    """Return how long a process was ready to run and did not, in seconds."""
+    try:
+        return int(Path(f"/proc/{pid}/schedstat").read_text().split()[1]) / 1e9
+    except (OSError, IndexError):
+        # The process has ended meanwhile.
+        return 0.0
+
+
 class World:
     """All that runs.
 
     Parameters
     ----------
-    variant : str
-        Program text that runs instead of the product's own start; empty for that.
+    variant : Variant or None
+        Runs instead of the product's own start.
+    relays : int
+        How many relays run.
+    slowness : float
+        How many times as long as at its quickest a server works.
     """
 
     def __init__(
@@ -74,22 +123,32 @@
         store: StoreStandin,
         witness: Witness,
         draw: random.Random,
-        variant: str = "",
+        variant: Variant | None = None,
+        relays: int = 2,
+        slowness: float = 1.0,
     ) -> None:
         self.store = store
+        self.witness = witness
+        self.relay_names = tuple(f"relay-{n}" for n in range(1, relays + 1))
+        self._slowness = slowness
+        self._config = 0
         self._folder = folder
-        self._witness = witness
         self._draw = draw
         self._variant = variant
         self._ports = [int(free_address().rpartition(":")[2]) for _ in range(3)]
         # Soaks beside each other need addresses of their own.
         net = f"127.{draw.randint(1, 250)}.{draw.randint(1, 250)}"
         self.machines = {
-            name: Machine(name, name[:-2], f"{net}.{number}", f"z{name[-1]}")
-            for number, name in enumerate((*KEEPERS, *RELAYS), start=11)
+            name: Machine(name, role, f"{net}.{10 + n}", f"z{1 + (n - 1) % ZONES}")
+            for role, names in (("keeper", KEEPERS), ("relay", self.relay_names))
+            for n, name in enumerate(names, start=1 if role == "keeper" else 4)
         }
         self.stopped = False
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        # Processes that were told to stop and have not ended yet.
+        self.stopping: dict[str, subprocess.Popen[bytes]] = {}
+        # Held while a keeper is away as planned: no more may be missing.
+        self.keepers = anyio.Lock()
         # Held by whoever ends relays until they are started again: two faults that end
         # the same one would else start its successor beside it.
         self.relays = anyio.Lock()
@@ -102,13 +161,7 @@
 
     async def start_servers(self) -> None:
         """Start the servers and tell the store of them and of the configuration."""
-        engine = {"slots": 8, "kvCapacityTokens": 100_000, "tokensPerEvent": 25}
-        services = [
-            {"name": "engines", "maxConns": 100, "engine": engine},
-            {"name": "plain", "maxConns": 100},
-        ]
-        config = {"version": 1, "routes": _routes(), "services": services, "limits": {}}
-        self.store.put(CONFIG_KEY, json.dumps(config).encode())
+        self.configure()
         for number, server in enumerate(self.servers):
             await server.start()
             service = "engines" if number < 3 else "plain"
@@ -121,15 +174,31 @@
             }
             self.store.put(f"servers/{server.id}", json.dumps(entry).encode())
 
+    def configure(self, timeout_ms: int = 2000) -> None:
+        """Put the next version of the configuration into the store."""
+        engine = {"slots": 8, "kvCapacityTokens": 100_000, "tokensPerEvent": 25}
+        services = [
+            {"name": "engines", "maxConns": 100, "engine": engine},
+            {"name": "plain", "maxConns": 100},
+        ]
+        self._config += 1
+        config = {
+            "version": self._config,
+            "routes": _routes(timeout_ms),
+            "services": services,
+            "limits": {},
+        }
+        self.store.put(CONFIG_KEY, json.dumps(config).encode())
+
     async def _engine(self, exchange: Exchange) -> None:
         if not await self._begins(exchange):
             return
         events = event_data(exchange.header("X-Request-Id"))
         breaks_after = self._draw.randrange(len(events)) if self._now_and_then() else -1
         for number, data in enumerate(events, start=1):
-            await asyncio.sleep(self._draw.uniform(0.0, 0.03))
+            await asyncio.sleep(self._slowness * self._draw.uniform(0.0, 0.03))
             if number - 1 == breaks_after:
-                exchange.reset()
+                self._break_off(exchange)
                 return
             await exchange.stream_part(f"id: {number}\ndata: {data}\n\n")
         await exchange.stream_end()
@@ -137,9 +206,9 @@
     async def _plain(self, exchange: Exchange) -> None:
         if not await self._begins(exchange):
             return
-        await asyncio.sleep(self._draw.uniform(0.0, 0.05))
+        await asyncio.sleep(self._slowness * self._draw.uniform(0.0, 0.05))
         if self._now_and_then():
-            exchange.reset()
+            self._break_off(exchange)
             return
         await exchange.answer(plain_answer(exchange.header("X-Request-Id")))
 
@@ -151,9 +220,13 @@
                 "Content-Length: 0\n\n"
             )
             return False
-        self._witness.runs(exchange.header("X-Request-Id"), exchange.body.decode())
+        self.witness.runs(exchange.header("X-Request-Id"), exchange.body.decode())
         return True
 
+    def _break_off(self, exchange: Exchange) -> None:
+        self.witness.breaks_off(exchange.header("X-Request-Id"))
+        exchange.reset()
+
     def _now_and_then(self) -> bool:
         return self._draw.random() < 0.03
 
@@ -164,8 +237,9 @@
         if name in self._processes:
             return
         machine = self.machines[name]
-        code = self._variant if self._variant and machine.role == "keeper" else ""
-        program = ["-c", code] if code else ["-m", "wisteriastair"]
+        program = ["-m", "wisteriastair"]
+        if self._variant is not None and self._variant.role == machine.role:
+            program = ["-c", self._variant.code]
         log = open(self._folder / f"{name}.log", "ab")  # noqa: SIM115
         self._processes[name] = subprocess.Popen(
             [sys.executable, *program, machine.role],
@@ -182,15 +256,60 @@
             process.send_signal(how)
             await anyio.to_thread.run_sync(process.wait)
 
+    async def stop(self, name: str) -> None:
+        """Stop a process as the platform does, and start it again.
+
+        It must end by itself.  One that has just started may end by the signal, since
+        it cannot tell yet what that means, or by a SIGHUP.
+        """
+        process = self._processes.pop(name, None)
+        if process is None:
+            # It is being stopped or started already.
+            return
+        self.stopping[name] = process
+        number = self.witness.stop_begins(name, time.monotonic())
+        process.send_signal(signal.SIGTERM)
+        with anyio.move_on_after(GRACE_S):
+            while process.poll() is None:
+                await anyio.sleep(LOOK_S)
+        if process.poll() is None:
+            process.kill()
+            process.wait()
+            self.witness.stop_fails(number)
+        elif process.returncode not in (0, -signal.SIGTERM, -signal.SIGHUP):
+            self.witness.broken.append(f"stop: {name} ended: {process.returncode}")
+        self.witness.stop_ends(number, time.monotonic())
+        del self.stopping[name]
+        await anyio.sleep(RESTART_S)
+        self.start(name)
+
+    def running_relays(self) -> list[str]:
+        """Return the relays that run and were not told to stop."""
+        return [name for name in self.relay_names if name in self._processes]
+
     def signal(self, name: str, what: signal.Signals) -> None:
         """Send a signal to a process that runs."""
-        if name in self._processes:
-            self._processes[name].send_signal(what)
+        process = self._processes.get(name) or self.stopping.get(name)
+        if process is not None:
+            process.send_signal(what)
 
     def wipe(self, name: str) -> None:
         """Lose the disk of a machine whose process has ended."""
         shutil.rmtree(self._folder / name, ignore_errors=True)
 
+    async def watch_processor(self) -> None:
+        """Note when a process got no processor, as beside other work on the machine."""
+        waited: dict[int, float] = {}
+        while not self.stopped:
+            began = time.monotonic()
+            await anyio.sleep(HELD_UP_LOOK_S)
+            processes = (*self._processes.values(), *self.stopping.values())
+            pids = [os.getpid(), *(process.pid for process in processes)]
+            now = {pid: _waited_s(pid) for pid in pids}
+            if any(now[pid] - waited.get(pid, 0.0) > HELD_UP_S for pid in pids):
+                self.witness.held_up.append((began, time.monotonic()))
+            waited = now
+
     async def restart_those_that_ended(self) -> None:
         """Start processes again that ended by themselves, as the platform does."""
         while not self.stopped:
@@ -214,10 +333,11 @@
 
     def kill_all(self) -> None:
         """End everything at once, without waiting."""
-        for process in self._processes.values():
+        for process in (*self._processes.values(), *self.stopping.values()):
             process.kill()
             process.wait()
         self._processes.clear()
+        self.stopping.clear()
 
     def _settings(self, machine: Machine) -> Path:
         internal, front, ready = self._ports
