--- a/Makefile
+++ b/Makefile
@@ -32,13 +32,15 @@
 
 SEED ?= 1
 N ?= 60
+# More for a soak: --stops, --relays 20
+SOAK ?=
 
 
 faults: $(STAMP)
 	$(BIN)/wisteriastair faults --seed $(SEED) --programs $(N)
 
 soak: $(STAMP)
-	$(BIN)/python -m tests.soak.run --seed $(SEED) --count $(N)
+	$(BIN)/python -m tests.soak.run --seed $(SEED) --count $(N) $(SOAK)
 
 load: $(STAMP)
 	$(BIN)/wisteriastair load
