Soak: excuses name what they excuse

Cause: failures near something unplanned were counted before it was clear whether they would have broken a promise, so the count said little of what a run could not judge.

Change: only what would have been broken is excused, and printed. What is broken is the same as before.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -61,18 +61,18 @@
     ----------
     stops : int
         Planned stops.
-    excused : int
-        Failures during planned stops that something unplanned excuses.
     held_up : int
         Spans of a quarter of a second in which the machine held some process up.
+    excused : list of str
+        Failures during planned stops that something unplanned excuses.
     """
 
     seed: int
     faults: list[str]
     answers: dict[int, int]
     stops: int
-    excused: int
     held_up: int
+    excused: list[str]
     broken: list[str]
 
 
@@ -248,8 +248,8 @@
                 server.stop()
     broken = witness.judge()
     answers = dict(witness.answers)
-    counts = (len(witness.stops), witness.excused, len(witness.held_up))
-    return Result(seed, faults, answers, *counts, broken)
+    counts = (len(witness.stops), len(witness.held_up))
+    return Result(seed, faults, answers, *counts, witness.excused, broken)
 
 
 async def _until_served(callers: Callers, name: str) -> bool:
@@ -276,10 +276,12 @@
         answers = " ".join(f"{s}:{n}" for s, n in sorted(result.answers.items()))
         faults = ", ".join(result.faults)
         print(
-            f"seed {seed}: {faults}; stops {result.stops}, failures excused "
-            f"{result.excused}, held up {result.held_up} times; answers {answers}",
+            f"seed {seed}: {faults}; stops {result.stops}, held up "
+            f"{result.held_up} times; answers {answers}",
             flush=True,
         )
+        for line in result.excused:
+            print(f"  excused {line}", flush=True)
         for line in result.broken:
             print(f"  BROKEN {line}; logs in {folder}", flush=True)
         failed += bool(result.broken)
--- a/tests/soak/witness.py
+++ b/tests/soak/witness.py
@@ -110,7 +110,7 @@
         # When the machine gave some process no processor: unplanned as well.
         self.held_up: list[tuple[float, float]] = []
         # Failures during stops that something unplanned excuses.
-        self.excused = 0
+        self.excused: list[str] = []
         self._killed: list[Stop] = []
 
     # What callers see
@@ -196,10 +196,9 @@
         """Look at the requests that failed at a relay that was told to stop."""
         for stop in self._killed:
             # Only a process that was held up itself may need longer.
-            if _near(self.held_up, stop.ended, stop.ended):
-                self.excused += 1
-            else:
-                self.broken.append(f"stop: {stop.name} had to be killed")
+            held_up = _near(self.held_up, stop.ended, stop.ended)
+            seen = f"stop: {stop.name} had to be killed"
+            (self.excused if held_up else self.broken).append(seen)
         for failure in self._failures:
             took_s = failure.ended - failure.sent
             began = [
@@ -211,19 +210,20 @@
             ]
             if not began or took_s >= OWN_TIME_S:
                 continue
-            unplanned = [*self._unplanned, *self.held_up]
-            if _near(unplanned, failure.sent, failure.ended):
-                self.excused += 1
+            if self._runs[failure.id] and failure.id not in self._broke_off:
+                what = "cut"
+            elif not failure.status and took_s > LOSS_SLACK_S:
+                what = "held"
+            else:
                 continue
             since_s = failure.sent - began[0]
             seen = (
-                f"{failure.id} at {failure.relay}, sent {since_s:.2f} s after the "
-                f"signal, status {failure.status} after {took_s:.2f} s"
+                f"{what}: {failure.id} at {failure.relay}, sent {since_s:.2f} s after "
+                f"the signal, status {failure.status} after {took_s:.2f} s"
             )
-            if self._runs[failure.id] and failure.id not in self._broke_off:
-                self.broken.append(f"cut: {seen}")
-            elif not failure.status and took_s > LOSS_SLACK_S:
-                self.broken.append(f"held: {seen}")
+            unplanned = [*self._unplanned, *self.held_up]
+            excused = _near(unplanned, failure.sent, failure.ended)
+            (self.excused if excused else self.broken).append(seen)
 
     def judge(self) -> list[str]:
         """Return the broken promises, those that only the end shows included."""
