--- a/tests/relay/test_daemon.py
+++ b/tests/relay/test_daemon.py
@@ -110,6 +110,7 @@
         refused = [reply for name, reply in replies.items() if name not in ran]
         assert {reply.status for reply in refused} <= {0, 503}
         told = [reply.head.lower() for reply in refused if reply.status == 503]
+        assert told
         assert all("retry-after: " in head for head in told)
         assert all("connection: close" in head for head in told)
 
