Virtual deployment: its clock is a class of its own

The file was the largest of the package. The clock needs nothing of the deployment; the method that only called another of the same meaning is gone.

--- a/wisteriastair/standins/virtual.py
+++ b/wisteriastair/standins/virtual.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import heapq
 from collections.abc import Callable
 from functools import partial
 from random import Random
@@ -70,6 +69,7 @@
     VirtualServer,
     undisturbed,
 )
+from .virtual_time import VirtualTime
 
 ENGINE_STEP_S: Final = 0.02
 LIST_S: Final = 1.0
@@ -78,12 +78,12 @@
 TEXT_PIECES: Final = 3
 
 
-class VirtualDeployment:
+class VirtualDeployment(VirtualTime):
     """The deployment."""
 
     def __init__(self, cfg: VirtualOptions) -> None:
+        super().__init__()
         self.cfg = cfg
-        self.now = 1_000.0
         self.kv = VirtualKv()
         self.nodes: dict[str, Node] = {}
         self.instances: dict[str, Instance] = {}
@@ -100,8 +100,6 @@
         self.bytes = 0
         self.config: Config = EMPTY_CONFIG
         self._random = Random(cfg.seed)
-        self._queue: list[tuple[float, int, Callable[[], None]]] = []
-        self._sequence = 0
         self._cuts: set[frozenset[str]] = set()
         self._requests = 0
         self._running: dict[CallId, EngineCall] = {}
@@ -168,8 +166,8 @@
         node = Node(name, member, core)
         self.nodes[name] = node
         for key in [CONFIG_KEY, *(f"slots/{n}" for n in range(self.cfg.segments))]:
-            self._at(0.0, partial(self._read, node, key))
-        self._at(0.0, self._show_list)
+            self.after(0.0, partial(self._read, node, key))
+        self.after(0.0, self._show_list)
         return node
 
     def side(self, server: str) -> SideCore:
@@ -216,14 +214,6 @@
 
     # Time
 
-    def _at(self, delay: float, action: Callable[[], None]) -> None:
-        self._sequence += 1
-        heapq.heappush(self._queue, (self.now + delay, self._sequence, action))
-
-    def after(self, delay: float, action: Callable[[], None]) -> None:
-        """Do something after a delay in virtual seconds."""
-        self._at(delay, action)
-
     def _every(
         self, period: float, action: Callable[[], None], node: Node | None = None
     ) -> None:
@@ -231,24 +221,9 @@
             if node is not None and (not node.alive or node.drained):
                 return
             action()
-            self._at(period, again)
-
-        self._at(self._random.random() * period, again)
+            self.after(period, again)
 
-    def run(self, seconds: float) -> None:
-        """Advance virtual time."""
-        self.run_until(lambda: False, seconds)
-
-    def run_until(self, done: Callable[[], bool], limit_s: float) -> bool:
-        """Advance until something holds; False if it did not within the limit."""
-        end = self.now + limit_s
-        while self._queue and self._queue[0][0] <= end:
-            if done():
-                return True
-            self.now, _, action = heapq.heappop(self._queue)
-            action()
-        self.now = max(self.now, end)
-        return done()
+        self.after(self._random.random() * period, again)
 
     # Delivery
 
@@ -286,9 +261,9 @@
                 case ToCaller(request, event):
                     self._to_caller(request, event)
                 case KvRead(key):
-                    self._at(KV_S, partial(self._read, node, key))
+                    self.after(KV_S, partial(self._read, node, key))
                 case KvSwap():
-                    self._at(KV_S, partial(self._swap, node, effect))
+                    self.after(KV_S, partial(self._swap, node, effect))
                 case KvWatch(active):
                     node.watching = active
                 case BackendCall(call):
@@ -319,7 +294,7 @@
         received = Received(node.member, decode_message(data))
         for extra in self.disturb(node.name, name, message):
             delay = self.cfg.delay_s * (0.5 + self._random.random()) + extra
-            self._at(delay, partial(self._deliver, target, received))
+            self.after(delay, partial(self._deliver, target, received))
 
     def _read(self, node: Node, key: str) -> None:
         self._deliver(node, self.kv.read(key))
@@ -335,7 +310,7 @@
         """Have the watchers see a key."""
         for node in list(self.nodes.values()):
             if node.watching:
-                self._at(KV_S, partial(self._deliver, node, value))
+                self.after(KV_S, partial(self._deliver, node, value))
 
     def _show_list(self) -> None:
         seen = InstancesSeen(tuple(self.instances[n] for n in sorted(self.instances)))
@@ -385,7 +360,7 @@
             self._call_engine(node, call)
         elif call.server not in self.hanging:
             pause = self.service_time(call)
-            self._at(pause, lambda: self._execute(node, call))
+            self.after(pause, lambda: self._execute(node, call))
 
     def _execute(self, node: Node, call: GateCall) -> None:
         name = "/".join(str(part) for part in call.call)
@@ -402,7 +377,7 @@
             size = max(1, -(-len(running.rest) // TEXT_PIECES))
             for number in range(1, TEXT_PIECES):
                 emit = partial(self._emit, running, size * number)
-                self._at(number * ENGINE_STEP_S, emit)
+                self.after(number * ENGINE_STEP_S, emit)
 
     def _emit(self, running: EngineCall, end: int) -> None:
         """Emit the output up to a position, unless the call is over."""
