A few keepers watch the store for all; the others hear of changes from them

Cause: each of the 84 processes of the large deployment held its own watch of all keys, so one change cost 84 calls: work that grows as processes times changes.

Change: t + 1 keepers in different failure domains, chosen alike by all from the list of members, watch (core/watchers.py). The others subscribe and make no call as long as one watcher has confirmed within half of the bound for changes that it is up to date. Each message names the revision after which its changes begin, so that who has missed one, or is told of a newer revision than it holds, watches by itself. Values come from one watcher, the others tell revisions only. A woken watcher does not pass on an answer from before its sleep. A message of an unknown kind no longer takes the others of its frame with it.

--- /dev/null
+++ b/tests/core/test_watchers.py
@@ -0,0 +1,128 @@
+"""Who watches the store for all, and when the word of watchers is enough."""
+
+from __future__ import annotations
+
+from wisteriastair.core.ledgerwire import StoreNews, Subscribe
+from wisteriastair.core.membership import Member, View
+from wisteriastair.core.watchers import (
+    GRACE_S,
+    LEASE_S,
+    RENEW_S,
+    Subscribers,
+    Subscription,
+    make_subscription,
+    make_watch_times,
+    watchers_of,
+)
+
+BOUND_S = 2.0
+
+
+def view_of(count: int, domains: int = 5) -> View:
+    members = tuple(
+        Member(f"k{n}", f"disk{n}", f"k{n}:1", f"domain{n % domains}")
+        for n in range(count)
+    )
+    return View(1, members)
+
+
+def subscription(view: View, me: str = "r1:1", domain: str = "domain0") -> Subscription:
+    found = make_subscription(me, domain, 2, BOUND_S)
+    found.set_view(view)
+    return found
+
+
+def news(revision: int, *, in_touch: bool = True) -> StoreNews:
+    return StoreNews(revision, revision, in_touch=in_touch)
+
+
+def test_one_more_than_may_be_lost_watch_in_different_domains() -> None:
+    """All watchers lie in one failure domain, and it goes."""
+    for count in (3, 8, 24, 60):
+        chosen = watchers_of(view_of(count), losses=2)
+        assert len(chosen) == 3
+        assert len({member.domain for member in chosen}) == 3
+    assert len(watchers_of(view_of(2), losses=2)) == 2
+
+
+def test_a_member_that_goes_moves_only_its_own_watch() -> None:
+    before = view_of(24)
+    chosen = watchers_of(before, losses=2)
+    left = View(2, tuple(m for m in before.members if m != chosen[0]))
+    assert set(chosen[1:]) <= set(watchers_of(left, losses=2))
+
+
+def test_values_come_from_one_watcher_and_from_another_when_it_is_silent() -> None:
+    """A configuration of 100 kB from each watcher would fill a link of 15 Mbit/s."""
+    view = view_of(24)
+    chosen = [member.address for member in watchers_of(view, losses=2)]
+    mine = subscription(view)
+    mine.holds(5, 0.0)
+
+    def source(now: float) -> str:
+        wishes = dict(mine.due(now))
+        assert sorted(wishes) == sorted(chosen)
+        (found,) = [a for a, wish in wishes.items() if wish.values]
+        return found
+
+    first = source(0.0)
+    other = next(a for a in chosen if a != first)
+    mine.hear(first, news(5), 0.1)
+    mine.hear(other, news(5), 0.1)
+    assert source(RENEW_S) == first
+    limit_s = make_watch_times(BOUND_S).limit_s
+    mine.hear(other, news(5), 0.1 + limit_s)
+    assert source(0.2 + limit_s) == other
+
+
+def test_one_watcher_in_touch_is_enough_and_counts_for_half_of_the_bound() -> None:
+    view = view_of(24)
+    chosen = [member.address for member in watchers_of(view, losses=2)]
+    mine = subscription(view)
+    mine.holds(5, 0.0)
+    assert mine.covered_until(0.0) < 0.0
+    mine.hear(chosen[0] + "#1", news(5, in_touch=False), 1.0)
+    assert mine.covered_until(1.0) < 1.0 and mine.store_lost(1.0)
+    mine.hear(chosen[1] + "#1", news(5), 1.0)
+    assert mine.covered_until(1.0) == 1.0 + BOUND_S / 2
+    assert not mine.store_lost(1.0)
+
+
+def test_who_is_told_of_something_newer_is_covered_for_a_moment_only() -> None:
+    """A relay claims to be in touch and serves by an older configuration.
+
+    One watcher lags and confirms what the relay holds; another one is ahead.
+    """
+    view = view_of(24)
+    chosen = [member.address for member in watchers_of(view, losses=2)]
+    mine = subscription(view)
+    mine.holds(5, 0.0)
+    mine.hear(chosen[0], news(5), 0.0)
+    mine.hear(chosen[1], StoreNews(5, 6, None), 0.1)
+    assert mine.covered_until(0.2) == 0.1 + GRACE_S
+    mine.holds(6, 0.2)
+    assert mine.covered_until(0.2) > 0.1 + GRACE_S
+
+
+def test_a_watcher_relies_on_nobody_and_strangers_do_not_count() -> None:
+    view = view_of(24)
+    chosen = [member.address for member in watchers_of(view, losses=2)]
+    watcher = subscription(view, me=chosen[0])
+    watcher.holds(5, 0.0)
+    watcher.hear(chosen[1], news(5), 0.0)
+    assert watcher.is_watcher and watcher.covered_until(0.0) < 0.0
+    stranger = next(m.address for m in view.members if m.address not in chosen)
+    mine = subscription(view)
+    mine.holds(5, 0.0)
+    mine.hear(stranger, news(5), 0.0)
+    assert mine.covered_until(0.0) < 0.0
+
+
+def test_subscribers_get_what_they_want_until_they_are_gone() -> None:
+    subscribers = Subscribers()
+    subscribers.add("a:1#1", Subscribe(True), 0.0)
+    subscribers.add("b:1#1", Subscribe(False), 1.0)
+    told = StoreNews(1, 2, [])
+    assert dict(subscribers.tell(told, 1.0)) == {"a:1#1": told, "b:1#1": told}
+    assert [to for to, _ in subscribers.tell(told, LEASE_S + 0.5)] == ["b:1#1"]
+    assert subscribers.tell(told, LEASE_S + 1.5) == []
--- a/tests/peers/test_transport.py
+++ b/tests/peers/test_transport.py
@@ -5,12 +5,13 @@
 from collections.abc import Callable
 
 import anyio
+import msgspec
 from anyio.abc import SocketStream
 
 from wisteriastair.core.wire import DocPull, Message
 from wisteriastair.peers.corecodec import CORE_CODEC
 from wisteriastair.peers.ledgercodec import LEDGER_PATIENCE
-from wisteriastair.peers.transport import Transport
+from wisteriastair.peers.transport import Codec, Transport
 from wisteriastair.standins.deployment import free_address
 
 LIMIT_S = 30.0
@@ -251,3 +252,42 @@
     configuration and slot table.  Its frames name another deployment and are dropped.
     """
     anyio.run(send_from_another_deployment)
+
+
+async def send_with_something_unknown() -> list[str]:
+    """Return what arrives of a frame with a message that the receiver cannot read."""
+    arrived: list[str] = []
+    address = free_address()
+    receiver: Transport[str] = Transport(
+        f"{address}#1",
+        lambda sender, message: arrived.append(message),
+        deployment="ours",
+        codec=Codec(str.encode, lambda data: msgspec.json.decode(data, type=str)),
+    )
+    sender: Transport[str] = Transport(
+        f"{free_address()}#1",
+        lambda sender, message: None,
+        deployment="ours",
+        codec=Codec(str.encode, bytes.decode),
+        gather_s=0.01,
+    )
+    async with anyio.create_task_group() as group:
+        group.start_soon(receiver.run)
+        group.start_soon(sender.run)
+        with anyio.fail_after(LIMIT_S):
+            while len(arrived) < 2:
+                for message in ('"first"', "not known here", '"last"'):
+                    sender.send(address, message)
+                await anyio.sleep(0.1)
+        assert receiver.counts.malformed > 0
+        group.cancel_scope.cancel()
+    return arrived
+
+
+def test_a_message_of_a_newer_version_takes_no_other_away() -> None:
+    """Turns are refused while two versions run side by side.
+
+    A keeper of the newer version tells a relay something that the relay cannot read.
+    It travels in one frame with answers to reservations, which went with it.
+    """
+    assert anyio.run(send_with_something_unknown)[:2] == ["first", "last"]
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -44,6 +44,7 @@
     assert cfg.internal == "10.1.0.1:7380"
     assert cfg.memory_bytes == 150 * 1024 * 1024
     assert cfg.drain_s == 2.0
+    assert cfg.change_s == 2.0
     assert cfg.tolerated_losses == 1
     assert cfg.seeds == ("10.3.0.6:7380",)
 
@@ -57,6 +58,7 @@
         ("internalPorts = [7380, 7395]", "internalPorts = [1]", "internalPorts"),
         ('"10.2.0.1:8142"', '"nowhere"', "platform.address"),
         ("machines = 1", "machines = -1", "tolerate.machines"),
+        ("graceS = 8", "graceS = 8\nconfigMs = 0", "bounds.configMs"),
     ],
 )
 def test_wrong_field_is_named(tmp_path: Path, old: str, new: str, field: str) -> None:
--- a/wisteriastair/core/ledgerwire.py
+++ b/wisteriastair/core/ledgerwire.py
@@ -161,6 +161,45 @@
     documents: list[Document]
 
 
+class Change(msgspec.Struct, frozen=True, array_like=True):
+    """A change of a key in the platform's store; no value if it was removed."""
+
+    key: str
+    revision: int
+    value: bytes | None
+
+
+class Subscribe(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """Ask a keeper for the changes of the platform's store, for some seconds.
+
+    Attributes
+    ----------
+    values : bool
+        Whether the changes themselves are wanted, or only their revisions.
+    """
+
+    values: bool
+
+
+class StoreNews(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """What a keeper that watches the platform's store has just heard from it.
+
+    Attributes
+    ----------
+    base, revision : int
+        The changes are all that came after `base`, up to `revision`.
+    changes : list of Change or None
+        None if there are some and they are not enclosed.
+    in_touch : bool
+        False if the store does not answer; the rest is then as it was before.
+    """
+
+    base: int
+    revision: int
+    changes: list[Change] | None = []
+    in_touch: bool = True
+
+
 LedgerMessage = (
     Write
     | Spread
@@ -171,6 +210,8 @@
     | CopyReply
     | AskDocuments
     | KnownDocuments
+    | Subscribe
+    | StoreNews
 )
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
--- a/wisteriastair/core/membership.py
+++ b/wisteriastair/core/membership.py
@@ -101,17 +101,21 @@
     """
     by_name = {member.name: member for member in members}
     order = [by_name[name] for name in rank(f"slot {slot}", by_name)]
-    wanted = 2 * losses + 1
+    chosen = over_domains(order, 2 * losses + 1)
+    write = losses + 1
+    return ReplicaSet(chosen, write, max(1, len(chosen) - write + 1))
+
+
+def over_domains(order: list[Member], count: int) -> tuple[Member, ...]:
+    """Choose the first of an order, one of each failure domain before a second one."""
     chosen: list[Member] = []
-    while len(chosen) < min(wanted, len(order)):
+    while len(chosen) < min(count, len(order)):
         domains: set[str] = set()
         for member in order:
             if member not in chosen and member.domain not in domains:
                 chosen.append(member)
                 domains.add(member.domain)
-    chosen = chosen[:wanted]
-    write = losses + 1
-    return ReplicaSet(tuple(chosen), write, max(1, len(chosen) - write + 1))
+    return tuple(chosen[:count])
 
 
 def replica_sets(view: View, slot: int, losses: int) -> tuple[ReplicaSet, ...]:
--- a/wisteriastair/keeper/daemon.py
+++ b/wisteriastair/keeper/daemon.py
@@ -23,8 +23,11 @@
     Document,
     KnownDocuments,
     LedgerMessage,
+    StoreNews,
+    Subscribe,
 )
 from ..core.membership import Member, View, next_view
+from ..core.watchers import Subscribers, make_subscription
 from ..logs import dropped_lines
 from ..nodemetrics import KeeperMetrics, serve_metrics
 from ..nodeoptions import NodeOptions
@@ -74,6 +77,17 @@
         self._log = Log(os.path.join(cfg.data_dir, "ledger"))
         self._documents = Documents(os.path.join(cfg.data_dir, "store"))
         self._store = Store(cfg.store)
+        self._subscription = make_subscription(
+            cfg.internal, cfg.domain, cfg.tolerated_losses, cfg.change_s
+        )
+        self._subscribers = Subscribers()
+        self._mirror = Mirror(
+            self._store,
+            self._on_item,
+            self._documents.keep_only,
+            subscription=self._subscription,
+            on_news=self._tell,
+        )
         self._stop = anyio.Event()
         self._metrics = KeeperMetrics()
         self._retire_done: set[str] = set()
@@ -128,8 +142,7 @@
         log.info("keeper stopped", extra={"disk": me.disk})
 
     def _start(self, group: TaskGroup) -> None:
-        mirror = Mirror(self._store, self._on_item, self._documents.keep_only)
-        group.start_soon(mirror.run)
+        group.start_soon(self._mirror.run)
         group.start_soon(self._save_documents)
         group.start_soon(self._transport.run)
         group.start_soon(self._storage.run, self._send)
@@ -161,10 +174,20 @@
             known = KnownDocuments(self._documents.all())
             self._transport.send(sender, known)
             return
+        if isinstance(message, Subscribe):
+            self._subscribers.add(sender, message, time.monotonic())
+            return
+        if isinstance(message, StoreNews):
+            self._mirror.take_news(sender, message)
+            return
         self._core.receive(sender, message, time.monotonic())
         self._send()
         self._storage.wake()
 
+    def _tell(self, news: StoreNews) -> None:
+        for to, message in self._subscribers.tell(news, time.monotonic()):
+            self._transport.send(to, message)
+
     def _send(self) -> None:
         for to, message in self._core.take_outbox():
             self._transport.send(to, message)
@@ -173,8 +196,12 @@
 
     async def _tick(self) -> None:
         while True:
-            self._core.tick(time.monotonic())
+            now = time.monotonic()
+            self._core.tick(now)
             self._send()
+            self._subscription.set_view(self._core.view)
+            for address, wish in self._subscription.due(now):
+                self._transport.send(address, wish)
             await anyio.sleep(TICK_S)
 
     async def _give_back_space(self) -> None:
@@ -204,6 +231,8 @@
             "turn_bytes": core.ledger.held_bytes,
             "stale_refused": core.stale_refused,
             "store_calls": self._store.calls,
+            "store_revision": self._mirror.revision,
+            "store_watched": self._mirror.watches,
             "log_lines_dropped": dropped_lines(),
         }
         for name, value in values.items():
--- a/wisteriastair/nodemetrics.py
+++ b/wisteriastair/nodemetrics.py
@@ -73,6 +73,8 @@
                 ("caller_channels", "Open channels of callers"),
                 ("server_channels_opened", "Channels opened to servers since start"),
                 ("store_calls", "Calls to the platform's store since start"),
+                ("store_revision", "Revision up to which changes are known"),
+                ("store_watched", "1 if this process watches the store itself"),
                 ("ledger_resent", "Ledger requests sent again since start"),
                 ("chain_bytes", "Bytes of cached chains"),
                 ("log_lines_dropped", "Log lines that were not taken in time"),
@@ -103,6 +105,8 @@
                 ("turn_bytes", "Bytes of kept turns"),
                 ("stale_refused", "Requests under an older view refused"),
                 ("store_calls", "Calls to the platform's store since start"),
+                ("store_revision", "Revision up to which changes are known"),
+                ("store_watched", "1 if this process watches the store itself"),
                 ("log_lines_dropped", "Log lines that were not taken in time"),
             )
         }
--- a/wisteriastair/nodeoptions.py
+++ b/wisteriastair/nodeoptions.py
@@ -46,6 +46,8 @@
         stale.
     settle_s : float
         Seconds within which an ended turn must be settled in the ledger.
+    config_s : float
+        Seconds within which a configuration must be in force everywhere.
     """
 
     name: str
@@ -62,8 +64,14 @@
     grace_s: float
     drain_s: float
     settle_s: float
+    config_s: float
     seeds: tuple[str, ...]
 
+    @property
+    def change_s(self) -> float:
+        """Seconds within which any change in the store has to be in force."""
+        return min(self.drain_s, self.config_s)
+
     @property
     def internal(self) -> str:
         """Address for the other processes of the system."""
--- a/wisteriastair/peers/transport.py
+++ b/wisteriastair/peers/transport.py
@@ -47,6 +47,8 @@
 # is reached by a new connection at once: ours was dialled while it was cut off, and
 # waits for the next of ever rarer attempts.
 HEARD_UNECHOED_S: Final = 0.5
+# Peers remembered as sending what cannot be read, so that each is logged once.
+UNREADABLE_KEPT: Final = 1000
 log = logging.getLogger(__name__)
 
 
@@ -196,6 +198,7 @@
         self._links: dict[str, _Link] = {}
         self._readers: set[FrameReader] = set()
         self._dirty: set[_Link] = set()
+        self._unreadable: set[str] = set()
         self._failed: asyncio.Future[None]
 
     def send(self, to: str, message: M) -> None:
@@ -267,19 +270,43 @@
         """
         try:
             frame = _FRAMES.decode(data)
-            messages = [self._codec.decode(m) for m in frame.messages]
-        except (msgspec.DecodeError, IndexError):
+        except msgspec.DecodeError:
             self.counts.malformed += 1
             return
         if frame.deployment != self._deployment:
             self.counts.foreign += 1
             return
         try:
-            self._take(frame, messages)
+            self._take(frame, self._decoded(frame))
         except Exception as exc:
             if not self._failed.done():
                 self._failed.set_exception(exc)
 
+    def _decoded(self, frame: Frame) -> list[M]:
+        """Decode the messages of a frame, without those that this process cannot read.
+
+        A peer of a newer version sends kinds of messages that are not known here.  If
+        they took the others of their frame with them, writes would be lost for as long
+        as versions are mixed.
+        """
+        messages: list[M] = []
+        for data in frame.messages:
+            try:
+                messages.append(self._codec.decode(data))
+            except (msgspec.DecodeError, IndexError):
+                self.counts.malformed += 1
+                self._log_unreadable(frame.sender)
+        return messages
+
+    def _log_unreadable(self, sender: str) -> None:
+        """Log that a peer sends what cannot be read, once for each peer."""
+        if sender in self._unreadable:
+            return
+        if len(self._unreadable) >= UNREADABLE_KEPT:
+            self._unreadable.clear()
+        self._unreadable.add(sender)
+        log.warning("messages that cannot be read", extra={"peer": sender})
+
     def _take(self, frame: Frame, messages: list[M]) -> None:
         now = time.monotonic()
         link = self._link(address_of(frame.sender), now)
--- a/wisteriastair/platform/mirror.py
+++ b/wisteriastair/platform/mirror.py
@@ -5,6 +5,10 @@
 longer has that history, everything is read again and compared.  An item only ever
 replaces an older one of the same key, so a change that is reported twice or late has no
 effect.
+
+Most processes hear of changes from those that watch for all (`core.watchers`), and make
+no call while that is enough.  What they hear and what a call of their own brings may
+overtake each other in any order.
 """
 
 from __future__ import annotations
@@ -17,7 +21,9 @@
 
 import anyio
 
-from .store import Changes, HistoryLost, Item, Store, StoreTrouble
+from ..core.ledgerwire import Change, StoreNews
+from ..core.watchers import Subscription
+from .store import WATCH_S, Changes, HistoryLost, Item, Store, StoreTrouble
 
 # Pause after a call that failed, in seconds; drawn between half of it and all, so that
 # many processes do not come back to a store at the same moment.
@@ -27,10 +33,20 @@
 # Changes within this time after one, in seconds, come with one call instead of one
 # each. A tenth of the time in which a configuration has to be in force.
 GATHER_S: Final = 0.2
+# A watch is answered this much later than it was to wait, in seconds, by a slow store.
+# An answer that took longer may have waited here while the machine was suspended.
+LATE_S: Final = 0.8
+# The first watch after others were relied on waits hardly at all, in seconds: until it
+# is answered nothing tells whether the store can be reached.
+FIRST_WAIT_S: Final = 0.02
+# A watch after one that failed waits shortly, in seconds: begun during a cut it is not
+# answered, and the usual one would find out only after the cut has long healed.
+RETRY_WAIT_S: Final = 0.7
 EVERYTHING: Final = ""
 
 OnChange = Callable[[Item], None]
 OnListed = Callable[[set[str]], None]
+OnNews = Callable[[StoreNews], None]
 
 log = logging.getLogger(__name__)
 
@@ -46,50 +62,144 @@
         Takes each new state of a key.
     on_listed : callable
         Takes the keys of a full reading.
+    subscription : Subscription or None
+        What the watchers say; None if this process always watches by itself.
+    on_news : callable or None
+        Takes what a process that watches for others has to tell them.
     """
 
-    def __init__(self, store: Store, on_change: OnChange, on_listed: OnListed) -> None:
+    def __init__(
+        self,
+        store: Store,
+        on_change: OnChange,
+        on_listed: OnListed,
+        *,
+        subscription: Subscription | None = None,
+        on_news: OnNews | None = None,
+    ) -> None:
         self.revision = 0
         self.in_touch = False
         self.was_lost = False
         # While the first answer after an outage is taken in.
         self.catching_up = False
         self.regained_at = float("-inf")
+        # Whether this process makes calls of its own to hear of changes.
+        self.watches = True
         self._store = store
         self._on_change = on_change
         self._on_listed = on_listed
+        self._subscription = subscription
+        self._on_news = on_news
         self._known: dict[str, int] = {}
+        # Removals beyond `revision`: an older value of the key may still arrive.
+        self._removed: dict[str, int] = {}
+        self._listed = False
         self._pause_s = PAUSE_S
+        self._next_wait_s = WATCH_S
+        self._answered_at = float("-inf")
+        self._heard = anyio.Event()
 
     async def run(self) -> None:
         """Follow until cancelled."""
-        listed = False
         while True:
-            if not listed:
-                listed = await self._list()
+            if not self._listed:
+                self._listed = await self._list()
+            elif self._covered_s() > 0:
+                self._note_who_watches(itself=False)
+                await self._rest()
+                self._next_wait_s = FIRST_WAIT_S
             else:
-                listed = await self._watch()
+                self._note_who_watches(itself=True)
+                wait_s = self._next_wait_s
+                self._next_wait_s = self._usual_wait_s()
+                self._listed = await self._watch(wait_s)
+
+    def take_news(self, sender: str, news: StoreNews) -> None:
+        """Take what a watcher says."""
+        if self._subscription is None:
+            return
+        if news.in_touch and news.changes is not None:
+            self._take_told(news.base, news.revision, news.changes)
+        now = time.monotonic()
+        self._subscription.hear(sender, news, now)
+        if self._listed and self._covered_s() > 0:
+            self._fine()
+            self.catching_up = False
+        self._heard.set()
+
+    def _take_told(self, base: int, revision: int, changes: list[Change]) -> None:
+        """Take changes from a watcher, unless one before them is missing here.
+
+        Before the first reading nothing is missed by taking what there is.
+        """
+        if self._listed and not base <= self.revision < revision:
+            return
+        if self._listed and changes:
+            self._fine()
+        for change in changes:
+            if change.revision > self.revision:
+                self._take(Item(change.key, change.revision, change.value))
+        if self._listed:
+            self._advance(revision)
+
+    # Own calls
+
+    def _covered_s(self) -> float:
+        """Return for how long no own watch is needed."""
+        if self._subscription is None:
+            return 0.0
+        now = time.monotonic()
+        since_s = now - self._answered_at
+        if self._subscription.store_lost(now) and since_s > WATCH_S + LATE_S:
+            self._note_lost("all watchers lost it")
+        return self._subscription.covered_until(now) - now
+
+    def _note_who_watches(self, *, itself: bool) -> None:
+        if itself == self.watches:
+            return
+        self.watches = itself
+        extra = {"revision": self.revision, "in_touch": self.in_touch}
+        if itself:
+            log.info("watching the store itself", extra=extra)
+        else:
+            log.info("relying on those that watch the store", extra=extra)
+
+    async def _rest(self) -> None:
+        self._heard = anyio.Event()
+        with anyio.move_on_after(self._covered_s()):
+            await self._heard.wait()
 
     async def _list(self) -> bool:
         snapshot = await self._store.list_all(EVERYTHING)
         if isinstance(snapshot, StoreTrouble):
             await self._trouble(snapshot)
             return False
-        self._fine()
+        self._note_answer()
+        if snapshot.revision < self.revision:
+            # Changes up to a newer revision were told meanwhile: nothing is missing.
+            self.catching_up = False
+            return True
         present = {item.key for item in snapshot.items}
         for item in snapshot.items:
             self._take(item)
         for key, revision in list(self._known.items()):
-            if key not in present and revision <= snapshot.revision:
+            if key in present:
+                continue
+            if revision <= snapshot.revision:
                 del self._known[key]
                 self._on_change(Item(key, snapshot.revision, None))
-        self.revision = snapshot.revision
+            else:
+                present.add(key)
+        self._advance(snapshot.revision)
         self._on_listed(present)
         self.catching_up = False
+        self._tell(StoreNews(snapshot.revision, snapshot.revision))
         return True
 
-    async def _watch(self) -> bool:
-        changes = await self._store.watch(EVERYTHING, self.revision)
+    async def _watch(self, wait_s: float) -> bool:
+        base = self.revision
+        began = _boot_clock()
+        changes = await self._store.watch(EVERYTHING, base, wait_s)
         match changes:
             case StoreTrouble():
                 await self._trouble(changes)
@@ -100,25 +210,51 @@
                 )
                 return False
             case Changes(revision, items):
-                self._fine()
+                self._note_answer()
                 for item in items:
-                    self._take(item)
+                    if item.revision > self.revision:
+                        self._take(item)
                 self.catching_up = False
-                self.revision = max(self.revision, revision)
+                self._advance(revision)
+                if _boot_clock() - began <= wait_s + LATE_S:
+                    told = [Change(i.key, i.revision, i.value) for i in items]
+                    self._tell(StoreNews(base, max(base, revision), told))
                 if items:
                     await anyio.sleep(GATHER_S)
         return True
 
+    def _usual_wait_s(self) -> float:
+        subscription = self._subscription
+        if subscription is None or not subscription.is_watcher:
+            return WATCH_S
+        return min(WATCH_S, subscription.times.wait_s)
+
+    def _tell(self, news: StoreNews) -> None:
+        if self._on_news is not None:
+            self._on_news(news)
+
+    def _advance(self, revision: int) -> None:
+        """Note that all changes up to a revision are known."""
+        self.revision = max(self.revision, revision)
+        self._removed = {k: r for k, r in self._removed.items() if r > self.revision}
+        if self._subscription is not None:
+            self._subscription.holds(self.revision, time.monotonic())
+
     def _take(self, item: Item) -> None:
-        if item.revision <= self._known.get(item.key, 0):
+        known = max(self._known.get(item.key, 0), self._removed.get(item.key, 0))
+        if item.revision <= known:
             return
         if item.value is None:
-            # Removals are not remembered: a late one is older than the watch's start.
             self._known.pop(item.key, None)
+            self._removed[item.key] = item.revision
         else:
             self._known[item.key] = item.revision
         self._on_change(item)
 
+    def _note_answer(self) -> None:
+        self._answered_at = time.monotonic()
+        self._fine()
+
     def _fine(self) -> None:
         self._pause_s = PAUSE_S
         if not self.in_touch:
@@ -128,9 +264,19 @@
             log.info("store in touch", extra={"revision": self.revision})
 
     async def _trouble(self, trouble: StoreTrouble) -> None:
+        self._note_lost(trouble.reason)
+        self._tell(StoreNews(self.revision, self.revision, in_touch=False))
+        self._next_wait_s = RETRY_WAIT_S
+        await anyio.sleep(self._pause_s * random.uniform(0.5, 1.0))
+        self._pause_s = min(PAUSE_MAX_S, self._pause_s * 2)
+
+    def _note_lost(self, reason: str) -> None:
         if self.in_touch:
             self.in_touch = False
             self.was_lost = True
-            log.warning("store lost", extra={"reason": trouble.reason})
-        await anyio.sleep(self._pause_s * random.uniform(0.5, 1.0))
-        self._pause_s = min(PAUSE_MAX_S, self._pause_s * 2)
+            log.warning("store lost", extra={"reason": reason})
+
+
+def _boot_clock() -> float:
+    """Seconds of the clock that also runs while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/wisteriastair/platform/settings.py
+++ b/wisteriastair/platform/settings.py
@@ -37,6 +37,7 @@
     drain_ms: float
     grace_s: float
     settle_ms: float = 1000.0
+    config_ms: float = 2000.0
 
 
 class _Platform(msgspec.Struct):
@@ -110,6 +111,8 @@
         return BadNodeSetting("platform.address", "is empty")
     if settings.tolerate.machines < 0:
         return BadNodeSetting("tolerate.machines", "is below 0")
+    if settings.bounds.config_ms <= 0:
+        return BadNodeSetting("bounds.configMs", "is not above 0")
     return NodeOptions(
         name=settings.node_name,
         address=settings.ip,
@@ -125,6 +128,7 @@
         grace_s=settings.bounds.grace_s,
         drain_s=settings.bounds.drain_ms / MS_PER_S,
         settle_s=settings.bounds.settle_ms / MS_PER_S,
+        config_s=settings.bounds.config_ms / MS_PER_S,
         seeds=tuple(_internal(seed, settings) for seed in settings.seeds),
     )
 
--- a/wisteriastair/platform/store.py
+++ b/wisteriastair/platform/store.py
@@ -161,15 +161,15 @@
             after = page.items[-1].key
 
     async def watch(
-        self, prefix: str, after: int
+        self, prefix: str, after: int, wait_s: float = WATCH_S
     ) -> Changes | HistoryLost | StoreTrouble:
-        """Wait for changes below a prefix, at most `WATCH_S` seconds."""
+        """Wait for changes below a prefix, at most `wait_s` seconds."""
         params = {
             "prefix": prefix,
             "after": str(after),
-            "waitMs": str(int(WATCH_S * MS_PER_S)),
+            "waitMs": str(int(wait_s * MS_PER_S)),
         }
-        timeout = httpx.Timeout(WATCH_S + WATCH_SLACK_S, connect=CONNECT_S)
+        timeout = httpx.Timeout(wait_s + WATCH_SLACK_S, connect=CONNECT_S)
         answer = await self._call("GET", "/v1/kv-watch", params=params, timeout=timeout)
         if isinstance(answer, StoreTrouble):
             return answer
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -14,9 +14,15 @@
 from anyio.abc import TaskGroup
 
 from ..core.fleet import LAPSE_S, Fleet
-from ..core.ledgerwire import AskDocuments, KnownDocuments, LedgerMessage
+from ..core.ledgerwire import (
+    AskDocuments,
+    KnownDocuments,
+    LedgerMessage,
+    StoreNews,
+)
 from ..core.membership import View
 from ..core.stopping import Stop
+from ..core.watchers import make_subscription
 from ..http1.caller import CallerChannel
 from ..logs import dropped_lines
 from ..nodemetrics import RelayMetrics, serve_metrics
@@ -64,7 +70,15 @@
         self._cfg = cfg
         self._store = Store(cfg.store)
         self._fleet = Fleet(cfg.drain_s)
-        self._mirror = Mirror(self._store, self._on_item, self._on_listed)
+        self._subscription = make_subscription(
+            cfg.internal, cfg.domain, cfg.tolerated_losses, cfg.change_s
+        )
+        self._mirror = Mirror(
+            self._store,
+            self._on_item,
+            self._on_listed,
+            subscription=self._subscription,
+        )
         self._pool = Pool(self._on_stray)
         self._metrics = RelayMetrics()
         self._ledger = LedgerClient(cfg.domain, cfg.tolerated_losses)
@@ -96,7 +110,7 @@
             self._ledger.start(transport, group)
             group.start_soon(transport.run)
             group.start_soon(self._mirror.run)
-            group.start_soon(self._sweep)
+            group.start_soon(self._sweep, transport)
             group.start_soon(self._probe)
             group.start_soon(self._ask_keepers, transport)
             await serve_metrics(self._cfg.address, self._metrics.registry, group)
@@ -159,6 +173,9 @@
         return self._handler.table is not None and len(self._fleet) > 0
 
     def _on_message(self, sender: str, message: LedgerMessage) -> None:
+        if isinstance(message, StoreNews):
+            self._mirror.take_news(sender, message)
+            return
         if not isinstance(message, KnownDocuments):
             self._ledger.receive(sender, message)
             return
@@ -281,6 +298,8 @@
             "caller_channels": len(self._channels),
             "server_channels_opened": self._pool.opened,
             "store_calls": self._store.calls,
+            "store_revision": self._mirror.revision,
+            "store_watched": self._mirror.watches,
             "ledger_resent": self._ledger.resent,
             "chain_bytes": self._chains.held_bytes,
             "log_lines_dropped": dropped_lines(),
@@ -293,13 +312,16 @@
             await self._ledger.probe()
             await anyio.sleep(SWEEP_S)
 
-    async def _sweep(self) -> None:
+    async def _sweep(self, transport: Transport[LedgerMessage]) -> None:
         loop = asyncio.get_running_loop()
         while True:
             now = loop.time()
             for channel in list(self._channels):
                 channel.check(now)
             self._judge_store()
+            self._subscription.set_view(self._ledger.view)
+            for address, wish in self._subscription.due(time.monotonic()):
+                transport.send(address, wish)
             self._pool.sweep(self._fleet.expire(now))
             self._measure()
             await anyio.sleep(SWEEP_S)
