Watchers are chosen anew only once members are settled; a new subscriber is told at once

Cause: at a start 24 keepers join one after another.

Change: the choice follows the list of members once that has not changed for 2 s; who is subscribed to watches, whether it takes itself for chosen or not; a new subscriber is told the revision at once; the word of former watchers counts for as long as it would have.

--- a/tests/core/test_watchers.py
+++ b/tests/core/test_watchers.py
@@ -8,6 +8,7 @@
     GRACE_S,
     LEASE_S,
     RENEW_S,
+    SETTLE_S,
     Subscribers,
     Subscription,
     make_subscription,
@@ -28,7 +29,7 @@
 
 def subscription(view: View, me: str = "r1:1", domain: str = "domain0") -> Subscription:
     found = make_subscription(me, domain, 2, BOUND_S)
-    found.set_view(view)
+    found.set_view(view, 0.0)
     return found
 
 
@@ -126,3 +127,25 @@
     assert dict(subscribers.tell(told, 1.0)) == {"a:1#1": told, "b:1#1": told}
     assert [to for to, _ in subscribers.tell(told, LEASE_S + 0.5)] == ["b:1#1"]
     assert subscribers.tell(told, LEASE_S + 1.5) == []
+
+
+def test_watchers_that_change_leave_nobody_without_word() -> None:
+    """Keepers join one after another at a start, and other members watch each time.
+
+    Every process went back to its own watch with each of them: two calls each.
+    """
+    first, last = view_of(8), view_of(24)
+    mine = subscription(first)
+    before = {member.address for member in watchers_of(first, losses=2)}
+    after = {member.address for member in watchers_of(last, losses=2)}
+    assert before != after
+    mine.holds(5, 0.0)
+    for count in range(9, 25):
+        now = (count - 8) * 0.3
+        mine.set_view(view_of(count), now)
+        assert {to for to, _ in mine.due(now)} <= before
+        for address in before:
+            mine.hear(address, news(5), now)
+        assert mine.covered_until(now) > now
+    mine.set_view(last, now + SETTLE_S)
+    assert {to for to, _ in mine.due(now + SETTLE_S)} == after
--- a/tests/platform/fleet_of_mirrors.py
+++ b/tests/platform/fleet_of_mirrors.py
@@ -107,13 +107,14 @@
         self.subscription = make_subscription(
             self.address, self.domain, LOSSES, BOUND_S
         )
-        self.subscription.set_view(self._fleet.view)
+        self.subscription.set_view(self._fleet.view, anyio.current_time())
         self.mirror = Mirror(
             _Client(self._fleet.store, self),
             self._apply,
             lambda present: None,
             subscription=self.subscription,
             on_news=self._tell,
+            relied_on=lambda: self.subscribers.any(anyio.current_time()),
         )
 
     def _apply(self, item: Item) -> None:
@@ -137,7 +138,9 @@
 
     def receive(self, sender: str, message: LedgerMessage) -> None:
         if isinstance(message, Subscribe):
-            self.subscribers.add(sender, message, anyio.current_time())
+            news = self.mirror.news()
+            if self.subscribers.add(sender, message, anyio.current_time()) and news:
+                self._fleet.send(self, sender, news)
         elif isinstance(message, StoreNews):
             self.mirror.take_news(sender, message)
 
--- a/wisteriastair/core/watchers.py
+++ b/wisteriastair/core/watchers.py
@@ -36,6 +36,9 @@
 # A process that is told of a newer revision waits this long for the change itself, in
 # seconds.  Watchers gather changes for 0.2 s, so one may be that much after another.
 GRACE_S: Final = 0.3
+# Watchers are chosen anew once the list of members has not changed for so long, in
+# seconds: longer than the pauses between members that join one after another.
+SETTLE_S: Final = 2.0
 # Subscriptions are renewed this often and end after several missed renewals, in
 # seconds, so that one lost message costs nothing.
 RENEW_S: Final = 1.0
@@ -97,7 +100,9 @@
         self._me = me
         self._domain = domain
         self._losses = losses
-        self._view = View()
+        self._members: tuple[Member, ...] = ()
+        self._members_since = NEVER
+        self._chosen_from: tuple[Member, ...] = ()
         self._watchers: list[str] = []
         self._heard: dict[str, _Heard] = {}
         self._revision = 0
@@ -110,14 +115,22 @@
         """Whether this process is one that watches for the others."""
         return self._me in self._watchers
 
-    def set_view(self, view: View) -> None:
-        """Take the list of members that watchers are chosen from."""
-        if view.members == self._view.members:
+    def set_view(self, view: View, now: float) -> None:
+        """Take the list of members that watchers are chosen from.
+
+        At a start 24 keepers join one after another.  With watchers chosen anew each
+        time, every process went back to its own watch with each of them.  The word of
+        those that no longer watch counts for as long as it would have.
+        """
+        if view.members != self._members:
+            self._members = view.members
+            self._members_since = now
+        settled = now - self._members_since >= SETTLE_S
+        if self._members == self._chosen_from or not (settled or not self._watchers):
             return
-        self._view = view
+        self._chosen_from = self._members
         chosen = watchers_of(view, self._losses)
         self._watchers = [m.address for m in holder_order(chosen, self._domain)]
-        self._heard = {a: h for a, h in self._heard.items() if a in self._watchers}
         self._renew_at = NEVER
 
     def due(self, now: float) -> list[tuple[str, Subscribe]]:
@@ -144,6 +157,10 @@
         if address not in self._watchers:
             return
         self._heard[address] = _Heard(now, news.revision, news.in_touch)
+        oldest = now - self.times.limit_s
+        self._heard = {
+            a: h for a, h in self._heard.items() if a in self._watchers or h.at > oldest
+        }
         self._note_behind(now)
 
     def holds(self, revision: int, now: float) -> None:
@@ -211,6 +228,11 @@
         self._wants_values[sender] = wish.values
         return new
 
+    def any(self, now: float) -> bool:
+        """Whether anybody relies on this process."""
+        self._expire(now)
+        return bool(self._until)
+
     def tell(self, news: StoreNews, now: float) -> list[tuple[str, StoreNews]]:
         """Return the messages that carry some news to all subscribers."""
         self._expire(now)
--- a/wisteriastair/keeper/daemon.py
+++ b/wisteriastair/keeper/daemon.py
@@ -87,6 +87,7 @@
             self._documents.keep_only,
             subscription=self._subscription,
             on_news=self._tell,
+            relied_on=lambda: self._subscribers.any(time.monotonic()),
         )
         self._stop = anyio.Event()
         self._metrics = KeeperMetrics()
@@ -175,7 +176,9 @@
             self._transport.send(sender, known)
             return
         if isinstance(message, Subscribe):
-            self._subscribers.add(sender, message, time.monotonic())
+            news = self._mirror.news()
+            if self._subscribers.add(sender, message, time.monotonic()) and news:
+                self._transport.send(sender, news)
             return
         if isinstance(message, StoreNews):
             self._mirror.take_news(sender, message)
@@ -199,7 +202,7 @@
             now = time.monotonic()
             self._core.tick(now)
             self._send()
-            self._subscription.set_view(self._core.view)
+            self._subscription.set_view(self._core.view, now)
             for address, wish in self._subscription.due(now):
                 self._transport.send(address, wish)
             await anyio.sleep(TICK_S)
--- a/wisteriastair/platform/mirror.py
+++ b/wisteriastair/platform/mirror.py
@@ -66,6 +66,9 @@
         What the watchers say; None if this process always watches by itself.
     on_news : callable or None
         Takes what a process that watches for others has to tell them.
+    relied_on : callable or None
+        Tells whether others have subscribed here; this process watches then, whether it
+        takes itself for chosen or not, since the others may be ahead or behind in that.
     """
 
     def __init__(
@@ -76,6 +79,7 @@
         *,
         subscription: Subscription | None = None,
         on_news: OnNews | None = None,
+        relied_on: Callable[[], bool] | None = None,
     ) -> None:
         self.revision = 0
         self.in_touch = False
@@ -90,6 +94,7 @@
         self._on_listed = on_listed
         self._subscription = subscription
         self._on_news = on_news
+        self._relied_on = relied_on
         self._known: dict[str, int] = {}
         # Removals beyond `revision`: an older value of the key may still arrive.
         self._removed: dict[str, int] = {}
@@ -142,11 +147,21 @@
         if self._listed:
             self._advance(revision)
 
+    def news(self) -> StoreNews | None:
+        """Return what a new subscriber is told, if this process watches for others."""
+        subscription = self._subscription
+        if subscription is None or not self._for_others() or not self.in_touch:
+            return None
+        since_s = time.monotonic() - self._answered_at
+        if since_s > subscription.times.wait_s + LATE_S:
+            return None
+        return StoreNews(self.revision, self.revision)
+
     # Own calls
 
     def _covered_s(self) -> float:
         """Return for how long no own watch is needed."""
-        if self._subscription is None:
+        if self._subscription is None or self._for_others():
             return 0.0
         now = time.monotonic()
         since_s = now - self._answered_at
@@ -225,10 +240,14 @@
 
     def _usual_wait_s(self) -> float:
         subscription = self._subscription
-        if subscription is None or not subscription.is_watcher:
+        if subscription is None or not self._for_others():
             return WATCH_S
         return min(WATCH_S, subscription.times.wait_s)
 
+    def _for_others(self) -> bool:
+        chosen = self._subscription is not None and self._subscription.is_watcher
+        return chosen or (self._relied_on is not None and self._relied_on())
+
     def _tell(self, news: StoreNews) -> None:
         if self._on_news is not None:
             self._on_news(news)
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -319,8 +319,8 @@
             for channel in list(self._channels):
                 channel.check(now)
             self._judge_store()
-            self._subscription.set_view(self._ledger.view)
-            for address, wish in self._subscription.due(time.monotonic()):
+            self._subscription.set_view(self._ledger.view, now)
+            for address, wish in self._subscription.due(now):
                 transport.send(address, wish)
             self._pool.sweep(self._fleet.expire(now))
             self._measure()
