A server's own error counts as a failure

Cause: an answer 500 counted as a good one. With 60 relays and 30 servers each relay also waited for three failures in a row of its own, which take seconds to come together.

--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -7,6 +7,7 @@
 import anyio
 
 from tests.relay.stand import Exchange, ScriptedServer, Stand, good, play
+from wisteriastair.core.fleet import FAILURES_TO_REST
 
 EVENTS = ("id: 1\ndata: one\n\n", "id: 2\ndata: two\n\n")
 TURN = {
@@ -424,3 +425,28 @@
         assert not server.got
 
     play([server], story)
+
+
+def test_a_server_that_answers_errors_at_once_is_not_taken_for_fast() -> None:
+    """A server answers every request 500 within a millisecond, and calls itself well.
+
+    Each error counted as a good answer: the server looked idle and the fastest of all,
+    and most calls were led to it.
+    """
+
+    async def broken(exchange: Exchange) -> None:
+        await exchange.answer("oops", status="500 Internal Server Error")
+
+    bad = ScriptedServer("s1", broken)
+    fine = ScriptedServer("s2", good)
+
+    async def story(relay: Stand) -> None:
+        other = relay.fleet.get("s2")
+        assert other is not None
+        other.open = 5
+        for number in range(10):
+            await relay.ask("unsafe", f"q{number}")
+        assert len(bad.got) == FAILURES_TO_REST
+        assert len(fine.got) == 10 - FAILURES_TO_REST
+
+    play([bad, fine], story)
--- a/wisteriastair/relay/answers.py
+++ b/wisteriastair/relay/answers.py
@@ -17,6 +17,9 @@
 
 JSON: Final = (b"Content-Type", b"application/json")
 
+SERVER_ERRORS: Final = range(500, 600)
+GATEWAY_TIMEOUT: Final = 504
+
 _STATUS_CODES: Final = {
     400: Code.BAD_REQUEST,
     404: Code.UNKNOWN_ROUTE,
@@ -38,6 +41,14 @@
     return status
 
 
+def is_server_error(status: int) -> bool:
+    """Whether a server's answer speaks against the server.
+
+    A 504 does not: it ends what had too little time, whatever the server.
+    """
+    return status in SERVER_ERRORS and status != GATEWAY_TIMEOUT
+
+
 def code_of(status: int) -> Code:
     """Code of a request that could not be taken."""
     return _STATUS_CODES[status]
--- a/wisteriastair/relay/dispatch.py
+++ b/wisteriastair/relay/dispatch.py
@@ -129,7 +129,7 @@
         try:
             channel = await self.pool.acquire(server)
             if isinstance(channel, str):
-                self._failed(state)
+                self.failed(state)
                 yield NotRun(server.id, channel)
                 return
             exchange = Exchange(request_id, req.method)
@@ -149,7 +149,7 @@
         head = exchange.head
         if head is None:
             assert exchange.end is not None, "an exchange has a head or an end"
-            self._failed(state)
+            self.failed(state)
             return Lost(server_id, exchange.end.reason)
         now = asyncio.get_running_loop().time()
         load = reported_load(head)
@@ -160,8 +160,9 @@
             return NotRun(server_id, f"status {head.status}")
         return Started(state, exchange, channel, head)
 
-    def _failed(self, state: ServerState) -> None:
-        state.failed(asyncio.get_running_loop().time())
+    def failed(self, state: ServerState) -> None:
+        """Note that a server failed."""
+        self.fleet.failed(state, asyncio.get_running_loop().time())
 
 
 async def read_whole(exchange: Exchange, most_bytes: int) -> bytes | str:
--- a/wisteriastair/relay/plain.py
+++ b/wisteriastair/relay/plain.py
@@ -13,7 +13,7 @@
 from ..errors import Code, Failure
 from ..http1.messages import Head
 from ..platform.headers import caller_headers, is_genuine, server_headers
-from .answers import fail
+from .answers import fail, is_server_error
 from .dispatch import Dispatcher, Lost, NotRun, Started, read_whole
 from .job import Job
 
@@ -79,7 +79,11 @@
         ) as outcome:
             answer = await _read(job, outcome)
         if isinstance(answer, Answer):
-            state.succeeded(job.age_s())
+            if is_server_error(answer.head.status):
+                # Counted as good, errors that come at once make a server look fast.
+                dispatcher.failed(state)
+            else:
+                state.succeeded(job.age_s())
             return answer
         if isinstance(answer, NotRun):
             job.sent = runs > 0
@@ -89,7 +93,7 @@
         runs += 1
         job.reason = answer.reason
         refused.add(answer.server)
-        state.failed(job.req.received_at + job.age_s())
+        dispatcher.failed(state)
         if not job.route.repeatable or runs >= job.route.max_servers:
             return Failure(Code.SERVER_LOST, answer.reason, "unknown")
 
--- a/wisteriastair/relay/streams.py
+++ b/wisteriastair/relay/streams.py
@@ -18,7 +18,7 @@
 from ..http1.messages import Head
 from ..http1.server import EndKind
 from ..platform.headers import caller_headers, is_genuine, server_headers
-from .answers import fail
+from .answers import fail, is_server_error
 from .chains import ChainCache
 from .dispatch import Dispatcher, Lost, NotRun, Started, read_whole
 from .events import EventSplitter
@@ -228,6 +228,9 @@
         status = started.head.status
         if isinstance(body, str) or status in PROMISES or turn.begun:
             return Lost(started.state.server.id, f"status {status}")
+        if is_server_error(status):
+            # Else it goes on looking idle, and draws the turns of all relays.
+            self._dispatcher.failed(started.state)
         job.status = status
         job.channel.respond(status, caller_headers(started.head), body)
         return None
