--- /dev/null
+++ b/tests/core/test_customers.py
@@ -0,0 +1,35 @@
+"""Who holds which key, and names that customers choose alike."""
+
+from __future__ import annotations
+
+from wisteriastair.core.customers import Customer, Customers, digest_of, scoped
+
+ONE = Customer("one", None, None)
+TWO = Customer("two", 0, None)
+
+
+def test_a_key_finds_its_customer_and_only_by_its_digest() -> None:
+    customers = Customers([(ONE, [digest_of(b"k1"), digest_of(b"k2")]), (TWO, [])])
+    assert customers.holder(digest_of(b"k2")) is ONE
+    assert customers.holder(digest_of(b"k3")) is None
+    assert customers.holder("k1") is None
+    assert customers.holder("") is None
+
+
+def test_a_key_of_two_customers_is_nobodys() -> None:
+    """By a slip of the operators two customers hold one key.
+
+    Whichever were taken, requests of the other would run in its name.  So neither is,
+    both go on with their other keys, and the log names them.
+    """
+    shared, own = digest_of(b"shared"), digest_of(b"own")
+    customers = Customers([(ONE, [shared, own]), (TWO, [shared])])
+    assert customers.holder(shared) is None
+    assert customers.holder(own) is ONE
+    assert [problem.customer for problem in customers.problems] == ["two"]
+
+
+def test_names_of_two_customers_never_meet() -> None:
+    assert scoped("a", "p") != scoped("b", "p")
+    assert scoped("", "p") == "p"
+    assert scoped("a", "") == "", "no turn stays no turn"
--- /dev/null
+++ b/tests/platform/test_credentials.py
@@ -0,0 +1,124 @@
+"""Keys of customers: what is taken for one, and that none gets any further."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from wisteriastair.core.customers import Quota, digest_of
+from wisteriastair.core.routes import RouteTable
+from wisteriastair.platform.credentials import key_digest, without_keys
+from wisteriastair.platform.documents import BadDocument, decode_config
+
+KEY = "timaj3nr26tta828m82t"
+CONFIG = {
+    "version": 7,
+    "routes": [],
+    "tenants": [
+        {
+            "name": "one",
+            "apiKeys": [KEY],
+            "priority": 1,
+            "ratePerS": 191,
+            "burst": 20,
+        },
+        {"name": "two", "apiKeys": ["other"]},
+    ],
+}
+
+
+def headers(*values: bytes) -> list[tuple[bytes, bytes]]:
+    return [(b"Host", b"h"), *((b"Authorization", value) for value in values)]
+
+
+def table(**changes: object) -> RouteTable:
+    document = json.dumps(CONFIG | changes).encode()
+    decoded = decode_config(without_keys(document))
+    assert isinstance(decoded, RouteTable)
+    return decoded
+
+
+def test_one_key_of_the_right_scheme_is_taken() -> None:
+    expected = digest_of(KEY.encode())
+    assert key_digest(headers(b"Bearer " + KEY.encode())) == expected
+    assert key_digest(headers(b"bearer  " + KEY.encode() + b" ")) == expected
+
+
+@pytest.mark.parametrize(
+    "values",
+    [
+        (),
+        (b"",),
+        (b"Bearer",),
+        (b"Bearer ",),
+        (b"Basic " + KEY.encode(),),
+        (KEY.encode(),),
+        (b"Bearer a b",),
+        (b"Bearer " + b"x" * 10_000,),
+        (b"Bearer \xc3\xa9",),
+        (b"Bearer " + KEY.encode(), b"Bearer " + KEY.encode()),
+        (b"Bearer " + KEY.encode(), b"Bearer other"),
+    ],
+    ids=str,
+)
+def test_anything_else_is_no_key(values: tuple[bytes, ...]) -> None:
+    """A caller sends no key, two of them, another scheme, or bytes that are none."""
+    assert key_digest(headers(*values)) == ""
+
+
+def test_the_configuration_loses_its_keys_before_anybody_sees_it() -> None:
+    """The document is passed on between processes and written to disks.
+
+    Neither may hold a key: whoever reads a disk or a message could ask as the customer.
+    """
+    document = without_keys(json.dumps(CONFIG).encode())
+    assert KEY.encode() not in document and b"other" not in document
+    assert without_keys(document) != b"", "taking them out twice does no harm"
+
+
+def test_a_document_that_cannot_be_read_is_dropped_whole() -> None:
+    """It may hold a key anywhere; an empty one leaves the last good one in force."""
+    for value in (b'{"tenants": [{"apiKeys": ["' + KEY.encode(), b"\xff", b"[1]"):
+        assert without_keys(value) == b""
+    assert isinstance(decode_config(b""), BadDocument)
+    broken = without_keys(json.dumps(CONFIG | {"tenants": KEY}).encode())
+    assert KEY.encode() not in broken
+    assert isinstance(decode_config(broken), BadDocument)
+
+
+def test_customers_are_known_with_their_rank_and_quota() -> None:
+    customers = table().customers
+    assert customers is not None and not customers.problems
+    one = customers.holder(digest_of(KEY.encode()))
+    assert one is not None
+    assert (one.name, one.rank, one.quota) == ("one", 1, Quota(191.0, 20.0))
+    two = customers.by_name["two"]
+    assert (two.rank, two.quota) == (None, None)
+    assert decode_config(b'{"version": 1}').customers is None  # type: ignore[union-attr]
+
+
+@pytest.mark.parametrize(
+    ("tenant", "named"),
+    [
+        ({"name": "bad", "apiKeys": ["k"], "ratePerS": -1}, "bad"),
+        ({"name": "bad", "apiKeys": ["k", "k"]}, "bad"),
+        ({"name": "bad", "apiKeys": [""]}, "bad"),
+        ({"name": "bad", "apiKeys": [7]}, "bad"),
+        ({"name": "bad", "apiKeys": "k"}, "bad"),
+        ({"name": "bad", "colour": "red"}, "bad"),
+        ({"name": "", "apiKeys": ["k"]}, ""),
+        ({"apiKeys": ["k"]}, "1"),
+        ("k", "1"),
+        (None, "1"),
+    ],
+    ids=str,
+)
+def test_a_customer_that_makes_no_sense_takes_no_other_away(
+    tenant: object, named: str
+) -> None:
+    """One entry of the configuration is wrong; everybody else goes on being served."""
+    customers = table(tenants=[CONFIG["tenants"][0], tenant]).customers  # type: ignore[index]
+    assert customers is not None
+    assert customers.holder(digest_of(KEY.encode())) is not None
+    assert [problem.customer for problem in customers.problems] == [named]
--- a/tests/platform/test_mirror.py
+++ b/tests/platform/test_mirror.py
@@ -72,10 +72,10 @@
 def test_all_pages_and_then_changes_arrive() -> None:
     async def story(standin: StoreStandin, copy: Copy, store: Store) -> None:
         assert len(copy.values) == 5
-        standin.put("op/config", b"new")
+        standin.put("op/config", b'{"version":2}')
         standin.remove("servers/3")
         await until(lambda: "servers/3" not in copy.values)
-        assert copy.values["op/config"] == b"new"
+        assert copy.values["op/config"] == b'{"version":2}'
 
     play(story)
 
@@ -107,9 +107,9 @@
         await anyio.sleep(0.5)
         assert len(copy.values) == 5
         assert all(item.value is not None for item in copy.told)
-        standin.put("op/config", b"meanwhile")
+        standin.put("op/config", b'{"version":3}')
         standin.down = False
-        await until(lambda: copy.values.get("op/config") == b"meanwhile")
+        await until(lambda: copy.values.get("op/config") == b'{"version":3}')
 
     play(story)
 
@@ -123,9 +123,9 @@
 
     async def story(standin: StoreStandin, copy: Copy, store: Store) -> None:
         standin.mutes = 1
-        standin.put("op/config", b"missed")
+        standin.put("op/config", b'{"version":4}')
         began = anyio.current_time()
-        await until(lambda: copy.values.get("op/config") == b"missed")
+        await until(lambda: copy.values.get("op/config") == b'{"version":4}')
         assert anyio.current_time() - began < 3.2
 
     play(story)
--- a/tests/relay/keepers.py
+++ b/tests/relay/keepers.py
@@ -5,11 +5,20 @@
 import asyncio
 
 from wisteriastair.core.keeper import KeeperCore
-from wisteriastair.core.ledgerwire import LedgerMessage, decode_ledger, encode_ledger
+from wisteriastair.core.ledgerwire import (
+    LedgerMessage,
+    PermitReply,
+    Ping,
+    decode_ledger,
+    encode_ledger,
+)
 from wisteriastair.core.membership import Member, View
+from wisteriastair.core.quota import QuotaBounds
 from wisteriastair.relay.ledger import LedgerClient
+from wisteriastair.relay.quota import QuotaClient
 
 RELAY = "relay:1#a"
+QUOTA_BOUNDS = QuotaBounds(window_s=5.0, over=0.1, slack=20.0)
 
 
 def members(count: int) -> tuple[Member, ...]:
@@ -24,7 +33,14 @@
     def __init__(self, count: int, losses: int = 1) -> None:
         self.view = View(1, members(count))
         self.cores = {
-            m.address: KeeperCore(m, losses, view=self.view, entries=[], now=0.0)
+            m.address: KeeperCore(
+                m,
+                losses,
+                view=self.view,
+                entries=[],
+                now=0.0,
+                quota_bounds=QUOTA_BOUNDS,
+            )
             for m in self.view.members
         }
         self.cut: set[str] = set()
@@ -32,6 +48,15 @@
         self.sent_bytes = 0
         self.client = LedgerClient("domain0", losses)
         self.client.adopt(self.view)
+        self.quota: QuotaClient | None = None
+
+    def exchange_heartbeats(self) -> None:
+        """Let all keepers hear of each other now."""
+        now = asyncio.get_running_loop().time()
+        for core in self.cores.values():
+            for member in self.view.members:
+                ping = Ping(member.disk, self.view, 0)
+                core.receive(f"{member.address}#a", ping, now)
 
     def send(self, to: str, message: LedgerMessage) -> None:
         """Carry a message of the client; part of a transport's interface."""
@@ -46,7 +71,11 @@
 
     def _deliver(self, sender: str, to: str, data: bytes) -> None:
         if to == RELAY:
-            self.client.receive(sender, decode_ledger(data))
+            message = decode_ledger(data)
+            if isinstance(message, PermitReply) and self.quota is not None:
+                self.quota.receive(message)
+                return
+            self.client.receive(sender, message)
             return
         core = self.cores[to]
         core.receive(sender, decode_ledger(data), asyncio.get_running_loop().time())
--- a/tests/relay/stand.py
+++ b/tests/relay/stand.py
@@ -14,7 +14,7 @@
 
 import anyio
 
-from tests.relay.keepers import Keepers
+from tests.relay.keepers import QUOTA_BOUNDS, Keepers
 from wisteriastair.core.fleet import Fleet, Server
 from wisteriastair.core.ledgerwire import LedgerMessage
 from wisteriastair.core.routes import (
@@ -33,6 +33,7 @@
 from wisteriastair.relay.dispatch import Dispatcher
 from wisteriastair.relay.handler import RelayHandler
 from wisteriastair.relay.pool import Pool
+from wisteriastair.relay.quota import QuotaClient
 from wisteriastair.relay.streams import StreamRelay
 
 HOST = "127.0.0.1"
@@ -267,7 +268,10 @@
     dispatcher = Dispatcher(fleet, pool, "d")
     keepers = Keepers(3)
     streams = StreamRelay(dispatcher, keepers.client, ChainCache(1_000_000))
-    handler = RelayHandler(dispatcher, streams, lambda: True, RelayMetrics())
+    quota = QuotaClient(QUOTA_BOUNDS, lambda: keepers.view)
+    keepers.quota = quota
+    quota.start(cast(Transport[LedgerMessage], keepers))
+    handler = RelayHandler(dispatcher, streams, quota, lambda: True, RelayMetrics())
     services = {"svc": Service("svc", 100, EngineTraits(8, 100_000, 25))}
     handler.table = RouteTable(1, ROUTES, services, CallerLimits())
     async with anyio.create_task_group() as group:
--- a/wisteriastair/core/keeper.py
+++ b/wisteriastair/core/keeper.py
@@ -17,10 +17,12 @@
 from .hashing import address_of
 from .ledger import Attempt, Entry, Ledger
 from .ledgerwire import (
+    AskPermit,
     Copy,
     CopyReply,
     Find,
     LedgerMessage,
+    PermitReply,
     Ping,
     Spread,
     Verdict,
@@ -28,6 +30,7 @@
     WriteReply,
 )
 from .membership import SLOTS, Member, View, Wishes, must_copy, slot_of_program
+from .quota import Answer, Permit, QuotaBounds, QuotaHolder
 
 # Heartbeats between keepers, in seconds.
 PING_S: Final = 0.4
@@ -52,6 +55,7 @@
 TURN_S: Final = 0.25
 COPY_PART_BYTES: Final = 256 * 1024
 RECORD_BYTES: Final = 200
+NO_BOUNDS: Final = QuotaBounds()
 
 
 Request = Write | Find | Copy
@@ -94,6 +98,8 @@
     most_turn_bytes : float
         Bytes of turns that are held; a turn beyond is refused.  Without a bound a burst
         of long chains would have the process killed, and all its replicas with it.
+    quota_bounds : QuotaBounds
+        How customers' quotas are judged.
     """
 
     def __init__(
@@ -105,11 +111,13 @@
         entries: list[Entry],
         now: float,
         most_turn_bytes: float = math.inf,
+        quota_bounds: QuotaBounds = NO_BOUNDS,
     ) -> None:
         self.me = me
         self.view = view
         self.view_revision = 0
         self.ledger = Ledger()
+        self.quota = QuotaHolder(me, quota_bounds, view.members, now)
         self.leaving: frozenset[str] = frozenset()
         self.stale_refused = 0
         self.batches_synced = 0
@@ -159,6 +167,8 @@
                     self.adopt(view, now, revision)
                 elif known == self._known:
                     self.view_revision = max(self.view_revision, revision)
+            case AskPermit():
+                self._on_permit(sender, message, now)
             case Copy():
                 self._on_copy(sender, message)
             case CopyReply():
@@ -196,6 +206,25 @@
                 self._entries.append(new)
         self._answers.append((sender, request))
 
+    def _on_permit(self, sender: str, asked: AskPermit, now: float) -> None:
+        """Answer a question for a permit.
+
+        One that is cut off from most members may have been replaced as a holder without
+        having heard of it; its permits would then come on top of its successor's.
+        """
+        permit = Permit(Answer.NOT_MINE)
+        if self._hears_most(now):
+            permit = self.quota.ask(
+                asked.customer, asked.program, asked.starts, asked.ahead, now
+            )
+        reply = PermitReply(asked.op, permit.answer, permit.wait_s, permit.not_started)
+        self._outbox.append((sender, reply))
+
+    def _hears_most(self, now: float) -> bool:
+        members = self.view.members
+        heard = sum(self._is_heard(member.disk, now) for member in members)
+        return 2 * heard > len(members)
+
     def _is_full_for(self, request: Write | Find) -> bool:
         if not isinstance(request, Write) or not request.entry.turns:
             return False
@@ -325,6 +354,7 @@
         for disk in _disks(view) - _disks(self.view):
             self._entered[disk] = now
         self.view = view
+        self.quota.take_members(view.members, now)
         self._view_dirty = True
         if renumbered:
             self._plan_copy(now)
--- a/wisteriastair/core/ledgerwire.py
+++ b/wisteriastair/core/ledgerwire.py
@@ -13,6 +13,7 @@
 
 from .ledger import Attempt, Entry, Turn
 from .membership import View
+from .quota import Answer
 
 
 class Verdict(IntEnum):
@@ -203,6 +204,45 @@
     in_touch: bool = True
 
 
+class AskPermit(msgspec.Struct, frozen=True, array_like=True, tag=12):
+    """Ask a holder of a customer's quota for a permit for one request.
+
+    It may be lost or doubled; a doubled one takes a permit that nobody uses.
+
+    Attributes
+    ----------
+    program : str
+        What the request belongs to; empty for a request by itself.
+    starts : bool
+        Whether it may be the first of its program.
+    ahead : bool
+        Whether a permit that counts a little later will do.
+    """
+
+    op: int
+    customer: str
+    program: str
+    starts: bool
+    ahead: bool = False
+
+
+class PermitReply(msgspec.Struct, frozen=True, array_like=True, tag=13):
+    """Answer to `AskPermit`.
+
+    Attributes
+    ----------
+    wait_s : float
+        Seconds until the permit counts, or until it is worth asking again.
+    not_started : bool
+        Whether the program may not begin, however soon its first request could run.
+    """
+
+    op: int
+    answer: Answer
+    wait_s: float = 0.0
+    not_started: bool = False
+
+
 LedgerMessage = (
     Write
     | Spread
@@ -215,6 +255,8 @@
     | KnownDocuments
     | Subscribe
     | StoreNews
+    | AskPermit
+    | PermitReply
 )
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
--- /dev/null
+++ b/wisteriastair/core/quota.py
@@ -0,0 +1,337 @@
+"""Quotas of customers: how much they may ask of all relays together, and who says so.
+
+The load pattern: a customer's callers reach any relay, move between failure domains,
+and may send many times their usual.  Relays see only their own share of it.  So a
+request of a customer with a quota needs a permit, and the permits of a customer come
+from a few keepers, its holders, chosen alike by all by rendezvous hashing.  Each holder
+owns an equal part of the quota and gives permits out of a token bucket of its own, so
+that one lost holder takes only its part away and no two have to agree.
+
+A holder that restarts remembers nothing and begins with an empty bucket.  Over any span
+it has given out at most what one full bucket holds and what flows in meanwhile, restart
+or not, so a burst is not handed out twice.  A member that becomes a holder waits until
+the one before it has learned that it no longer is one, and then begins empty.
+
+Programs need many requests, and one refused near its end has cost all that ran before.
+So requests of programs under way come first: a new program is let in only while the
+quota carries the requests that programs have needed of late.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from enum import IntEnum
+from functools import lru_cache
+from typing import Final, NamedTuple
+
+from .customers import Customer, Quota
+from .hashing import hash_word
+from .membership import Member, over_domains
+
+# Holders of one customer: with one lost, two thirds of the quota are still there.
+HOLDERS: Final = 3
+# Longest time from a permit to the arrival of its request at a server, in seconds.
+USE_S: Final = 0.3
+# Share of the tolerated excess that permits may use up.  The rest is for requests that
+# run on a second server, and for clocks that differ.
+TOLERANCE_USED: Final = 0.8
+# A permit is given ahead of time by at most this, in seconds; the relay waits for it.
+# A refused caller would take longer to come back.
+AHEAD_S: Final = 0.5
+# A new holder waits this long, in seconds: more than its predecessor takes to hear of
+# the new list, or to notice that it hears most members no more.
+HANDOVER_S: Final = 2.5
+# Lists of members that are remembered, to tell since when this one is a holder.
+MOST_LISTS: Final = 16
+# A program that has asked for nothing for this long counts as ended, in seconds.
+IDLE_S: Final = 6.0
+# Programs remembered by one customer; the least recently seen yield.
+MOST_PROGRAMS: Final = 4096
+
+
+class QuotaBounds(NamedTuple):
+    """How the operators judge quotas.
+
+    Attributes
+    ----------
+    window_s : float
+        Length of the spans that count.
+    over : float
+        Share by which a span may exceed the quota.
+    slack : float
+        Requests by which it may exceed it besides.
+    """
+
+    window_s: float = 1.0
+    over: float = 0.0
+    slack: float = 0.0
+
+
+class Allowance(NamedTuple):
+    """What the holders of a customer may give out.
+
+    Attributes
+    ----------
+    rate_per_s, depth : float
+        Token bucket of one holder.
+    holders : int
+        Number of holders.
+    """
+
+    rate_per_s: float
+    depth: float
+    holders: int
+
+
+class Answer(IntEnum):
+    """How a holder answers."""
+
+    GRANTED = 0
+    # The quota, or what programs under way need of it, is used up.
+    SPENT = 1
+    # This process is no holder of the customer, or cannot know whether it is.
+    NOT_MINE = 2
+
+
+class Permit(NamedTuple):
+    """A holder's answer.
+
+    Attributes
+    ----------
+    wait_s : float
+        Seconds until the permit counts, or until it is worth asking again.
+    not_started : bool
+        Whether the program may not begin, however soon its first request could run.
+    """
+
+    answer: Answer
+    wait_s: float = 0.0
+    not_started: bool = False
+
+
+@lru_cache(maxsize=4096)
+def allowance(quota: Quota, bounds: QuotaBounds) -> Allowance:
+    """Work out the parts of a customer's holders.
+
+    What arrives in a window was permitted in a span longer by `USE_S`.  A bucket gives
+    out its depth and what flows in, so the depth is what the window may hold less the
+    inflow of that span; the parts of all holders add up to it.
+    """
+    rate, burst = quota
+    allowed = rate * bounds.window_s + burst
+    tolerated = allowed * bounds.over + bounds.slack
+    inflow = rate * (bounds.window_s + USE_S)
+    depth = max(1.0, allowed + TOLERANCE_USED * tolerated - inflow)
+    holders = max(1, min(HOLDERS, int(depth)))
+    return Allowance(rate / holders, depth / holders, holders)
+
+
+@lru_cache(maxsize=16384)
+def holders_of(
+    members: tuple[Member, ...], customer: str, count: int
+) -> tuple[Member, ...]:
+    """Choose a customer's holders, in different failure domains where there are any."""
+    order = sorted(
+        members, key=lambda m: hash_word("quota", customer, m.name), reverse=True
+    )
+    return over_domains(order, count)
+
+
+def asking_order(holders: tuple[Member, ...], program: str) -> list[Member]:
+    """Order in which holders are asked for a program's permits.
+
+    Every relay begins with the same one, which then knows the program.
+    """
+    return sorted(holders, key=lambda m: hash_word("permit", program, m.name))
+
+
+class _Bucket:
+    """A token bucket; what it lacks is negative."""
+
+    def __init__(self, level: float, now: float) -> None:
+        self.level = level
+        self._at = now
+
+    def fill(self, rate_per_s: float, depth: float, now: float) -> None:
+        """Let in what has come since the last call."""
+        flowed = rate_per_s * max(0.0, now - self._at)
+        self.level = min(depth, self.level + flowed)
+        self._at = max(self._at, now)
+
+
+class _Program(NamedTuple):
+    """A program that was let in: its requests, and those that were set aside for it."""
+
+    requests: int
+    reserved: float
+    seen: float
+
+
+class _Account:
+    """A customer at one of its holders."""
+
+    def __init__(self, share: Allowance, since: float, now: float) -> None:
+        held_s = max(0.0, now - since)
+        self.created = since
+        self.list_number = -1
+        self.permits = _Bucket(min(share.depth, share.rate_per_s * held_s), now)
+        self.starts = _Bucket(self.permits.level, now)
+        # By program, the one seen last at the end.
+        self.programs: OrderedDict[str, _Program] = OrderedDict()
+        self.requests = 0
+
+    def need(self) -> float:
+        """Tell how many requests a program has needed of late, on the mean."""
+        return max(1.0, self.requests / max(1, len(self.programs)))
+
+    def begin(self, program: str, now: float) -> None:
+        """Note a program that is let in, and set aside what it will need."""
+        reserved = self.need()
+        self.starts.level -= reserved
+        self.programs[program] = _Program(0, reserved, now)
+
+    def note(self, program: str, now: float) -> None:
+        """Note a permitted request of a program."""
+        known = self.programs.pop(program, _Program(0, 0.0, now))
+        count = known.requests + 1
+        # One that needs more than was set aside leaves less for the next.
+        lacking = max(0.0, count - known.reserved)
+        self.starts.level -= lacking
+        self.programs[program] = _Program(count, known.reserved + lacking, now)
+        self.requests += 1
+
+    def forget(self, now: float) -> None:
+        """Give back what ended programs have not needed."""
+        while self.programs:
+            name, oldest = next(iter(self.programs.items()))
+            if now - oldest.seen <= IDLE_S and len(self.programs) <= MOST_PROGRAMS:
+                return
+            del self.programs[name]
+            self.requests -= oldest.requests
+            self.starts.level += oldest.reserved - oldest.requests
+
+
+class QuotaHolder:
+    """Gives permits for the customers whose holder this member is.
+
+    Parameters
+    ----------
+    me : Member
+        This process.
+    bounds : QuotaBounds
+        How quotas are judged.
+    members : tuple of Member
+        The list of members when the process began.
+    now : float
+        Seconds of a clock that never goes back.
+    """
+
+    def __init__(
+        self, me: Member, bounds: QuotaBounds, members: tuple[Member, ...], now: float
+    ) -> None:
+        self._me = me
+        self._bounds = bounds
+        self._customers: dict[str, Customer] = {}
+        self._accounts: dict[str, _Account] = {}
+        # Lists of members and from when this one may act on each, the newest last.  The
+        # first was in force when the process before it, if any, had already ended.
+        self._lists = [(members, now)]
+        self._list_number = 0
+        # When the number of a customer's holders changed.
+        self._redivided: dict[str, float] = {}
+
+    def configure(self, customers: dict[str, Customer], now: float) -> None:
+        """Take the customers of a newer configuration."""
+        for name, customer in customers.items():
+            before = self._customers.get(name)
+            if before is None or before.quota is None or customer.quota is None:
+                continue
+            if before.quota == customer.quota:
+                continue
+            shares = [allowance(c.quota, self._bounds) for c in (before, customer)]
+            if shares[0].holders != shares[1].holders:
+                # One that comes in must not give out again what the others have.
+                self._redivided[name] = now + HANDOVER_S
+                self._list_number += 1
+        self._customers = customers
+        for name in self._accounts.keys() - customers.keys():
+            del self._accounts[name]
+
+    def take_members(self, members: tuple[Member, ...], now: float) -> None:
+        """Take a newer list of members."""
+        if members == self._lists[-1][0]:
+            return
+        self._lists.append((members, now + HANDOVER_S))
+        del self._lists[:-MOST_LISTS]
+        self._list_number += 1
+
+    def ask(
+        self, customer: str, program: str, starts: bool, ahead: bool, now: float
+    ) -> Permit:
+        """Give a permit for one request, or not.
+
+        Parameters
+        ----------
+        program : str
+            What the request belongs to; empty for a request by itself.
+        starts : bool
+            Whether it may be the first of its program.
+        ahead : bool
+            Whether a permit that counts a little later will do.
+        """
+        known = self._customers.get(customer)
+        if known is None:
+            return Permit(Answer.NOT_MINE)
+        if known.quota is None:
+            return Permit(Answer.GRANTED)
+        share = allowance(known.quota, self._bounds)
+        account = self._account(customer, share, now)
+        if account is None:
+            return Permit(Answer.NOT_MINE)
+        account.permits.fill(share.rate_per_s, share.depth, now)
+        account.starts.fill(share.rate_per_s, self._most_started(known.quota), now)
+        account.forget(now)
+        begins = starts and program not in account.programs
+        if (begins or not program) and account.starts.level <= 0:
+            return Permit(Answer.SPENT, -account.starts.level / share.rate_per_s, True)
+        wait_s = max(0.0, 1.0 - account.permits.level) / share.rate_per_s
+        if wait_s > (AHEAD_S if ahead else 0.0):
+            return Permit(Answer.SPENT, wait_s)
+        account.permits.level -= 1.0
+        if begins:
+            account.begin(program, now)
+        if program:
+            account.note(program, now)
+        else:
+            account.starts.level -= 1.0
+        return Permit(Answer.GRANTED, wait_s)
+
+    def _most_started(self, quota: Quota) -> float:
+        """Work out how many requests of programs may be let in at once."""
+        allowed = quota.rate_per_s * self._bounds.window_s + quota.burst
+        return allowed / allowance(quota, self._bounds).holders
+
+    def _account(self, customer: str, share: Allowance, now: float) -> _Account | None:
+        """Return the account of a customer; None if this is no holder, or not yet."""
+        account = self._accounts.get(customer)
+        if account is not None and account.list_number == self._list_number:
+            return account
+        since = self._held_since(customer, share.holders)
+        if since is None or since > now:
+            self._accounts.pop(customer, None)
+            return None
+        if account is None or since > account.created:
+            account = self._accounts[customer] = _Account(share, since, now)
+        account.list_number = self._list_number
+        return account
+
+    def _held_since(self, customer: str, count: int) -> float | None:
+        """Return since when this member has been a holder without a gap."""
+        held: float | None = None
+        for members, since in reversed(self._lists):
+            if self._me not in holders_of(members, customer, count):
+                break
+            held = since
+        if held is None:
+            return None
+        return max(held, self._redivided.get(customer, held))
--- a/wisteriastair/core/routes.py
+++ b/wisteriastair/core/routes.py
@@ -10,6 +10,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+from .customers import Customers
 from .hashing import hash_word
 
 HASH_RANGE = 2.0**64
@@ -55,6 +56,8 @@
         A stream may go on at another server after its last event.
     gap_s : float
         Longest pause between events that is still on time.
+    is_open : bool
+        Requests need no key.
     """
 
     name: str
@@ -71,6 +74,7 @@
     sticky: bool
     resumable: bool
     gap_s: float
+    is_open: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -138,6 +142,8 @@
     ----------
     version : int
         Grows with each change; a lower one never replaces a higher one.
+    customers : Customers or None
+        Who may ask; None where no key is asked for.
 
     Attributes
     ----------
@@ -152,7 +158,9 @@
         routes: tuple[Route, ...],
         services: dict[str, Service],
         limits: CallerLimits,
+        customers: Customers | None = None,
     ) -> None:
+        self.customers = customers
         self.version = version
         self.routes = routes
         self.services = services
--- a/wisteriastair/errors.py
+++ b/wisteriastair/errors.py
@@ -47,6 +47,8 @@
     SERVERS_FULL = "servers_full"
     SERVER_LOST = "server_lost"
     TOO_LATE = "too_late"
+    OVER_QUOTA = "over_quota"
+    QUOTA_AWAY = "quota_away"
 
 
 HTTP_STATUS: Final[dict[Code, int]] = {
@@ -76,6 +78,8 @@
     Code.LEDGER_AWAY: 503,
     Code.SERVERS_FULL: 503,
     Code.TOO_LATE: 503,
+    Code.OVER_QUOTA: 429,
+    Code.QUOTA_AWAY: 503,
     Code.SERVER_LOST: 502,
 }
 
--- a/wisteriastair/keeper/daemon.py
+++ b/wisteriastair/keeper/daemon.py
@@ -46,6 +46,8 @@
     RETIRE_STATUS,
     SERVERS,
     VIEW_KEY,
+    BadDocument,
+    decode_config,
 )
 from ..platform.mirror import Mirror
 from ..platform.store import Item, Store, StoreTrouble, Swapped
@@ -93,6 +95,8 @@
         self._metrics = KeeperMetrics()
         self._retire_done: set[str] = set()
         self._leaving: set[str] = set()
+        # Version of the configuration whose quotas are in force here.
+        self._config = -1
         self._core: KeeperCore
         self._storage: Storage
         self._transport: Transport[LedgerMessage]
@@ -112,7 +116,11 @@
             entries=loaded.entries,
             now=now,
             most_turn_bytes=TURN_SHARE * self._cfg.memory_bytes,
+            quota_bounds=self._cfg.quota,
         )
+        for document in self._documents.all():
+            if document.key == CONFIG_KEY:
+                self._take_config(document.value)
         self._storage = Storage(self._log, self._core, self._metrics)
         log.info(
             "keeper started",
@@ -251,12 +259,33 @@
             self._documents.put(Document(item.key, item.revision, item.value))
         if item.key == VIEW_KEY and item.value is not None:
             self._take_view(item.revision, item.value)
+        elif item.key == CONFIG_KEY and item.value is not None:
+            self._take_config(item.value)
         elif item.key.startswith(RETIRE):
             name = item.key.removeprefix(RETIRE)
             (self._leaving.discard if item.value is None else self._leaving.add)(name)
             self._core.leaving = frozenset(self._leaving)
             log.info("instances to be emptied", extra={"names": sorted(self._leaving)})
 
+    def _take_config(self, value: bytes) -> None:
+        """Learn the customers' quotas; one that does not decode changes nothing."""
+        table = decode_config(value)
+        if isinstance(table, BadDocument):
+            log.error(
+                "value in the store does not decode",
+                extra={"key": table.key, "reason": table.reason},
+            )
+            return
+        if table.version <= self._config:
+            return
+        self._config = table.version
+        customers = table.customers.by_name if table.customers else {}
+        self._core.quota.configure(customers, time.monotonic())
+        log.info(
+            "quotas in force",
+            extra={"config": table.version, "customers": len(customers)},
+        )
+
     def _take_view(self, revision: int, value: bytes) -> None:
         try:
             view = msgspec.json.decode(value, type=View)
--- a/wisteriastair/nodemetrics.py
+++ b/wisteriastair/nodemetrics.py
@@ -27,6 +27,10 @@
 # Seconds; one sync of a disk up to the limit for a reservation.
 LEDGER_BUCKETS: Final = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 1.0)
 
+# Customers that are counted by name.
+MOST_CUSTOMERS: Final = 200
+OTHER_CUSTOMERS: Final = "(others)"
+
 log = logging.getLogger(__name__)
 
 
@@ -61,6 +65,19 @@
             buckets=LEDGER_BUCKETS,
             registry=self.registry,
         )
+        self.customers = Counter(
+            "wisteriastair_customer_requests",
+            "Requests ended, by customer and what became of them",
+            ["customer", "outcome"],
+            registry=self.registry,
+        )
+        self.permit = Histogram(
+            "wisteriastair_permit_seconds",
+            "Seconds for which requests waited for the permit of a quota",
+            buckets=LEDGER_BUCKETS,
+            registry=self.registry,
+        )
+        self._named: set[str] = set()
         self.gauges = {
             name: Gauge(f"wisteriastair_{name}", text, registry=self.registry)
             for name, text in (
@@ -81,6 +98,17 @@
             )
         }
 
+    def count_customer(self, customer: str, outcome: str) -> None:
+        """Count what became of a customer's request.
+
+        Thousands of customers would make a scrape of megabytes, so those that come
+        after the first ones are counted together.
+        """
+        if len(self._named) < MOST_CUSTOMERS:
+            self._named.add(customer)
+        name = customer if customer in self._named else OTHER_CUSTOMERS
+        self.customers.labels(name, outcome).inc()
+
 
 class KeeperMetrics:
     """Counters and histograms of a keeper."""
--- a/wisteriastair/nodeoptions.py
+++ b/wisteriastair/nodeoptions.py
@@ -8,6 +8,8 @@
 
 from typing import NamedTuple
 
+from .core.quota import QuotaBounds
+
 
 class NodeOptions(NamedTuple):
     """Settings of one process on one machine.
@@ -48,6 +50,8 @@
         Seconds within which an ended turn must be settled in the ledger.
     config_s : float
         Seconds within which a configuration must be in force everywhere.
+    quota : QuotaBounds
+        How customers' quotas are judged.
     """
 
     name: str
@@ -66,6 +70,7 @@
     settle_s: float
     config_s: float
     seeds: tuple[str, ...]
+    quota: QuotaBounds = QuotaBounds()
 
     @property
     def change_s(self) -> float:
--- a/wisteriastair/platform/documents.py
+++ b/wisteriastair/platform/documents.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from ..core.customers import Customer, CustomerProblem, Customers, Quota
 from ..core.fleet import Server
 from ..core.routes import (
     CallerLimits,
@@ -22,6 +23,7 @@
     Service,
     Share,
 )
+from .credentials import KEY_DIGESTS
 
 CONFIG_KEY: Final = "op/config"
 SERVERS: Final = "servers/"
@@ -67,6 +69,7 @@
     sticky: bool = False
     resumable: bool = False
     target_gap_ms: float = 0.0
+    no_auth: bool = False
 
 
 class _Engine(msgspec.Struct, rename="camel"):
@@ -88,11 +91,23 @@
     idle_timeout_ms: float = 15_000.0
 
 
+class _Tenant(msgspec.Struct, rename="camel"):
+    name: Annotated[str, msgspec.Meta(min_length=1)]
+    key_digests: list[str] = []
+    # Comes before the route's where it is given.
+    priority: int | None = None
+    # 0 for no limit.
+    rate_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    burst: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+
+
 class _Config(msgspec.Struct):
     version: int
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    # Decoded one by one: what makes no sense must not take the others away.
+    tenants: list[object] | msgspec.UnsetType = msgspec.UNSET
 
 
 class _State(Enum):
@@ -111,6 +126,9 @@
     born: int = 0
 
 
+_TENANT_FIELDS: Final = ("name", KEY_DIGESTS, "priority", "ratePerS", "burst")
+
+
 def decode_config(value: bytes) -> RouteTable | BadDocument:
     """Decode the operators' configuration."""
     try:
@@ -125,7 +143,35 @@
         header_s=raw.limits.header_timeout_ms / MS_PER_S,
         idle_s=raw.limits.idle_timeout_ms / MS_PER_S,
     )
-    return RouteTable(raw.version, routes, services, limits)
+    customers = None if raw.tenants is msgspec.UNSET else _customers(raw.tenants)
+    return RouteTable(raw.version, routes, services, limits, customers)
+
+
+def _customers(tenants: list[object]) -> Customers:
+    holders: list[tuple[Customer, list[str]]] = []
+    problems: list[CustomerProblem] = []
+    for place, one in enumerate(tenants):
+        name = one.get("name", place) if isinstance(one, dict) else place
+        try:
+            tenant = msgspec.convert(one, type=_Tenant)
+        except msgspec.ValidationError as exc:
+            problems.append(CustomerProblem(str(name), "", str(exc)))
+            continue
+        unknown = sorted(set(_fields(one)) - set(_TENANT_FIELDS))
+        problems.extend(CustomerProblem(tenant.name, f, "unknown") for f in unknown)
+        digests = [digest for digest in tenant.key_digests if digest]
+        if len(set(digests)) < len(tenant.key_digests):
+            reason = "a key comes twice, or is none"
+            problems.append(CustomerProblem(tenant.name, "keys", reason))
+        quota = None
+        if tenant.rate_per_s > 0:
+            quota = Quota(tenant.rate_per_s, tenant.burst)
+        holders.append((Customer(tenant.name, tenant.priority, quota), digests))
+    return Customers(holders, problems)
+
+
+def _fields(document: object) -> list[str]:
+    return list(document) if isinstance(document, dict) else []
 
 
 def _route(raw: _Route) -> Route:
@@ -145,6 +191,7 @@
         sticky=raw.sticky,
         resumable=raw.resumable,
         gap_s=raw.target_gap_ms / MS_PER_S,
+        is_open=raw.no_auth,
     )
 
 
--- a/wisteriastair/platform/headers.py
+++ b/wisteriastair/platform/headers.py
@@ -8,12 +8,14 @@
 from ..core.fleet import Load
 from ..core.reuse import PromptPart
 from ..http1.messages import Head, Headers, Request, end_to_end, header
+from .credentials import AUTHORIZATION, key_digest
 
 MS_PER_S: Final = 1000.0
 REQUEST_ID: Final = b"X-Request-Id"
 RETRY_AFTER: Final = b"Retry-After"
 READY_PATH: Final = "/v1/ready"
 LAST_EVENT_ID: Final = b"Last-Event-Id"
+CUSTOMER: Final = b"X-Tenant"
 
 # Headers that only the system may set: a caller's own would let it hold memory of an
 # engine, go on from another's, or overtake others.
@@ -28,6 +30,7 @@
         b"kv-from",
         b"kv-fetch",
         b"x-request-priority",
+        b"x-tenant",
     )
 )
 
@@ -55,6 +58,8 @@
         Parts of the prompt in their order.
     previous : str
         The turn that this one continues; empty at the start of a chain.
+    key : str
+        Digest of the customer's key; empty without a usable one.
     """
 
     id: str
@@ -68,6 +73,7 @@
     output_tokens: int
     parts: tuple[PromptPart, ...]
     previous: str
+    key: str = ""
 
 
 class BadHeader(NamedTuple):
@@ -109,6 +115,7 @@
         output_tokens=output,
         parts=parts,
         previous=values.get(b"x-previous-turn", ""),
+        key=key_digest(req.headers),
     )
 
 
@@ -171,6 +178,7 @@
     body_bytes: int,
     urgency: int | None = None,
     last_event: str | None = None,
+    customer: str | None = None,
 ) -> Headers:
     """Headers with which a request goes to a server.
 
@@ -185,11 +193,15 @@
         Priority on an engine, 0 to 9 with 0 first.
     last_event : str or None
         Id of the event after which a stream goes on.
+    customer : str or None
+        Who asks, as the server is told; empty on a route without keys.  None where
+        nobody's keys are known: the header may then be meant for the server itself.
     """
     headers = [
         (name, value)
         for name, value in end_to_end(req.headers)
         if name.lower() not in SET_BY_SYSTEM
+        and not (customer is not None and name.lower() == AUTHORIZATION)
         and not (last_event is not None and name.lower() == b"last-event-id")
     ]
     left_ms = max(1, int(left_s * MS_PER_S))
@@ -197,6 +209,8 @@
     headers.append((b"X-Expect-Instance", server_id.encode()))
     if urgency is not None:
         headers.append((b"X-Request-Priority", str(urgency).encode()))
+    if customer:
+        headers.append((CUSTOMER, customer.encode()))
     if last_event is not None:
         headers.append((LAST_EVENT_ID, last_event.encode()))
     if body_bytes or req.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
--- a/wisteriastair/platform/settings.py
+++ b/wisteriastair/platform/settings.py
@@ -8,10 +8,11 @@
 from __future__ import annotations
 
 import tomllib
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
 
+from ..core.quota import QuotaBounds
 from ..nodeoptions import BadNodeSetting, NodeOptions
 
 SETTINGS_VARIABLE: Final = "WISTERIASTAIR_BOOT"
@@ -38,6 +39,9 @@
     grace_s: float
     settle_ms: float = 1000.0
     config_ms: float = 2000.0
+    quota_window_s: Annotated[float, msgspec.Meta(gt=0)] = 1.0
+    quota_over: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    quota_slack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class _Platform(msgspec.Struct):
@@ -130,6 +134,11 @@
         settle_s=settings.bounds.settle_ms / MS_PER_S,
         config_s=settings.bounds.config_ms / MS_PER_S,
         seeds=tuple(_internal(seed, settings) for seed in settings.seeds),
+        quota=QuotaBounds(
+            settings.bounds.quota_window_s,
+            settings.bounds.quota_over,
+            settings.bounds.quota_slack,
+        ),
     )
 
 
--- a/wisteriastair/platform/store.py
+++ b/wisteriastair/platform/store.py
@@ -19,6 +19,8 @@
 import msgspec
 
 from ..sockets import SOCKET_OPTIONS
+from .credentials import without_keys
+from .documents import CONFIG_KEY
 
 CONNECT_S: Final = 0.7
 # A slow store answers after some hundred milliseconds; see the platform's slow periods.
@@ -243,7 +245,12 @@
 
 
 def _item(raw: _Item) -> Item:
-    return Item(raw.key, raw.rev, None if raw.removed else _bytes_of(raw.value))
+    if raw.removed:
+        return Item(raw.key, raw.rev, None)
+    value = _bytes_of(raw.value)
+    return Item(
+        raw.key, raw.rev, without_keys(value) if raw.key == CONFIG_KEY else value
+    )
 
 
 def _bytes_of(value: object) -> bytes:
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -18,6 +18,7 @@
     AskDocuments,
     KnownDocuments,
     LedgerMessage,
+    PermitReply,
     StoreNews,
 )
 from ..core.membership import View
@@ -50,6 +51,7 @@
 from .handler import ReadyHandler, RelayHandler
 from .ledger import LedgerClient
 from .pool import Pool
+from .quota import QuotaClient
 from .streams import StreamRelay
 
 SWEEP_S: Final = 0.25
@@ -85,8 +87,9 @@
         self._dispatcher = Dispatcher(self._fleet, self._pool, cfg.domain)
         self._chains = ChainCache(int(cfg.memory_bytes * CHAIN_SHARE))
         streams = StreamRelay(self._dispatcher, self._ledger, self._chains)
+        self._quota = QuotaClient(cfg.quota, lambda: self._ledger.view)
         self._handler = RelayHandler(
-            self._dispatcher, streams, self._is_ready, self._metrics
+            self._dispatcher, streams, self._quota, self._is_ready, self._metrics
         )
         self._ready = ReadyHandler(self._is_ready)
         self._channels: set[CallerChannel] = set()
@@ -108,6 +111,7 @@
         )
         async with anyio.create_task_group() as group:
             self._ledger.start(transport, group)
+            self._quota.start(transport)
             group.start_soon(transport.run)
             group.start_soon(self._mirror.run)
             group.start_soon(self._sweep, transport)
@@ -176,6 +180,9 @@
         if isinstance(message, StoreNews):
             self._mirror.take_news(sender, message)
             return
+        if isinstance(message, PermitReply):
+            self._quota.receive(message)
+            return
         if not isinstance(message, KnownDocuments):
             self._ledger.receive(sender, message)
             return
@@ -224,8 +231,17 @@
         self._handler.table = table
         log.info(
             "configuration in force",
-            extra={"config": table.version, "routes": len(table.routes)},
+            extra={
+                "config": table.version,
+                "routes": len(table.routes),
+                "customers": len(table.customers.by_name) if table.customers else 0,
+            },
         )
+        for problem in table.customers.problems if table.customers else ():
+            log.warning(
+                "a customer of the configuration makes no sense",
+                extra={"config": table.version, **problem._asdict()},
+            )
 
     def _take_view(self, value: bytes) -> None:
         try:
--- a/wisteriastair/relay/handler.py
+++ b/wisteriastair/relay/handler.py
@@ -12,7 +12,8 @@
 from collections.abc import Callable
 from typing import Final
 
-from ..core.routes import CallerLimits, RequestKind, RouteTable
+from ..core.customers import Customer
+from ..core.routes import CallerLimits, RequestKind, Route, RouteTable
 from ..core.stopping import Stop
 from ..errors import Code, Failure
 from ..http1.caller import CallerChannel, Handler
@@ -22,7 +23,9 @@
 from .answers import code_of, fail
 from .dispatch import Dispatcher
 from .job import Job
+from .permission import Permission
 from .plain import COME_BACK_S, run_plain
+from .quota import QuotaClient
 from .streams import StreamRelay
 
 # When to come back to another process if this one is stopping, in seconds: at once,
@@ -41,6 +44,8 @@
         Sends requests to servers.
     streams : StreamRelay
         Answers streamed turns.
+    quota : QuotaClient
+        Asks for permits of customers with a quota.
     is_ready : callable
         Whether callers are wanted here.
     metrics : RelayMetrics
@@ -60,6 +65,7 @@
         self,
         dispatcher: Dispatcher,
         streams: StreamRelay,
+        quota: QuotaClient,
         is_ready: Callable[[], bool],
         metrics: RelayMetrics,
     ) -> None:
@@ -71,6 +77,7 @@
         self.under_way = 0
         self._dispatcher = dispatcher
         self._streams = streams
+        self._quota = quota
         self._is_ready = is_ready
         self._metrics = metrics
 
@@ -127,6 +134,10 @@
             detail = f"no route for {asked.host}{req.path} in version {table.version}"
             self._deny(channel, asked.id, Failure(Code.UNKNOWN_ROUTE, detail))
             return
+        customer = self._customer(table, route, asked.key)
+        if isinstance(customer, Failure):
+            self._deny(channel, asked.id, customer)
+            return
         if self.takes_no_more():
             # Taken now it would be cut by the end of the process, with its server at
             # work.  Nothing has been sent anywhere, so another relay can run it.
@@ -134,7 +145,12 @@
             failure = Failure(Code.STOPPING, detail, "no", ELSEWHERE_S)
             self._deny(channel, asked.id, failure)
             return
-        job = Job(req, asked, route, table, channel, self.stop)
+        ticket = None
+        if customer is not None:
+            starts = route.kind is RequestKind.STREAM and not asked.previous
+            ticket = self._quota.ask(customer, asked.program, starts=starts)
+        permission = Permission(self._quota, ticket)
+        job = Job(req, asked, route, table, channel, self.stop, customer, permission)
         self.under_way += 1
         try:
             if route.kind is RequestKind.STREAM:
@@ -143,9 +159,28 @@
                 await run_plain(job, self._dispatcher)
         finally:
             self.under_way -= 1
+            job.permission.drop()
             job.log()
             self._count(job)
 
+    def _customer(
+        self, table: RouteTable, route: Route, key: str
+    ) -> Customer | None | Failure:
+        """Return who asks; None where no key is asked for."""
+        if table.customers is None or route.is_open:
+            return None
+        if not key:
+            return Failure(Code.UNAUTHORIZED, "one key is needed: Bearer KEY")
+        customer = table.customers.holder(key)
+        if customer is not None:
+            return customer
+        if not self.certain:
+            # It may have been added since the store was last heard.
+            detail = f"no customer known, version {table.version} may be old"
+            return Failure(Code.NOT_CONFIGURED, detail, "no", COME_BACK_S)
+        detail = f"no customer holds the key in version {table.version}"
+        return Failure(Code.UNAUTHORIZED, detail)
+
     def _count(self, job: Job) -> None:
         metrics = self._metrics
         code = job.failure.code.value if job.failure else ""
@@ -153,6 +188,9 @@
         metrics.took.labels(job.service).observe(job.age_s())
         if job.first_s:
             metrics.first.labels(job.service).observe(job.first_s)
+        if job.customer is not None:
+            metrics.count_customer(job.customer.name, code or "answered")
+            metrics.permit.observe(job.permission.waited_s)
         if job.ledger_s:
             metrics.ledger.observe(job.ledger_s)
 
--- a/wisteriastair/relay/job.py
+++ b/wisteriastair/relay/job.py
@@ -9,12 +9,14 @@
 import logging
 from typing import Final
 
+from ..core.customers import Customer, scoped
 from ..core.routes import Route, RouteTable
 from ..core.stopping import Stop
 from ..errors import Failure
 from ..http1.caller import CallerChannel
 from ..http1.messages import Request
 from ..platform.headers import CallerRequest
+from .permission import Permission
 
 # For a caller that does not say how long it waits, on a route without a limit; seconds.
 WAIT_S: Final = 30.0
@@ -41,6 +43,10 @@
     ----------
     stop : Stop or None
         The planned stop that was under way when the request was taken.
+    customer : Customer or None
+        Who asks; None on a route without keys.
+    permission : Permission
+        What its customer's quota says.
     """
 
     def __init__(
@@ -51,6 +57,8 @@
         table: RouteTable,
         channel: CallerChannel,
         stop: Stop | None,
+        customer: Customer | None,
+        permission: Permission,
     ) -> None:
         self.req = req
         self.asked = asked
@@ -70,6 +78,12 @@
         self.sent = False
         self.ledger_s = 0.0
         self.first_s = 0.0
+        self.customer = customer
+        self.permission = permission
+        # What servers are told; None where the configuration names no customers.
+        self.customer_name: str | None = None
+        if table.customers is not None:
+            self.customer_name = customer.name if customer else ""
         self._config = table.version
         self._stop = stop
         wait_s = WAIT_S if asked.wait_s is None else asked.wait_s
@@ -77,6 +91,23 @@
             wait_s = min(wait_s, route.timeout_s)
         self.until = req.received_at + wait_s
 
+    @property
+    def rank(self) -> int:
+        """Urgency, 0 first: the customer's comes before the route's."""
+        customer = self.customer
+        if customer is None or customer.rank is None:
+            return self.route.rank
+        return customer.rank
+
+    @property
+    def turn(self) -> str:
+        """Name of this turn among those of all customers."""
+        return self.own(self.asked.id)
+
+    def own(self, name: str) -> str:
+        """Name of a program or turn of this customer among those of all."""
+        return scoped(self.customer_name or "", name)
+
     def left_s(self) -> float:
         """Seconds until the answer must be complete."""
         return self.until - self.now()
@@ -101,6 +132,7 @@
                 **stopping,
                 "request": self.asked.id,
                 "program": self.asked.program,
+                "customer": self.customer_name or "",
                 "route": self.route.name,
                 "service": self.service,
                 "config": self._config,
@@ -110,6 +142,7 @@
                 "sent": self.sent,
                 "events": self.events,
                 "ledger_ms": round(self.ledger_s * 1000, 1),
+                "permit_ms": round(self.permission.waited_s * 1000, 1),
                 "first_ms": round(self.first_s * 1000, 1),
                 "took_ms": round(self.age_s() * 1000, 1),
                 "left_ms": round(self.left_s() * 1000),
--- a/wisteriastair/relay/plain.py
+++ b/wisteriastair/relay/plain.py
@@ -40,7 +40,8 @@
     """Answer a request to a plain service."""
     answer: Answer | Failure = Failure(Code.TIMED_OUT, "no answer in time", "unknown")
     with anyio.move_on_after(max(0.0, job.left_s())):
-        answer = await _find_answer(job, dispatcher)
+        refusal = await job.permission.refusal(job.req.received_at)
+        answer = refusal or await _find_answer(job, dispatcher)
     if isinstance(answer, Failure):
         if answer.code is Code.TIMED_OUT and not job.sent:
             answer = Failure(Code.TOO_LATE, "no time left", "no", COME_BACK_S)
@@ -72,6 +73,7 @@
             left_s=job.left_s(),
             server_id=server_id,
             body_bytes=len(job.req.body),
+            customer=job.customer_name,
         )
         job.sent = True
         async with dispatcher.send(
--- /dev/null
+++ b/wisteriastair/relay/quota.py
@@ -0,0 +1,226 @@
+"""The relay's side of quotas: a permit for each request of a customer that has one.
+
+A permit is asked for when a request arrives and needed when it goes to a server, so
+that the way there overlaps with the reservation of a turn.  A holder that does not
+answer is passed over for a while; without any answer the request is not run, since
+nobody can say that the quota still holds it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+import anyio
+
+from ..core.customers import Customer
+from ..core.ledgerwire import AskPermit, LedgerMessage, PermitReply
+from ..core.membership import Member, View
+from ..core.quota import (
+    AHEAD_S,
+    USE_S,
+    Answer,
+    QuotaBounds,
+    allowance,
+    asking_order,
+    holders_of,
+)
+from ..peers.transport import Transport
+
+# A holder has this long to answer, in seconds; usual answers take some milliseconds.
+ANSWER_S: Final = 0.1
+# A holder that did not answer is asked after the others for this long, in seconds.
+SUSPECT_S: Final = 2.0
+# A permit is used within this time of the question, in seconds: what is left until
+# `USE_S` is for its way to the server.  An older one is asked for again.
+FRESH_S: Final = 0.7 * USE_S
+# Pause before all holders are asked once more, in seconds.
+AGAIN_S: Final = 0.05
+# A refused caller is told to come back after the time that a holder named, or up to
+# this many times later, so that not all of them come back at once.
+SPREAD: Final = 1.5
+SOONEST_S: Final = 0.05
+
+log = logging.getLogger(__name__)
+
+
+class OverQuota(NamedTuple):
+    """The customer has used up its quota."""
+
+    retry_s: float
+
+
+class NoHolder(NamedTuple):
+    """No holder of the quota has answered."""
+
+    asked: int
+    view: int
+
+
+class Ticket:
+    """A question for a permit under way."""
+
+    def __init__(self, customer: Customer, program: str, starts: bool) -> None:
+        self.customer = customer
+        self.program = program
+        self.starts = starts
+        # Whether a permit that counts a little later will do.
+        self.ahead = False
+        self.asked: Member | None = None
+        # On the clock that also runs while the machine is suspended.
+        self.asked_at = 0.0
+        self.op = 0
+        self.reply: PermitReply | None = None
+        self.replied = asyncio.Event()
+
+
+class QuotaClient:
+    """Asks the holders of customers' quotas.
+
+    Parameters
+    ----------
+    bounds : QuotaBounds
+        How quotas are judged.
+    view : callable
+        Returns the members known now.
+    """
+
+    def __init__(self, bounds: QuotaBounds, view: Callable[[], View]) -> None:
+        self._bounds = bounds
+        self._view = view
+        self._op = 0
+        self._waiting: dict[int, Ticket] = {}
+        self._suspects: dict[str, float] = {}
+        self._transport: Transport[LedgerMessage]
+
+    def start(self, transport: Transport[LedgerMessage]) -> None:
+        """Give the client its way out."""
+        self._transport = transport
+
+    def ask(self, customer: Customer, program: str, *, starts: bool) -> Ticket | None:
+        """Ask for a permit; None if the customer needs none.
+
+        Parameters
+        ----------
+        starts : bool
+            Whether the request may be the first of its program.
+        """
+        if customer.quota is None:
+            return None
+        ticket = Ticket(customer, program, starts)
+        order = self._order(ticket)
+        if order:
+            self._send(ticket, order[0])
+        return ticket
+
+    def receive(self, reply: PermitReply) -> None:
+        """Take an answer."""
+        ticket = self._waiting.pop(reply.op, None)
+        if ticket is not None:
+            ticket.reply = reply
+            ticket.replied.set()
+
+    def drop(self, ticket: Ticket) -> None:
+        """Forget a question whose request has ended."""
+        self._waiting.pop(ticket.op, None)
+
+    async def permit(self, ticket: Ticket, until: float) -> OverQuota | NoHolder | None:
+        """Wait for a permit that counts now; None once there is one.
+
+        Parameters
+        ----------
+        until : float
+            When to give up, on the loop's clock.
+        """
+        loop = asyncio.get_running_loop()
+        while True:
+            outcome = await self._round(ticket, until)
+            if not isinstance(outcome, NoHolder):
+                return outcome
+            if loop.time() + AGAIN_S >= until:
+                return outcome
+            await anyio.sleep(AGAIN_S)
+
+    async def _round(self, ticket: Ticket, until: float) -> OverQuota | NoHolder | None:
+        """Ask each holder once, those that have been asked first."""
+        order = self._order(ticket)
+        if ticket.asked is not None:
+            order = [ticket.asked, *(m for m in order if m != ticket.asked)]
+        spent: list[tuple[float, Member]] = []
+        for member in order:
+            reply = await self._answer(ticket, member, until)
+            if reply is None:
+                continue
+            if reply.answer is Answer.GRANTED:
+                return None
+            if reply.answer is Answer.SPENT:
+                spent.append((reply.wait_s, member))
+        if not spent:
+            ticket.asked = None
+            return NoHolder(len(order), self._view().number)
+        wait_s, soonest = min(spent)
+        if wait_s <= AHEAD_S:
+            # None has one at once, so the next that comes free will do.
+            ticket.ahead = True
+            reply = await self._answer(ticket, soonest, until)
+            if reply is not None and reply.answer is Answer.GRANTED:
+                return None
+        return OverQuota(max(SOONEST_S, wait_s * random.uniform(1.0, SPREAD)))
+
+    async def _answer(
+        self, ticket: Ticket, member: Member, until: float
+    ) -> PermitReply | None:
+        """Return a holder's answer; a permit is waited for until it counts."""
+        loop = asyncio.get_running_loop()
+        old = _boot_clock() - ticket.asked_at > FRESH_S
+        if ticket.asked != member or ticket.ahead or old:
+            self._send(ticket, member)
+        with anyio.move_on_after(max(0.0, min(ANSWER_S, until - loop.time()))):
+            await ticket.replied.wait()
+        reply = ticket.reply
+        self.drop(ticket)
+        if reply is None:
+            self._suspects[member.address] = loop.time() + SUSPECT_S
+            return None
+        if reply.answer is Answer.GRANTED and reply.wait_s > 0:
+            await anyio.sleep(reply.wait_s)
+        return reply
+
+    def _order(self, ticket: Ticket) -> list[Member]:
+        quota = ticket.customer.quota
+        assert quota is not None, "only customers with a quota have tickets"
+        count = allowance(quota, self._bounds).holders
+        holders = holders_of(self._view().members, ticket.customer.name, count)
+        now = asyncio.get_running_loop().time()
+        order = asking_order(holders, ticket.program)
+        return sorted(order, key=lambda m: self._suspects.get(m.address, 0.0) > now)
+
+    def _send(self, ticket: Ticket, member: Member) -> None:
+        self.drop(ticket)
+        self._op += 1
+        ticket.op = self._op
+        ticket.asked = member
+        ticket.asked_at = _boot_clock()
+        ticket.reply = None
+        ticket.replied = asyncio.Event()
+        self._waiting[ticket.op] = ticket
+        question = AskPermit(
+            ticket.op,
+            ticket.customer.name,
+            ticket.program,
+            ticket.starts,
+            ticket.ahead,
+        )
+        self._transport.send(member.address, question)
+
+
+def _boot_clock() -> float:
+    """Seconds of the clock that also runs while the machine is suspended.
+
+    The holder's bucket fills up meanwhile, so a permit from before is worth nothing.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/wisteriastair/relay/streams.py
+++ b/wisteriastair/relay/streams.py
@@ -89,6 +89,8 @@
 
     async def _run(self, turn: _TurnRun) -> Failure | None:
         failure = await self._reserve(turn)
+        if failure is None:
+            failure = await turn.job.permission.refusal(turn.job.req.received_at)
         if failure is not None:
             return failure
         return await self._serve(turn)
@@ -117,7 +119,7 @@
                 return Failure(Code.BUDGET_SPENT, detail)
             case NoSuchTurn():
                 turn.settled = True
-                return Failure(Code.UNKNOWN_TURN, f"no turn {wish.previous}")
+                return Failure(Code.UNKNOWN_TURN, f"no turn {job.asked.previous}")
             case Unavailable(answered, wanted, view):
                 turn.settled = True
                 detail = f"{answered} of {wanted} replicas answered in view {view}"
@@ -133,13 +135,13 @@
             self._ledger.settle_later(wish, turn.tokens())
             return None
         said = job.req.body + bytes(turn.events.said)
-        record = Turn(job.asked.id, job.asked.previous, said)
+        record = Turn(job.turn, wish.previous, said)
         turns = (*turn.chain, record)
         until = min(job.until, job.now() + SETTLE_WAIT_S)
         if not await self._ledger.settle(wish, turn.tokens(), turns, until):
             return Failure(Code.LEDGER_AWAY, "the turn could not be kept", "yes")
         turn.settled = True
-        self._chains.put(wish.program, job.asked.id, turn.before + said)
+        self._chains.put(wish.program, job.turn, turn.before + said)
         return None
 
     # Servers
@@ -171,7 +173,8 @@
                 left_s=job.left_s(),
                 server_id=state.server.id,
                 body_bytes=len(body),
-                urgency=min(PRIORITY_MOST, job.route.rank),
+                urgency=min(PRIORITY_MOST, job.rank),
+                customer=job.customer_name,
                 last_event=turn.events.last_id or None,
             )
             job.sent = True
@@ -313,10 +316,10 @@
     if asked.budget is None and not job.route.keeps_history:
         return None
     return Reservation(
-        asked.program,
+        job.own(asked.program),
         asked.id,
         asked.output_tokens,
         asked.budget,
         job.route.retention_s,
-        asked.previous if job.route.keeps_history else "",
+        job.own(asked.previous) if job.route.keeps_history else "",
     )
