--- a/tests/core/quota_world.py
+++ b/tests/core/quota_world.py
@@ -219,7 +219,7 @@
             for _ in range(self._random.randint(0, 4)):
                 op = next(self._op)
                 self._ops[op] = round(self.now / STEP_S)
-                question = AskPermit(op, NAME, f"p{op % 50}", False, True)
+                question = AskPermit(op, NAME, f"p{op % 50}", "", True)
                 self._send(str(relay), member.address, question)
 
     def _take(self, relay: int, message: LedgerMessage) -> None:
--- a/tests/core/test_quota.py
+++ b/tests/core/test_quota.py
@@ -34,7 +34,8 @@
 
 
 def granted(held: QuotaHolder, now: float, program: str, *, starts: bool) -> bool:
-    return held.ask(NAME, program, starts, False, now).answer is Answer.GRANTED
+    kind = "talk" if starts else ""
+    return held.ask(NAME, program, kind, False, now).answer is Answer.GRANTED
 
 
 def test_the_parts_of_all_holders_are_the_whole() -> None:
@@ -61,12 +62,10 @@
 
 def test_a_member_that_is_no_holder_gives_nothing() -> None:
     outsider = Member("other", "disk9", "other:1", "d9")
-    answer = holder(QUOTA, outsider).ask(NAME, "p", False, True, 50.0)
+    answer = holder(QUOTA, outsider).ask(NAME, "p", "", True, 50.0)
     assert answer.answer is Answer.NOT_MINE
-    assert holder(QUOTA).ask("unknown", "p", False, True, 50.0).answer is (
-        Answer.NOT_MINE
-    )
-    assert holder(None).ask(NAME, "p", False, True, 50.0).answer is Answer.GRANTED
+    assert holder(QUOTA).ask("unknown", "p", "", True, 50.0).answer is (Answer.NOT_MINE)
+    assert holder(None).ask(NAME, "p", "", True, 50.0).answer is Answer.GRANTED
 
 
 def test_a_process_that_has_just_begun_hands_out_no_burst() -> None:
@@ -88,7 +87,7 @@
     held = QuotaHolder(MEMBERS[0], BOUNDS, MEMBERS[1:], 0.0)
     held.configure({NAME: Customer(NAME, None, QUOTA)}, 0.0)
     held.take_members(MEMBERS, 20.0)
-    early = held.ask(NAME, "p", False, True, 20.0 + HANDOVER_S - 0.1)
+    early = held.ask(NAME, "p", "", True, 20.0 + HANDOVER_S - 0.1)
     assert early.answer is Answer.NOT_MINE
     assert granted(held, 21.0 + HANDOVER_S, "p", starts=False)
 
@@ -122,6 +121,17 @@
     assert refused_midway <= 0.2 * 10 * finished
 
 
+def test_a_holder_that_has_just_begun_takes_no_program_for_a_new_one() -> None:
+    """All keepers are killed while programs are under way, and come back at once.
+
+    To the new process all programs are unknown.  Taken for new ones they would wait
+    until the quota carries whole programs, though most need only a few turns more.
+    """
+    held = holder(QUOTA)
+    given = sum(granted(held, 1.0, f"p{n}", starts=True) for n in range(100))
+    assert given == int(allowance(QUOTA, BOUNDS).rate_per_s)
+
+
 def test_a_changed_quota_is_in_force_with_the_next_request() -> None:
     held = holder(QUOTA)
     assert granted(held, 30.0, "p", starts=False)
--- a/wisteriastair/core/keeper.py
+++ b/wisteriastair/core/keeper.py
@@ -215,7 +215,7 @@
         permit = Permit(Answer.NOT_MINE)
         if self._hears_most(now):
             permit = self.quota.ask(
-                asked.customer, asked.program, asked.starts, asked.ahead, now
+                asked.customer, asked.program, asked.kind, asked.ahead, now
             )
         reply = PermitReply(asked.op, permit.answer, permit.wait_s, permit.not_started)
         self._outbox.append((sender, reply))
--- a/wisteriastair/core/ledgerwire.py
+++ b/wisteriastair/core/ledgerwire.py
@@ -213,8 +213,8 @@
     ----------
     program : str
         What the request belongs to; empty for a request by itself.
-    starts : bool
-        Whether it may be the first of its program.
+    kind : str
+        Kind of the program if this may be its first request; else empty.
     ahead : bool
         Whether a permit that counts a little later will do.
     """
@@ -222,7 +222,7 @@
     op: int
     customer: str
     program: str
-    starts: bool
+    kind: str = ""
     ahead: bool = False
 
 
--- a/wisteriastair/core/quota.py
+++ b/wisteriastair/core/quota.py
@@ -45,6 +45,12 @@
 MOST_LISTS: Final = 16
 # A program that has asked for nothing for this long counts as ended, in seconds.
 IDLE_S: Final = 6.0
+# Requests that a program of a kind not met before is taken to need.
+FIRST_NEED: Final = 12.0
+# Weight of a newly ended program in what its kind is taken to need.
+NEED_GAIN: Final = 0.1
+# Kinds of programs that are told apart.
+MOST_KINDS: Final = 256
 # Programs remembered by one customer; the least recently seen yield.
 MOST_PROGRAMS: Final = 4096
 
@@ -162,11 +168,30 @@
 class _Program(NamedTuple):
     """A program that was let in: its requests, and those that were set aside for it."""
 
+    kind: str
     requests: int
     reserved: float
     seen: float
 
 
+class _Needs:
+    """How many requests programs of each kind have needed of late."""
+
+    def __init__(self) -> None:
+        self._means: dict[str, float] = {}
+
+    def of(self, kind: str) -> float:
+        """Return what a program of a kind needs; the kinds are few."""
+        return self._means.get(kind, FIRST_NEED)
+
+    def learn(self, kind: str, requests: int) -> None:
+        """Take what an ended program has needed."""
+        if not kind or (kind not in self._means and len(self._means) >= MOST_KINDS):
+            return
+        mean = self.of(kind)
+        self._means[kind] = mean + NEED_GAIN * (requests - mean)
+
+
 class _Account:
     """A customer at one of its holders."""
 
@@ -178,37 +203,32 @@
         self.starts = _Bucket(self.permits.level, now)
         # By program, the one seen last at the end.
         self.programs: OrderedDict[str, _Program] = OrderedDict()
-        self.requests = 0
 
-    def need(self) -> float:
-        """Tell how many requests a program has needed of late, on the mean."""
-        return max(1.0, self.requests / max(1, len(self.programs)))
-
-    def begin(self, program: str, now: float) -> None:
+    def begin(self, program: str, kind: str, need: float, now: float) -> None:
         """Note a program that is let in, and set aside what it will need."""
-        reserved = self.need()
-        self.starts.level -= reserved
-        self.programs[program] = _Program(0, reserved, now)
+        self.starts.level -= need
+        self.programs[program] = _Program(kind, 0, need, now)
 
     def note(self, program: str, now: float) -> None:
         """Note a permitted request of a program."""
-        known = self.programs.pop(program, _Program(0, 0.0, now))
+        known = self.programs.pop(program, _Program("", 0, 0.0, now))
         count = known.requests + 1
         # One that needs more than was set aside leaves less for the next.
-        lacking = max(0.0, count - known.reserved)
+        lacking = max(0.0, count - known.reserved) if known.kind else 0.0
         self.starts.level -= lacking
-        self.programs[program] = _Program(count, known.reserved + lacking, now)
-        self.requests += 1
+        reserved = known.reserved + lacking
+        self.programs[program] = _Program(known.kind, count, reserved, now)
 
-    def forget(self, now: float) -> None:
-        """Give back what ended programs have not needed."""
+    def forget(self, needs: _Needs, now: float) -> None:
+        """Give back what ended programs have not needed, and learn from them."""
         while self.programs:
             name, oldest = next(iter(self.programs.items()))
             if now - oldest.seen <= IDLE_S and len(self.programs) <= MOST_PROGRAMS:
                 return
             del self.programs[name]
-            self.requests -= oldest.requests
-            self.starts.level += oldest.reserved - oldest.requests
+            needs.learn(oldest.kind, oldest.requests)
+            if oldest.kind:
+                self.starts.level += oldest.reserved - oldest.requests
 
 
 class QuotaHolder:
@@ -233,6 +253,7 @@
         self._bounds = bounds
         self._customers: dict[str, Customer] = {}
         self._accounts: dict[str, _Account] = {}
+        self._needs = _Needs()
         # Lists of members and from when this one may act on each, the newest last.  The
         # first was in force when the process before it, if any, had already ended.
         self._lists = [(members, now)]
@@ -266,7 +287,7 @@
         self._list_number += 1
 
     def ask(
-        self, customer: str, program: str, starts: bool, ahead: bool, now: float
+        self, customer: str, program: str, kind: str, ahead: bool, now: float
     ) -> Permit:
         """Give a permit for one request, or not.
 
@@ -274,8 +295,8 @@
         ----------
         program : str
             What the request belongs to; empty for a request by itself.
-        starts : bool
-            Whether it may be the first of its program.
+        kind : str
+            Kind of the program if this may be its first request; else empty.
         ahead : bool
             Whether a permit that counts a little later will do.
         """
@@ -289,9 +310,11 @@
         if account is None:
             return Permit(Answer.NOT_MINE)
         account.permits.fill(share.rate_per_s, share.depth, now)
-        account.starts.fill(share.rate_per_s, self._most_started(known.quota), now)
-        account.forget(now)
-        begins = starts and program not in account.programs
+        account.starts.fill(share.rate_per_s, share.depth, now)
+        account.forget(self._needs, now)
+        # One that has just begun to hold cannot tell new programs from those under way.
+        tells = now - account.created > IDLE_S
+        begins = tells and bool(kind) and program not in account.programs
         if (begins or not program) and account.starts.level <= 0:
             return Permit(Answer.SPENT, -account.starts.level / share.rate_per_s, True)
         wait_s = max(0.0, 1.0 - account.permits.level) / share.rate_per_s
@@ -299,18 +322,13 @@
             return Permit(Answer.SPENT, wait_s)
         account.permits.level -= 1.0
         if begins:
-            account.begin(program, now)
+            account.begin(program, kind, self._needs.of(kind), now)
         if program:
             account.note(program, now)
         else:
             account.starts.level -= 1.0
         return Permit(Answer.GRANTED, wait_s)
 
-    def _most_started(self, quota: Quota) -> float:
-        """Work out how many requests of programs may be let in at once."""
-        allowed = quota.rate_per_s * self._bounds.window_s + quota.burst
-        return allowed / allowance(quota, self._bounds).holders
-
     def _account(self, customer: str, share: Allowance, now: float) -> _Account | None:
         """Return the account of a customer; None if this is no holder, or not yet."""
         account = self._accounts.get(customer)
--- a/wisteriastair/relay/handler.py
+++ b/wisteriastair/relay/handler.py
@@ -148,7 +148,8 @@
         ticket = None
         if customer is not None:
             starts = route.kind is RequestKind.STREAM and not asked.previous
-            ticket = self._quota.ask(customer, asked.program, starts=starts)
+            kind = route.name if starts else ""
+            ticket = self._quota.ask(customer, asked.program, kind)
         permission = Permission(self._quota, ticket)
         job = Job(req, asked, route, table, channel, self.stop, customer, permission)
         self.under_way += 1
--- a/wisteriastair/relay/quota.py
+++ b/wisteriastair/relay/quota.py
@@ -64,10 +64,10 @@
 class Ticket:
     """A question for a permit under way."""
 
-    def __init__(self, customer: Customer, program: str, starts: bool) -> None:
+    def __init__(self, customer: Customer, program: str, kind: str) -> None:
         self.customer = customer
         self.program = program
-        self.starts = starts
+        self.kind = kind
         # Whether a permit that counts a little later will do.
         self.ahead = False
         self.asked: Member | None = None
@@ -101,17 +101,17 @@
         """Give the client its way out."""
         self._transport = transport
 
-    def ask(self, customer: Customer, program: str, *, starts: bool) -> Ticket | None:
+    def ask(self, customer: Customer, program: str, kind: str) -> Ticket | None:
         """Ask for a permit; None if the customer needs none.
 
         Parameters
         ----------
-        starts : bool
-            Whether the request may be the first of its program.
+        kind : str
+            Kind of the program if this may be its first request; else empty.
         """
         if customer.quota is None:
             return None
-        ticket = Ticket(customer, program, starts)
+        ticket = Ticket(customer, program, kind)
         order = self._order(ticket)
         if order:
             self._send(ticket, order[0])
@@ -212,7 +212,7 @@
             ticket.op,
             ticket.customer.name,
             ticket.program,
-            ticket.starts,
+            ticket.kind,
             ticket.ahead,
         )
         self._transport.send(member.address, question)
