--- a/tests/platform/settings_file.py
+++ b/tests/platform/settings_file.py
@@ -38,10 +38,17 @@
 bootstrap = true
 dataDir = "{data_dir}"
 listen = {{ front = "{front}", ready = "{ready}" }}
+platform = {{ address = "{store}" }}
 limits = {{ memoryMb = 150 }}
 tolerate = {{ machines = 1 }}
-bounds = {{ drainMs = 2000, graceS = 8 }}
-platform = {{ address = "{store}" }}
+
+[bounds]
+drainMs = 2000
+graceS = 8
+quotaWindowS = 5
+quotaOver = 0.1
+quotaSlack = 20
+
 """
     )
     return path
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -24,6 +24,7 @@
 
 from tests.platform.standin_store import standin_store
 from tests.relay.stand import Caller, Reply
+from tests.soak.customers import FLOOD, KEYS, STRANGE_KEY, customer_of
 from tests.soak.faults import strike
 from tests.soak.stops import strike_with_stops
 from tests.soak.witness import MOST_TOKENS, PROMISES, Failure, Turn, Witness
@@ -52,6 +53,11 @@
 # Everything is served again this long after the last fault, in seconds.  Processes
 # start in about a second, in several on a machine that is busy with other things.
 RECOVER_S: Final = 30.0
+# Callers of the customer that floods, and their pauses and those of who holds no key,
+# in seconds: several times the quota of the one, little of the machine for the other.
+FLOODS: Final = 3
+FLOOD_PAUSE_S: Final = 0.03
+INTRUDE_PAUSE_S: Final = 0.3
 
 
 class Result(NamedTuple):
@@ -120,7 +126,7 @@
             if turn is None:
                 return False
             previous, said = turn.id, turn.said_after()
-            await self._call(self._draw.choice(("safe", "unsafe")))
+            await self._call(self._draw.choice(("safe", "unsafe")), customer_of(name))
         return True
 
     async def _turn(
@@ -131,6 +137,7 @@
             turn = Turn(turn_id, program, previous, said, f"ask {turn_id}.")
             self._witness.sends_turn(turn, budget)
             more = {"X_Previous_Turn": previous} if previous else {}
+            more |= self._key(turn.id, customer_of(program))
             reply = await self._ask(
                 "turn",
                 turn.id,
@@ -147,10 +154,32 @@
             await anyio.sleep(self._draw.uniform(0.1, 0.4))
         return None
 
-    async def _call(self, kind: str) -> None:
+    async def flood(self) -> None:
+        """Send far more for one customer than its quota, until stopped."""
+        while not self.stopped:
+            await self._call("unsafe", FLOOD)
+            await anyio.sleep(FLOOD_PAUSE_S)
+
+    async def intrude(self) -> None:
+        """Send requests with a key that nobody holds, until stopped.
+
+        They are not among those that callers have sent: none of them may run.
+        """
+        while not self.stopped:
+            key = {"Authorization": f"Bearer {STRANGE_KEY}"}
+            reply = await self._ask("unsafe", self._next_id("x"), "", **key)
+            if reply.status == 200:
+                self._witness.broken.append("key: a strange one was served")
+            await anyio.sleep(INTRUDE_PAUSE_S)
+
+    async def _call(self, kind: str, customer: str) -> None:
         request_id = self._next_id(kind[0])
         self._witness.sends(request_id, kind)
-        await self._ask(kind, request_id, "")
+        await self._ask(kind, request_id, "", **self._key(request_id, customer))
+
+    def _key(self, request_id: str, customer: str) -> dict[str, str]:
+        self._witness.belongs(request_id, customer)
+        return {"Authorization": f"Bearer {KEYS[customer]}"}
 
     async def _ask(self, route: str, request_id: str, body: str, **more: str) -> Reply:
         reply = Reply(0, "", b"", False)
@@ -165,7 +194,7 @@
             except (ConnectionError, asyncio.IncompleteReadError):
                 # The relay died with the channel: an answer that promises nothing.
                 pass
-            answered = reply.whole and reply.status in (200, 404, *PROMISES)
+            answered = reply.whole and reply.status in (200, 401, 404, *PROMISES)
             if sent and not answered:
                 now = time.monotonic()
                 self._witness.fails(
@@ -227,6 +256,9 @@
             await _until_served(callers, "start")
             async with anyio.create_task_group() as group:
                 group.start_soon(world.restart_those_that_ended)
+                for _ in range(FLOODS):
+                    group.start_soon(callers.flood)
+                group.start_soon(callers.intrude)
                 if stops:
                     group.start_soon(world.watch_processor)
                 for number in range(count):
--- a/tests/soak/witness.py
+++ b/tests/soak/witness.py
@@ -14,6 +14,8 @@
 from contextlib import contextmanager
 from typing import Final, NamedTuple
 
+from tests.soak.customers import FLOOD, MOST_IN_A_WINDOW, most_in_a_window
+
 TOKENS_PER_EVENT: Final = 25
 MOST_EVENTS: Final = 6
 MOST_TOKENS: Final = TOKENS_PER_EVENT * MOST_EVENTS
@@ -112,6 +114,9 @@
         # Failures during stops that something unplanned excuses.
         self.excused: list[str] = []
         self._killed: list[Stop] = []
+        self._customers: dict[str, str] = {}
+        # When servers began to work for the customer that floods.
+        self._flooded: list[float] = []
 
     # What callers see
 
@@ -119,6 +124,10 @@
         """Note a request of a caller before it is sent."""
         self._sent[request_id] = kind
 
+    def belongs(self, request_id: str, customer: str) -> None:
+        """Note whose key a request carries."""
+        self._customers[request_id] = customer
+
     def sends_turn(self, turn: Turn, budget: int) -> None:
         """Note a turn of a caller before it is sent."""
         self.sends(turn.id, "turn")
@@ -130,6 +139,8 @@
         self.answers[status] += 1
         if status in PROMISES:
             self._refused[request_id] = status
+        if status == 401 and request_id in self._customers:
+            self.broken.append(f"denied: {request_id} with a customer's key")
         turn = self._turns.get(request_id)
         if turn is None:
             if status == 200 and body != plain_answer(request_id).encode():
@@ -188,6 +199,16 @@
         if turn is not None and body != turn.prompt():
             self.broken.append(f"chain: {request_id} ran with {body!r}")
 
+    def runs_for(self, request_id: str, customer: str, key: str) -> None:
+        """Note whom a server is told that it works for, and with what key."""
+        asked = self._customers.get(request_id, "")
+        if customer != asked:
+            self.broken.append(f"customer: {request_id} of {asked} ran for {customer}")
+        if key:
+            self.broken.append(f"key: passed on with {request_id}")
+        if customer == FLOOD:
+            self._flooded.append(time.monotonic())
+
     def breaks_off(self, request_id: str) -> None:
         """Note that a server breaks off an answer by itself."""
         self._broke_off.add(request_id)
@@ -231,6 +252,9 @@
             if self._runs[request_id] and self._sent[request_id] != "safe":
                 self.broken.append(f"refused: {request_id} got {status} and has run")
         self._judge_stops()
+        flooded = most_in_a_window(self._flooded)
+        if flooded > MOST_IN_A_WINDOW:
+            self.broken.append(f"quota: {flooded} requests in a window")
         for program, handed in self._handed.items():
             if handed > self._budgets[program] + MOST_TOKENS:
                 self.broken.append(f"budget: {program} was handed {handed} tokens")
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -20,6 +20,7 @@
 from tests.platform.settings_file import write_settings
 from tests.platform.standin_store import StoreStandin
 from tests.relay.stand import Caller, Exchange, ScriptedServer
+from tests.soak.customers import tenants
 from tests.soak.witness import Witness, event_data, plain_answer
 from wisteriastair.standins.deployment import free_address
 
@@ -187,6 +188,7 @@
             "routes": _routes(timeout_ms),
             "services": services,
             "limits": {},
+            "tenants": tenants(),
         }
         self.store.put(CONFIG_KEY, json.dumps(config).encode())
 
@@ -220,7 +222,11 @@
                 "Content-Length: 0\n\n"
             )
             return False
-        self.witness.runs(exchange.header("X-Request-Id"), exchange.body.decode())
+        request_id = exchange.header("X-Request-Id")
+        self.witness.runs(request_id, exchange.body.decode())
+        self.witness.runs_for(
+            request_id, exchange.header("X-Tenant"), exchange.header("Authorization")
+        )
         return True
 
     def _break_off(self, exchange: Exchange) -> None:
