--- a/tests/core/bench.py
+++ b/tests/core/bench.py
@@ -1,4 +1,6 @@
-"""Time of one choice of a server, with 30 servers and a prompt of three parts.
+"""Time of the decisions on a request's way, in microseconds.
+
+A choice of a server has a prompt of three parts.
 
 python -m tests.core.bench
 """
@@ -8,22 +10,80 @@
 import random
 import statistics
 import time
+from collections.abc import Callable
 from typing import Final
 
 from wisteriastair.core.choice import Want, choose
+from wisteriastair.core.customers import Customer, Customers, Quota, digest_of
 from wisteriastair.core.fleet import Fleet, Load, Server
+from wisteriastair.core.membership import Member
+from wisteriastair.core.quota import QuotaBounds, QuotaHolder
 from wisteriastair.core.reuse import PromptPart, agreed_server
+from wisteriastair.platform.credentials import key_digest
 
-SERVERS: Final = 30
+SERVERS: Final = (23, 30, 300)
+CUSTOMERS: Final = (78, 10_000)
+MEMBERS: Final = 9
 PROGRAMS: Final = 400
 ROUNDS: Final = 20
 
 
 def main() -> None:
-    """Print the median of some rounds, in microseconds."""
+    """Print the medians of some rounds."""
+    for count in SERVERS:
+        print(f"one choice of {count} servers: {choice_us(count):.1f} us")
+    for count in CUSTOMERS:
+        print(f"the holder of a key among {count}: {key_us(count):.2f} us")
+        print(f"one permit among {count} customers: {permit_us(count):.2f} us")
+
+
+def key_us(count: int) -> float:
+    """Time from the header of a request to its customer."""
+    keys = [f"key-{number:016}" for number in range(count)]
+    customers = Customers(
+        (Customer(key, None, None), [digest_of(key.encode())]) for key in keys
+    )
+    headers = [(b"Authorization", f"Bearer {key}".encode()) for key in keys[:PROGRAMS]]
+
+    def look_up() -> None:
+        for one in headers:
+            customers.holder(key_digest([one]))
+
+    return median_us(look_up, len(headers))
+
+
+def permit_us(count: int) -> float:
+    """Time of a holder's decision."""
+    members = tuple(Member(f"k{n}", f"d{n}", f"k{n}:1", "d") for n in range(MEMBERS))
+    names = [f"customer-{number}" for number in range(count)]
+    bounds = QuotaBounds(5.0, 0.1, 20.0)
+    holder = QuotaHolder(members[0], bounds, members, 0.0)
+    quota = Quota(100.0, 100.0)
+    holder.configure({name: Customer(name, None, quota) for name in names}, 0.0)
+    asked = names[:PROGRAMS]
+
+    def ask() -> None:
+        for name in asked:
+            holder.ask(name, "program", "kind", False, 30.0)
+
+    return median_us(ask, len(asked))
+
+
+def median_us(work: Callable[[], None], times: int) -> float:
+    """Return the time of one piece of work, the median of some rounds."""
+    took = []
+    for _ in range(ROUNDS):
+        began = time.perf_counter()
+        work()
+        took.append((time.perf_counter() - began) / times * 1e6)
+    return statistics.median(took)
+
+
+def choice_us(count: int) -> float:
+    """Time of a choice among some servers."""
     draw = random.Random(1)
     fleet = Fleet()
-    for number in range(SERVERS):
+    for number in range(count):
         domain = f"d{number % 3}"
         fleet.put(Server(f"s{number}", "svc", "a:1", domain, 48, False, 0.0))
     states = fleet.usable("svc", 0.0)
@@ -39,15 +99,14 @@
         state.take_load(Load(draw.randrange(20), 0, 48), 0.0)
         state.succeeded(draw.uniform(0.2, 0.6))
     connected = frozenset(state.server.start for state in states[::2])
-    took = []
-    for _ in range(ROUNDS):
-        began = time.perf_counter()
+
+    def choose_all() -> None:
         for prompt in prompts:
             agreed = agreed_server(prompt, names)
             want = Want("d1", prompt, frozenset(), 20.0, connected, agreed=agreed)
             choose(states, want, draw.randrange, 0.1)
-        took.append((time.perf_counter() - began) / PROGRAMS * 1e6)
-    print(f"one choice of {SERVERS} servers: {statistics.median(took):.1f} us")
+
+    return median_us(choose_all, PROGRAMS)
 
 
 if __name__ == "__main__":
--- a/wisteriastair/relay/dispatch.py
+++ b/wisteriastair/relay/dispatch.py
@@ -13,10 +13,13 @@
 from contextlib import asynccontextmanager
 from typing import Final, NamedTuple
 
+import anyio
+
 from ..core.affinity import Beginnings
 from ..core.choice import Want, choose
 from ..core.fleet import Fleet, ServerState
 from ..core.reuse import PromptPart, agreed_server
+from ..core.silence import Silence
 from ..http1.messages import Head, Headers, Request, write_head
 from ..http1.server import EndKind, Exchange, ServerChannel
 from ..platform.headers import reported_load, said_not_run
@@ -66,6 +69,7 @@
     def __init__(self, fleet: Fleet, pool: Pool, domain: str) -> None:
         self.fleet = fleet
         self.pool = pool
+        self.silence = Silence()
         self._domain = domain
         self._beginnings: dict[tuple[str, int], Beginnings] = {}
         self._draw = random.Random().randrange
@@ -117,11 +121,19 @@
         request_id: str,
         headers: Headers,
         body: bytes,
+        *,
+        silent_s: float | None = None,
     ) -> AsyncIterator[Started | NotRun | Lost]:
         """Send a request and wait for the head of its answer.
 
         On leaving, the channel is kept if the answer was whole and closed otherwise,
         which makes the server drop the request.
+
+        Parameters
+        ----------
+        silent_s : float or None
+            Seconds after which a server that has not begun to answer is given up;
+            None for no limit.
         """
         server = state.server
         state.open += 1
@@ -135,7 +147,11 @@
             exchange = Exchange(request_id, req.method)
             first_line = f"{req.method} {req.target} HTTP/1.1".encode("latin-1")
             channel.start(exchange, write_head(first_line, headers) + body)
-            await exchange.wait_head()
+            with anyio.move_on_after(silent_s):
+                await exchange.wait_head()
+            if exchange.head is None and exchange.end is None:
+                yield Lost(server.id, f"silent for {silent_s} s")
+                return
             yield self._outcome(state, exchange, channel)
         finally:
             state.open -= 1
--- a/wisteriastair/relay/plain.py
+++ b/wisteriastair/relay/plain.py
@@ -56,6 +56,8 @@
 async def _find_answer(job: Job, dispatcher: Dispatcher) -> Answer | Failure:
     refused: set[str] = set()
     runs = 0
+    silence = dispatcher.silence
+    silence.asked()
     while True:
         state = dispatcher.pick(
             job.service, frozenset(refused), body_bytes=len(job.req.body)
@@ -76,8 +78,12 @@
             customer=job.customer_name,
         )
         job.sent = True
+        silent_s = None
+        if job.route.repeatable and runs + 1 < job.route.max_servers:
+            silent_s = silence.limit_s(job.service)
+        began = job.now()
         async with dispatcher.send(
-            state, job.req, job.asked.id, headers, job.req.body
+            state, job.req, job.asked.id, headers, job.req.body, silent_s=silent_s
         ) as outcome:
             answer = await _read(job, outcome)
         if isinstance(answer, Answer):
@@ -86,6 +92,7 @@
                 dispatcher.failed(state)
             else:
                 state.succeeded(job.age_s())
+                silence.answered(job.service, job.now() - began)
             return answer
         if isinstance(answer, NotRun):
             job.sent = runs > 0
@@ -98,6 +105,7 @@
         dispatcher.failed(state)
         if not job.route.repeatable or runs >= job.route.max_servers:
             return Failure(Code.SERVER_LOST, answer.reason, "unknown")
+        silence.repeated()
 
 
 async def _read(job: Job, outcome: Started | NotRun | Lost) -> Answer | NotRun | Lost:
