--- a/tests/operators/test_endings.py
+++ b/tests/operators/test_endings.py
@@ -50,6 +50,11 @@
         (unsent(402, "3 of 2 tokens are taken"), (REFUSED, Why.BUDGET)),
         (unsent(404, "no turn q0"), (REFUSED, Why.UNKNOWN_TURN)),
         (unsent(400, "odd"), (REFUSED, Why.DENIED)),
+        (unsent(429, "the quota of one is used up"), (REFUSED, Why.OVER_QUOTA)),
+        (
+            unsent(503, "none of 3 holders of the quota answered in view 7"),
+            (REFUSED, Why.QUOTA_AWAY),
+        ),
         (unsent(503, "1 of 2 replicas answered in view 3"), (REFUSED, Why.LEDGER_AWAY)),
         (
             unsent(503, "1 of 2 replicas answered in view 3", ledger_ms=SLOW),
@@ -95,6 +100,18 @@
             Denied(status=503, reason="no route known, version 3 may be old"),
             (REFUSED, Why.NOT_CONFIGURED),
         ),
+        (
+            Denied(status=503, reason="no customer known, version 3 may be old"),
+            (REFUSED, Why.NOT_CONFIGURED),
+        ),
+        (
+            Denied(status=401, reason="no customer holds the key in version 3"),
+            (REFUSED, Why.NO_KEY),
+        ),
+        (
+            Denied(status=401, reason="one key is needed: Bearer KEY"),
+            (REFUSED, Why.NO_KEY),
+        ),
         (
             Denied(status=404, reason="no route for a.example/x in version 3"),
             (REFUSED, Why.UNKNOWN_ROUTE),
--- a/tests/operators/test_losses.py
+++ b/tests/operators/test_losses.py
@@ -19,7 +19,12 @@
     parse_aims,
     run_losses,
 )
-from wisteriastair.operators.losstables import MOST_PROGRAMS, as_json, as_text
+from wisteriastair.operators.losstables import (
+    MOST_CUSTOMERS,
+    MOST_PROGRAMS,
+    as_json,
+    as_text,
+)
 from wisteriastair.options import BadSetting
 
 GOLDEN = Path(__file__).parent / "golden" / "losses.txt"
@@ -160,3 +165,15 @@
     assert done.returncode == 1, done.stderr
     assert data["aims"] == {"turn": 0.001, "chat": 1.0}
     assert (data["lines"]["read"], data["lost"]) == (2, 1)
+
+
+def test_customers_that_lose_most_come_first() -> None:
+    """One of many customers is refused more than the rest: the page begins with it."""
+    raw = [request_line(customer=f"c{n}") for n in range(MOST_CUSTOMERS + 1)]
+    raw += [request_line(status=429, sent=False, customer="worst")] * 2
+    raw.append(request_line(customer="worst"))
+    losses = count(raw)
+    customers = json.loads(as_json(losses))["customers"]
+    assert next(iter(customers)) == "worst"
+    assert (customers["worst"]["requests"], customers["worst"]["refused"]) == (3, 2)
+    assert "and 2 that lost a smaller share" in as_text(losses)
--- a/wisteriastair/operators/endings.py
+++ b/wisteriastair/operators/endings.py
@@ -26,6 +26,11 @@
 NO_BUDGET: Final = " tokens are taken"
 NO_TURN: Final = "no turn "
 FEW_REPLICAS: Final = " replicas answered in view "
+NO_KEY: Final = "one key is needed"
+STRANGE_KEY: Final = "no customer holds the key in version "
+OLD_CUSTOMERS: Final = "no customer known, version "
+OVER_QUOTA: Final = "the quota of "
+NO_HOLDER: Final = " holders of the quota answered in view "
 NOT_KEPT: Final = "the turn could not be kept"
 NO_SERVER: Final = "no server is there"
 NO_ROOM: Final = "no server has room"
@@ -77,6 +82,9 @@
     UNKNOWN_ROUTE = "unknown route"
     BUDGET = "budget spent"
     UNKNOWN_TURN = "unknown turn"
+    NO_KEY = "no customer's key"
+    OVER_QUOTA = "quota used up"
+    QUOTA_AWAY = "quota's holders out of reach"
     DENIED = "denied for another reason"
     OTHER = "reason not known to this command"
 
@@ -102,6 +110,7 @@
     took_ms: float
     left_ms: float
     program: str = ""
+    customer: str = ""
     route: str = ""
     servers: list[str] = []
     sent: bool = False
@@ -156,7 +165,11 @@
 
 def _why_denied(request: Denied) -> Why:
     reason = request.reason
-    if reason == NO_CONFIGURATION or reason.startswith(OLD_CONFIGURATION):
+    if reason.startswith((NO_KEY, STRANGE_KEY)):
+        return Why.NO_KEY
+    if reason == NO_CONFIGURATION or reason.startswith(
+        (OLD_CONFIGURATION, OLD_CUSTOMERS)
+    ):
         return Why.NOT_CONFIGURED
     if reason.startswith(NO_ROUTE):
         return Why.UNKNOWN_ROUTE
@@ -168,12 +181,16 @@
 def _why_refused(request: Ended) -> Why:
     reason = request.reason
     if request.status != UNAVAILABLE:
+        if reason.startswith(OVER_QUOTA):
+            return Why.OVER_QUOTA
         if reason.endswith(NO_BUDGET):
             return Why.BUDGET
         return Why.UNKNOWN_TURN if reason.startswith(NO_TURN) else Why.DENIED
     if FEW_REPLICAS in reason:
         waited = request.ledger_ms > SLOW_LEDGER_MS
         return Why.LEDGER_SLOW if waited else Why.LEDGER_AWAY
+    if NO_HOLDER in reason:
+        return Why.QUOTA_AWAY
     if reason == NO_SERVER:
         return Why.NO_SERVER
     # The reason of a server that was tried before stays when the time is over.
--- a/wisteriastair/operators/losscount.py
+++ b/wisteriastair/operators/losscount.py
@@ -61,9 +61,9 @@
         Lines in all, those of requests, and other lines of the system.
     no_lines : Counter of str
         Lines that could not be counted as either, by what is wrong with them.
-    rows, steps, instances, programs : dict
-        Requests by how they ended, by time, by instance, and the lost ones of each
-        program; a step is a number of steps since 1970.
+    rows, steps, instances, customers, programs : dict
+        Requests by how they ended, by time, by instance, by customer, and the lost ones
+        of each program; a step is a number of steps since 1970.
     unnamed : int
         Lost requests that belong to no program.
     with_aim, without_aim : set of str
@@ -87,6 +87,7 @@
         self.rows: dict[Ending, Group] = {}
         self.steps: dict[int, Group] = {}
         self.instances: dict[str, Group] = {}
+        self.customers: dict[str, Group] = {}
         self.programs: dict[str, Group] = {}
         self.unnamed = 0
         self.with_aim: set[str] = set()
@@ -132,6 +133,8 @@
         _group(self.rows, ending, one)
         _group(self.steps, step, one)
         _group(self.instances, line.instance, one)
+        if isinstance(request, Ended) and request.customer:
+            _group(self.customers, request.customer, one)
         if ending.outcome not in LOST:
             return
         if isinstance(request, Ended) and request.program:
--- a/wisteriastair/operators/losstables.py
+++ b/wisteriastair/operators/losstables.py
@@ -9,12 +9,13 @@
 
 import msgspec
 
-from .endings import Ending, Outcome
+from .endings import LOST, Ending, Outcome
 from .losscount import Group, Losses
 from .tables import Cell, Table, format_table
 
-# Programs that the page names; the JSON names all.
+# Programs and customers that the page names; the JSON names all.
 MOST_PROGRAMS: Final = 20
+MOST_CUSTOMERS: Final = 20
 PERCENT: Final = 100.0
 OUTCOMES: Final = tuple(Outcome)
 OUTCOME_COLUMNS: Final = ("requests", *(outcome.value for outcome in OUTCOMES))
@@ -28,6 +29,8 @@
     if losses.requests:
         parts.append(_steps(losses, began))
         parts.append(_instances(losses))
+    if losses.customers:
+        parts.append(_customers(losses))
     if losses.programs:
         parts.append(_programs(losses, began))
     return "\n\n".join(parts)
@@ -55,6 +58,7 @@
         "instances": {
             name: _counts(group) for name, group in sorted(losses.instances.items())
         },
+        "customers": {name: _counts(group) for name, group in _worst_first(losses)},
         "programs": {
             name: {**_ending(group.first.ending), **_first(group), **_counts(group)}
             for name, group in _by_first(losses)
@@ -147,6 +151,26 @@
     return _outcomes("instance", sorted(losses.instances.items()))
 
 
+def _worst_first(losses: Losses) -> list[tuple[str, Group]]:
+    """Order customers by the share of their requests that was lost."""
+
+    def place(row: tuple[str, Group]) -> tuple[float, str]:
+        name, group = row
+        lost = sum(group.counts[outcome] for outcome in LOST)
+        return -lost / group.counts.total(), name
+
+    return sorted(losses.customers.items(), key=place)
+
+
+def _customers(losses: Losses) -> str:
+    customers = _worst_first(losses)
+    told = _outcomes("customer", customers[:MOST_CUSTOMERS])
+    if len(customers) > MOST_CUSTOMERS:
+        left = len(customers) - MOST_CUSTOMERS
+        told += f"\nand {left} that lost a smaller share (--json has all)"
+    return told
+
+
 def _outcomes(title: str, named: Iterable[tuple[str, Group]]) -> str:
     rows: list[tuple[Cell, ...]] = []
     total: Counter[Outcome] = Counter()
