--- a/tests/relay/stand.py
+++ b/tests/relay/stand.py
@@ -268,7 +268,9 @@
     dispatcher = Dispatcher(fleet, pool, "d")
     keepers = Keepers(3)
     streams = StreamRelay(dispatcher, keepers.client, ChainCache(1_000_000))
-    quota = QuotaClient(QUOTA_BOUNDS, lambda: keepers.view)
+    quota = QuotaClient(
+        QUOTA_BOUNDS, lambda: keepers.view, lambda: keepers.client.reachable
+    )
     keepers.quota = quota
     quota.start(cast(Transport[LedgerMessage], keepers))
     handler = RelayHandler(dispatcher, streams, quota, lambda: True, RelayMetrics())
--- a/tests/relay/test_customers.py
+++ b/tests/relay/test_customers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import logging
 from collections.abc import Awaitable, Callable
@@ -194,6 +195,26 @@
     play_with(customers(Quota(100.0, 100.0)), [server], story)
 
 
+def test_a_relay_that_knows_that_it_is_cut_off_refuses_at_once() -> None:
+    """The relay is cut off from all keepers and has found that out by its turns.
+
+    A call that waited for a permit would lose half of its time, which its caller needs
+    to be served by another relay.
+    """
+    server = ScriptedServer("s1", good)
+
+    async def story(at: Stand) -> None:
+        at.keepers.cut = set(at.keepers.cores)
+        assert (await at.ask("turn", "t", **bearer("one", **TURN))).status == 503
+        began = asyncio.get_running_loop().time()
+        reply = await at.ask("unsafe", "a", **bearer("one"))
+        assert reply.status == 503 and "Retry-After" in reply.head
+        assert asyncio.get_running_loop().time() - began < 0.2
+        assert not server.got
+
+    play_with(customers(Quota(100.0, 100.0)), [server], story)
+
+
 def test_one_lost_holder_is_not_noticed() -> None:
     """One of three keepers is cut off: the others' parts of the quota are enough."""
     server = ScriptedServer("s1", good)
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -87,7 +87,9 @@
         self._dispatcher = Dispatcher(self._fleet, self._pool, cfg.domain)
         self._chains = ChainCache(int(cfg.memory_bytes * CHAIN_SHARE))
         streams = StreamRelay(self._dispatcher, self._ledger, self._chains)
-        self._quota = QuotaClient(cfg.quota, lambda: self._ledger.view)
+        self._quota = QuotaClient(
+            cfg.quota, lambda: self._ledger.view, lambda: self._ledger.reachable
+        )
         self._handler = RelayHandler(
             self._dispatcher, streams, self._quota, self._is_ready, self._metrics
         )
--- a/wisteriastair/relay/quota.py
+++ b/wisteriastair/relay/quota.py
@@ -87,11 +87,19 @@
         How quotas are judged.
     view : callable
         Returns the members known now.
+    reachable : callable
+        Whether keepers can be expected to answer.
     """
 
-    def __init__(self, bounds: QuotaBounds, view: Callable[[], View]) -> None:
+    def __init__(
+        self,
+        bounds: QuotaBounds,
+        view: Callable[[], View],
+        reachable: Callable[[], bool],
+    ) -> None:
         self._bounds = bounds
         self._view = view
+        self._reachable = reachable
         self._op = 0
         self._waiting: dict[int, Ticket] = {}
         self._suspects: dict[str, float] = {}
@@ -138,6 +146,9 @@
         """
         loop = asyncio.get_running_loop()
         while True:
+            if not self._reachable():
+                # Waiting would keep the caller from a relay that can serve it.
+                return NoHolder(0, self._view().number)
             outcome = await self._round(ticket, until)
             if not isinstance(outcome, NoHolder):
                 return outcome
