--- a/wisteriastair/core/affinity.py
+++ b/wisteriastair/core/affinity.py
@@ -2,9 +2,8 @@
 
 The load pattern: prompts begin with one of a dozen texts of some 12,600 tokens that
 many programs share.  If every server gets every beginning and they do not fit into an
-engine's memory together, each one read evicts another that the next request needs.  On
-a busy day with 16 beginnings and memory for 240,000 tokens, 44 of 100 tokens read were
-of beginnings that had been read before, and requests were preempted for lack of memory.
+engine's memory together, each one read evicts another that the next request needs, and
+requests are preempted for lack of memory.
 
 A beginning is therefore led to some of the servers only, its homes: as many as let the
 beginnings at one server take a bounded share of its memory.  Where all of them fit,
--- a/wisteriastair/core/choice.py
+++ b/wisteriastair/core/choice.py
@@ -19,19 +19,16 @@
 
 # Share of a server's places that a detour to another failure domain is worth: a little
 # for the way, and more for each byte of the request, since traffic between domains is
-# paid for.  A turn of 20 kB may meet four more requests in its own domain's batch of
-# 16, which slows it by about two hundredths.
+# paid for.
 OTHER_DOMAIN: Final = 0.04
 OTHER_DOMAIN_PER_KB: Final = 0.01
 # A server to which a channel is open is worth this share of its places: opening one
-# takes a round trip, and the server's time.  Less than one own request at a server of
-# 48 places: at 0.5 a busy server's turns went to wherever a channel was idle, away from
-# what had read their prompts (a burst on five relays, means of four seeds, all else
-# alike: 0.992 of the programs' worth at 0.5, 0.999 at this).
+# takes a round trip, and the server's time.  Less than one own request counts: else the
+# turns of a busy server go to wherever a channel is idle, away from what has read their
+# prompts.
 CHANNEL_OPEN: Final = 0.06
 # A server that has to read the whole prompt counts as fuller by this share of its
-# places.  Reading it stops the decoding of all that runs there: 5,000 tokens take as
-# long as twenty steps of a batch (29 tokens a millisecond, steps of 5 to 20 ms).
+# places, since reading it stops the decoding of all that runs there.
 PROMPT_READ: Final = 1.0
 # A server that the prompt's beginning is not led to counts as fuller by this share of
 # its places: more than one own request at a server of eight places, less than two.
@@ -40,11 +37,11 @@
 NEARLY_EQUAL: Final = 0.01
 # A server that is slower than the mean of its service counts as fuller by this times
 # its excess share.  Little: requests stay longer on a slow server and so count there by
-# themselves.  At 0.5 a server three times slower got 0.07 of the mean, at this 0.35.
+# themselves.
 SLOWNESS: Final = 0.1
 # Servers that are compared with each other; of more, only those that something speaks
-# for and some that are drawn.  Comparing 1,500 takes 8 ms, several times what the rest
-# of a turn costs a relay.
+# for and some that are drawn, since comparing all would cost more than the rest of a
+# turn.
 MOST_COMPARED: Final = 64
 # Servers drawn of each sort.  The best of a dozen is among the best tenth of all in
 # seven of ten draws.
--- a/wisteriastair/core/fleet.py
+++ b/wisteriastair/core/fleet.py
@@ -38,10 +38,7 @@
 LAST_RESORT: Final = 0.5
 # A report of load older than this, in seconds, says nothing any more.
 LOAD_AGE_S: Final = 1.0
-# How much an own request and one that others have at a server count.  In a replay of
-# five relays and six servers of 16 places with 340 requests a second, the requests
-# beyond the places were 4.8 at the mean with weights 1 and 1, and 1.4 with these; with
-# 18 relays and 19 servers of 12 places, 3.9 and 0.07.
+# How much an own request and one that others have at a server count.
 OWN_WEIGHT: Final = 3.0
 OTHERS_WEIGHT: Final = 0.3
 # Weight of a new measurement of a server's time in its running mean.
--- a/wisteriastair/core/reuse.py
+++ b/wisteriastair/core/reuse.py
@@ -4,12 +4,10 @@
 with all that was said before.  A server that ran the turn before reads only what is
 new.  A process knows what it sent to a server itself, part by part with its tokens.
 
-Callers move between processes: one turn in six came to another relay than the one
-before it.  That relay knows nothing of the program, so all agree on a server for it by
-rendezvous hash of the program's first own part, and count that server as having read
-the prompt.  In a burst (five relays, 5,000 tokens a prompt, four seeds) this took the
-prompt tokens read from 2.44 to 2.04 million at the mean, and the programs' worth from
-0.976 to 0.998 of all.
+Callers move between processes, and the relay that gets the next turn knows nothing of
+the program.  So all agree on a server for it by rendezvous hash of the program's first
+own part, and count that server as having read the prompt.  Else most of it would be
+read again on another server.
 """
 
 from __future__ import annotations
@@ -24,7 +22,7 @@
 # Parts remembered for one server: the turns of some minutes at 2.4 a second.
 MOST_PARTS: Final = 512
 # Servers that are compared for a program; of more, only those that follow the program's
-# place in the order of their hashes.  Comparing 1,500 takes 2 ms for each new program.
+# place in the order of their hashes.
 MOST_RANKED: Final = 64
 # The parts before this one are shared with other programs.
 FIRST_OWN: Final = 1
--- a/wisteriastair/peers/ledgercodec.py
+++ b/wisteriastair/peers/ledgercodec.py
@@ -12,5 +12,5 @@
 # A turn waits for two of these messages, so they gather only while the loop is busy.
 LEDGER_GATHER_S: Final = 0.0
 # After a cut a relay must find its way back to the keepers within three seconds, when
-# it is expected to serve again.  Waiting twice as long after each attempt it took 4.5.
+# it is expected to serve again, so no attempt waits longer than the one before.
 LEDGER_PATIENCE: Final = Patience(echo_s=0.25, silence_s=0.8, silence_max_s=0.8)
--- a/wisteriastair/peers/transport.py
+++ b/wisteriastair/peers/transport.py
@@ -36,7 +36,7 @@
 MS_PER_S: Final = 1000.0
 QUEUE_LIMIT: Final = 20_000
 # Bytes that may wait for a peer.  What waits for a peer that is cut off is sent again
-# by its sender anyway; without a bound it took 100 MB within ten seconds of a cut.
+# by its sender anyway; without a bound it would take the process's memory.
 QUEUE_BYTES: Final = 2 * 1024 * 1024
 # Messages that have waited for a connection for longer than this are dropped, in
 # seconds: every sender has repeated or given up by then what it still wants.
--- a/wisteriastair/relay/ledger.py
+++ b/wisteriastair/relay/ledger.py
@@ -346,8 +346,8 @@
         """Learn what requests usually take, from those that were hardly sent again.
 
         One that was sent many times met replicas that were away.  Counted, the ones
-        that had waited out a cut of twelve seconds kept later ones from being sent
-        again for seconds after it had healed.
+        that had waited out a cut would keep later ones from being sent again for
+        seconds after it had healed.
         """
         if sends <= USUAL_SENDS:
             sample_s = min(seconds, USUAL_MOST_S)
--- a/wisteriastair/relay/questions.py
+++ b/wisteriastair/relay/questions.py
@@ -85,10 +85,10 @@
     def first_asked(self, replicas: ReplicaSet) -> int:
         """As few as must answer, and a spare one where a server waits for it.
 
-        A kept turn of 17 kB to all of five replicas took most of a relay's link of 15
-        Mbit/s; sent again while it queued there, it never got through.  A reservation
-        is small, but each further replica costs processor time on both sides; with one
-        to spare the loss of one is still not noticed.
+        Kept turns sent to all replicas fill a relay's thin link; sent again while they
+        queue there, they never get through.  A reservation is small, but each further
+        replica costs processor time on both sides; with one to spare the loss of one
+        is still not noticed.
         """
         return replicas.write + (0 if self._settles else SPARE)
 
@@ -104,8 +104,7 @@
     def spread(self, op: int, view: int, others: list[str]) -> Spread | None:
         """Send a kept turn once; replicas pass it on among themselves.
 
-        On five replicas three copies of 17 kB left a relay for each kept turn, a third
-        of all that it sends; at 59 turns a second that filled a link of 30 Mbit/s.
+        Several copies of each kept turn would fill a relay's thin link.
         """
         if not self._entry.turns or not others:
             return None
