--- a/tests/core/quota_world.py
+++ b/tests/core/quota_world.py
@@ -12,6 +12,7 @@
 from itertools import count
 from typing import NamedTuple
 
+from tests.windows import most_in_a_window
 from wisteriastair.core.customers import Customer, Quota
 from wisteriastair.core.keeper import KeeperCore
 from wisteriastair.core.ledgerwire import AskPermit, LedgerMessage, PermitReply
@@ -102,13 +103,7 @@
 
     def most_in_a_window(self) -> int:
         """Return the most arrivals in any span of one window."""
-        times = sorted(arrival.at for arrival in self.arrivals)
-        most = first = 0
-        for last, at in enumerate(times):
-            while times[first] < at - BOUNDS.window_s:
-                first += 1
-            most = max(most, last - first + 1)
-        return most
+        return most_in_a_window([a.at for a in self.arrivals], BOUNDS.window_s)
 
     # Faults
 
@@ -226,7 +221,8 @@
         if not isinstance(message, PermitReply):
             return
         asked_s = self.now - self._ops.pop(message.op) * STEP_S
-        if message.answer is not Answer.GRANTED or asked_s > 0.1 + STEP_S:
+        permit = message.permit
+        if permit.answer is not Answer.GRANTED or asked_s > 0.1 + STEP_S:
             return
-        used = self.now + message.wait_s + self._random.uniform(*USED_S)
+        used = self.now + permit.wait_s + self._random.uniform(*USED_S)
         self.arrivals.append(Arrival(used, relay))
--- a/tests/soak/customers.py
+++ b/tests/soak/customers.py
@@ -31,14 +31,3 @@
     ]
     listed[-1] |= {"ratePerS": RATE_PER_S, "burst": BURST}
     return listed
-
-
-def most_in_a_window(times: list[float]) -> int:
-    """Return the most of some times in any span of one window."""
-    ordered = sorted(times)
-    most = first = 0
-    for last, at in enumerate(ordered):
-        while ordered[first] < at - WINDOW_S:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
--- a/tests/soak/witness.py
+++ b/tests/soak/witness.py
@@ -14,7 +14,8 @@
 from contextlib import contextmanager
 from typing import Final, NamedTuple
 
-from tests.soak.customers import FLOOD, MOST_IN_A_WINDOW, most_in_a_window
+from tests.soak.customers import FLOOD, MOST_IN_A_WINDOW, WINDOW_S
+from tests.windows import most_in_a_window
 
 TOKENS_PER_EVENT: Final = 25
 MOST_EVENTS: Final = 6
@@ -252,7 +253,7 @@
             if self._runs[request_id] and self._sent[request_id] != "safe":
                 self.broken.append(f"refused: {request_id} got {status} and has run")
         self._judge_stops()
-        flooded = most_in_a_window(self._flooded)
+        flooded = most_in_a_window(self._flooded, WINDOW_S)
         if flooded > MOST_IN_A_WINDOW:
             self.broken.append(f"quota: {flooded} requests in a window")
         for program, handed in self._handed.items():
--- a/wisteriastair/core/keeper.py
+++ b/wisteriastair/core/keeper.py
@@ -217,8 +217,7 @@
             permit = self.quota.ask(
                 asked.customer, asked.program, asked.kind, asked.ahead, now
             )
-        reply = PermitReply(asked.op, permit.answer, permit.wait_s, permit.not_started)
-        self._outbox.append((sender, reply))
+        self._outbox.append((sender, PermitReply(asked.op, permit)))
 
     def _hears_most(self, now: float) -> bool:
         members = self.view.members
--- a/wisteriastair/core/ledgerwire.py
+++ b/wisteriastair/core/ledgerwire.py
@@ -13,7 +13,7 @@
 
 from .ledger import Attempt, Entry, Turn
 from .membership import View
-from .quota import Answer
+from .quota import Permit
 
 
 class Verdict(IntEnum):
@@ -227,20 +227,10 @@
 
 
 class PermitReply(msgspec.Struct, frozen=True, array_like=True, tag=13):
-    """Answer to `AskPermit`.
-
-    Attributes
-    ----------
-    wait_s : float
-        Seconds until the permit counts, or until it is worth asking again.
-    not_started : bool
-        Whether the program may not begin, however soon its first request could run.
-    """
+    """Answer to `AskPermit`."""
 
     op: int
-    answer: Answer
-    wait_s: float = 0.0
-    not_started: bool = False
+    permit: Permit
 
 
 LedgerMessage = (
--- a/wisteriastair/relay/quota.py
+++ b/wisteriastair/relay/quota.py
@@ -24,6 +24,7 @@
     AHEAD_S,
     USE_S,
     Answer,
+    Permit,
     QuotaBounds,
     allowance,
     asking_order,
@@ -74,7 +75,7 @@
         # On the clock that also runs while the machine is suspended.
         self.asked_at = 0.0
         self.op = 0
-        self.reply: PermitReply | None = None
+        self.permit: Permit | None = None
         self.replied = asyncio.Event()
 
 
@@ -129,7 +130,7 @@
         """Take an answer."""
         ticket = self._waiting.pop(reply.op, None)
         if ticket is not None:
-            ticket.reply = reply
+            ticket.permit = reply.permit
             ticket.replied.set()
 
     def drop(self, ticket: Ticket) -> None:
@@ -161,30 +162,31 @@
         order = self._order(ticket)
         if ticket.asked is not None:
             order = [ticket.asked, *(m for m in order if m != ticket.asked)]
-        spent: list[tuple[float, Member]] = []
+        spent: list[tuple[Permit, Member]] = []
         for member in order:
-            reply = await self._answer(ticket, member, until)
-            if reply is None:
+            permit = await self._answer(ticket, member, until)
+            if permit is None:
                 continue
-            if reply.answer is Answer.GRANTED:
+            if permit.answer is Answer.GRANTED:
                 return None
-            if reply.answer is Answer.SPENT:
-                spent.append((reply.wait_s, member))
+            if permit.answer is Answer.SPENT:
+                spent.append((permit, member))
         if not spent:
             ticket.asked = None
             return NoHolder(len(order), self._view().number)
-        wait_s, soonest = min(spent)
-        if wait_s <= AHEAD_S:
+        shortest, soonest = min(spent, key=lambda one: one[0].wait_s)
+        if shortest.wait_s <= AHEAD_S and not shortest.not_started:
             # None has one at once, so the next that comes free will do.
             ticket.ahead = True
-            reply = await self._answer(ticket, soonest, until)
-            if reply is not None and reply.answer is Answer.GRANTED:
+            permit = await self._answer(ticket, soonest, until)
+            if permit is not None and permit.answer is Answer.GRANTED:
                 return None
-        return OverQuota(max(SOONEST_S, wait_s * random.uniform(1.0, SPREAD)))
+        retry_s = shortest.wait_s * random.uniform(1.0, SPREAD)
+        return OverQuota(max(SOONEST_S, retry_s))
 
     async def _answer(
         self, ticket: Ticket, member: Member, until: float
-    ) -> PermitReply | None:
+    ) -> Permit | None:
         """Return a holder's answer; a permit is waited for until it counts."""
         loop = asyncio.get_running_loop()
         old = _boot_clock() - ticket.asked_at > FRESH_S
@@ -192,14 +194,14 @@
             self._send(ticket, member)
         with anyio.move_on_after(max(0.0, min(ANSWER_S, until - loop.time()))):
             await ticket.replied.wait()
-        reply = ticket.reply
+        permit = ticket.permit
         self.drop(ticket)
-        if reply is None:
+        if permit is None:
             self._suspects[member.address] = loop.time() + SUSPECT_S
             return None
-        if reply.answer is Answer.GRANTED and reply.wait_s > 0:
-            await anyio.sleep(reply.wait_s)
-        return reply
+        if permit.answer is Answer.GRANTED and permit.wait_s > 0:
+            await anyio.sleep(permit.wait_s)
+        return permit
 
     def _order(self, ticket: Ticket) -> list[Member]:
         quota = ticket.customer.quota
@@ -216,7 +218,7 @@
         ticket.op = self._op
         ticket.asked = member
         ticket.asked_at = _boot_clock()
-        ticket.reply = None
+        ticket.permit = None
         ticket.replied = asyncio.Event()
         self._waiting[ticket.op] = ticket
         question = AskPermit(
