--- a/tests/core/test_quota.py
+++ b/tests/core/test_quota.py
@@ -10,6 +10,7 @@
 from wisteriastair.core.membership import Member
 from wisteriastair.core.quota import (
     HANDOVER_S,
+    MOST_LISTS,
     Answer,
     QuotaBounds,
     QuotaHolder,
@@ -19,9 +20,10 @@
 )
 
 MEMBERS = tuple(Member(f"k{n}", f"disk{n}", f"k{n}:1", f"d{n}") for n in range(3))
-PLAY_S = 45.0
+PLAY_S = 60.0
 ROUNDING = 1e-9
-SEEDS = range(8)
+# The last ones showed a bucket that filled up each time a list was forgotten.
+SEEDS = (*range(6), 122, 141, 148, 149, 155)
 ALLOWED = (QUOTA.rate_per_s * BOUNDS.window_s + QUOTA.burst) * (
     1 + BOUNDS.over
 ) + BOUNDS.slack
@@ -92,6 +94,44 @@
     assert granted(held, 21.0 + HANDOVER_S, "p", starts=False)
 
 
+def test_a_holder_that_is_back_at_once_goes_on_where_it_was() -> None:
+    """Three of nine keepers fall out of the list and come back within a second.
+
+    All holders of some customers are then new ones.  If each waited, those customers'
+    callers would be refused for seconds, though nobody has acted in between.  What was
+    given out before stays given out.
+    """
+    held = holder(QUOTA)
+    while granted(held, 20.0, "p", starts=False):
+        pass
+    held.take_members(MEMBERS[1:], 20.0)
+    assert not granted(held, 20.1, "p", starts=False)
+    held.take_members(MEMBERS, 20.5)
+    given = sum(granted(held, 21.0, "p", starts=False) for _ in range(100))
+    assert given == int(allowance(QUOTA, BOUNDS).rate_per_s)
+    held.take_members(MEMBERS[1:], 30.0)
+    held.take_members(MEMBERS, 32.0)
+    assert not granted(held, 33.0, "p", starts=False), "it may have been replaced"
+
+
+def test_a_list_that_changes_all_the_time_fills_no_bucket() -> None:
+    """A member comes and goes, now and then and then many times a second, in a flood.
+
+    A holder remembers only so many lists.  When the one with which it began to hold is
+    forgotten it must not take itself for a new holder with a full bucket.
+    """
+    held = holder(QUOTA)
+    other = Member("k9", "disk9", "k9:1", "d0")
+    given = 0
+    calm = [10.0 + second for second in range(MOST_LISTS)]
+    times = [*calm, *(calm[-1] + 3.0 + tick * 0.05 for tick in range(MOST_LISTS))]
+    for number, now in enumerate(times):
+        held.take_members((*MEMBERS, other) if number % 2 else MEMBERS, now)
+        given += sum(granted(held, now, "p", starts=False) for _ in range(100))
+    share = allowance(QUOTA, BOUNDS)
+    assert given <= share.depth + share.rate_per_s * (times[-1] - times[0])
+
+
 def test_programs_under_way_come_before_new_ones() -> None:
     """A customer begins far more programs than its quota carries, each of ten turns.
 
--- a/wisteriastair/core/quota.py
+++ b/wisteriastair/core/quota.py
@@ -41,6 +41,9 @@
 # A new holder waits this long, in seconds: more than its predecessor takes to hear of
 # the new list, or to notice that it hears most members no more.
 HANDOVER_S: Final = 2.5
+# A member that was no holder for this long, in seconds, was not replaced: less than
+# `HANDOVER_S` by more than lists take to get to all members, twice.
+SHORT_GAP_S: Final = 1.0
 # Lists of members that are remembered, to tell since when this one is a holder.
 MOST_LISTS: Final = 16
 # A program that has asked for nothing for this long counts as ended, in seconds.
@@ -204,6 +207,17 @@
         # By program, the one seen last at the end.
         self.programs: OrderedDict[str, _Program] = OrderedDict()
 
+    def hold_anew(self, share: Allowance, since: float, now: float) -> None:
+        """Begin again after a gap in which others may have given permits.
+
+        What was given before it still counts: a list that changes many times in a
+        second would otherwise fill the bucket each time.
+        """
+        self.created = since
+        self.permits.fill(share.rate_per_s, share.depth, now)
+        held_s = max(0.0, now - since)
+        self.permits.level = min(self.permits.level, share.rate_per_s * held_s)
+
     def begin(self, program: str, kind: str, need: float, now: float) -> None:
         """Note a program that is let in, and set aside what it will need."""
         self.starts.level -= need
@@ -254,8 +268,8 @@
         self._customers: dict[str, Customer] = {}
         self._accounts: dict[str, _Account] = {}
         self._needs = _Needs()
-        # Lists of members and from when this one may act on each, the newest last.  The
-        # first was in force when the process before it, if any, had already ended.
+        # Lists of members and since when each is known, the newest last.  The first was
+        # in force when the process before this one, if any, had already ended.
         self._lists = [(members, now)]
         self._list_number = 0
         # When the number of a customer's holders changed.
@@ -282,7 +296,7 @@
         """Take a newer list of members."""
         if members == self._lists[-1][0]:
             return
-        self._lists.append((members, now + HANDOVER_S))
+        self._lists.append((members, now))
         del self._lists[:-MOST_LISTS]
         self._list_number += 1
 
@@ -336,20 +350,30 @@
             return account
         since = self._held_since(customer, share.holders)
         if since is None or since > now:
-            self._accounts.pop(customer, None)
             return None
-        if account is None or since > account.created:
+        if account is None:
             account = self._accounts[customer] = _Account(share, since, now)
+        elif since > account.created:
+            account.hold_anew(share, since, now)
         account.list_number = self._list_number
         return account
 
     def _held_since(self, customer: str, count: int) -> float | None:
-        """Return since when this member has been a holder without a gap."""
+        """Return since when this member may act as a holder, without a gap.
+
+        A gap that was too short for anybody to act in its place is none: when several
+        members fall out of the list and come back one by one, all holders of a customer
+        would otherwise wait for each other.
+        """
         held: float | None = None
-        for members, since in reversed(self._lists):
-            if self._me not in holders_of(members, customer, count):
+        back_at = 0.0
+        for place in reversed(range(len(self._lists))):
+            members, known_at = self._lists[place]
+            if self._me in holders_of(members, customer, count):
+                held = known_at + (HANDOVER_S if place else 0.0)
+                back_at = known_at
+            elif held is None or back_at - known_at > SHORT_GAP_S:
                 break
-            held = since
         if held is None:
             return None
         return max(held, self._redivided.get(customer, held))
