--- a/tests/core/quota_world.py
+++ b/tests/core/quota_world.py
@@ -1,8 +1,9 @@
 """Keepers and relays in virtual time, with faults drawn by a seed, around one quota.
 
-The keepers are the shipped cores.  Relays ask all the time for far more than the quota,
-by lists of members that may be old, and use each permit as late as they may.  What is
-judged is only when requests with a permit arrive at servers.
+The keepers are the shipped cores.  Relays ask for far more than the quota, by lists of
+members that may be old, and use each permit as late as they may.  They pause now and
+then, so that buckets fill up; some faults come just after what was in them was given
+out.  What is judged is only when requests with a permit arrive at servers.
 """
 
 from __future__ import annotations
@@ -26,6 +27,14 @@
 STEP_S = 0.05
 RELAYS = 4
 WAY_S = 0.02
+# How long killed processes are down, in seconds: some, or all at once.
+DOWN_S = (0.2, 3.0)
+ALL_DOWN_S = (0.1, 0.5)
+# Spans without and with requests, in seconds: buckets fill up in the one.
+CALM_S = (2.0, 4.0)
+FLOOD_S = (4.0, 9.0)
+# From the beginning of a flood to a fault, in seconds: buckets are empty again.
+TO_FAULT_S = (0.3, 1.0)
 # Time from a permit to the arrival of its request, in seconds.
 USED_S = (0.0, 0.8 * USE_S)
 
@@ -88,18 +97,25 @@
             self._start(keeper)
 
     def play(self, seconds: float) -> None:
-        """Play with a fault every second or two."""
-        next_fault = 12.0
+        """Play floods with a fault every second or two."""
+        next_fault = calm_at = 12.0
+        flood_at = 0.0
         while self.now < seconds:
             self.now += STEP_S
+            if self.now >= calm_at:
+                flood_at = self.now + self._random.uniform(*CALM_S)
+                calm_at = flood_at + self._random.uniform(*FLOOD_S)
+                if self._random.random() < 0.5:
+                    next_fault = flood_at + self._random.uniform(*TO_FAULT_S)
             if self.now >= next_fault:
                 next_fault = self.now + self._random.uniform(0.3, 2.5)
                 self._fault()
             self._deliver()
             for keeper in self._keepers.values():
                 self._run(keeper)
-            for relay in range(RELAYS):
-                self._ask(relay)
+            if self.now >= flood_at:
+                for relay in range(RELAYS):
+                    self._ask(relay)
 
     def most_in_a_window(self) -> int:
         """Return the most arrivals in any span of one window."""
@@ -110,15 +126,17 @@
     def _fault(self) -> None:
         rand = self._random
         kind = rand.choice(
-            ("kill", "kill", "wipe", "cut", "no store", "freeze", "kill all", "burst")
+            ("kill", "wipe", "cut", "no store", "freeze", "kill all", "kill all")
         )
         chosen = rand.sample(list(self._keepers.values()), rand.randint(1, LOSSES))
+        down_s = DOWN_S
         if kind == "kill all":
             chosen = list(self._keepers.values())
+            down_s = ALL_DOWN_S
         for keeper in chosen:
             if kind in ("kill", "kill all", "wipe"):
                 keeper.core = None
-                keeper.up_at = self.now + rand.uniform(0.2, 3.0)
+                keeper.up_at = self.now + rand.uniform(*down_s)
             if kind == "wipe" and keeper is chosen[0]:
                 keeper.disks += 1
                 keeper.view = View()
--- a/tests/core/test_quota.py
+++ b/tests/core/test_quota.py
@@ -11,6 +11,7 @@
 from wisteriastair.core.quota import (
     HANDOVER_S,
     MOST_LISTS,
+    Allowance,
     Answer,
     QuotaBounds,
     QuotaHolder,
@@ -200,13 +201,14 @@
     broken: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Buckets that are full after a restart, or holders that begin full at once."""
-    account = quota_module._Account
 
-    def full(share: object, since: float, now: float) -> quota_module._Account:
-        long_ago = since if broken == "no wait" and since == 0.0 else now - 1000.0
-        return account(share, long_ago, now)  # type: ignore[arg-type]
+    class Full(quota_module._Account):
+        def __init__(self, share: Allowance, since: float, now: float) -> None:
+            super().__init__(share, since, now)
+            if broken == "forgets" or since > 0.0:
+                self.permits.level = share.depth
 
-    monkeypatch.setattr(quota_module, "_Account", full)
+    monkeypatch.setattr(quota_module, "_Account", Full)
     if broken == "no wait":
         monkeypatch.setattr(quota_module, "HANDOVER_S", 0.0)
 
