--- a/tests/platform/test_mirror_watchers.py
+++ b/tests/platform/test_mirror_watchers.py
@@ -10,6 +10,7 @@
 
 from tests.platform.fleet_of_mirrors import CONTACT_S, Fleet, Process
 from tests.virtual_loop import LoopTime, play_in_virtual_time
+from wisteriastair import clocks
 from wisteriastair.core.watchers import make_watch_times, watchers_of
 from wisteriastair.platform import mirror
 
@@ -19,6 +20,7 @@
 @pytest.fixture(autouse=True)
 def virtual_clocks(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(mirror, "time", LoopTime)
+    monkeypatch.setattr(clocks, "time", LoopTime)
 
 
 def play(story: Story, keepers: int = 4, relays: int = 6, seed: int = 1) -> None:
--- a/wisteriastair/platform/mirror.py
+++ b/wisteriastair/platform/mirror.py
@@ -21,6 +21,7 @@
 
 import anyio
 
+from ..clocks import boot_clock
 from ..core.ledgerwire import Change, StoreNews
 from ..core.watchers import Subscription
 from .store import WATCH_S, Changes, HistoryLost, Item, Store, StoreTrouble
@@ -213,7 +214,7 @@
 
     async def _watch(self, wait_s: float) -> bool:
         base = self.revision
-        began = _boot_clock()
+        began = boot_clock()
         changes = await self._store.watch(EVERYTHING, base, wait_s)
         match changes:
             case StoreTrouble():
@@ -231,7 +232,7 @@
                         self._take(item)
                 self.catching_up = False
                 self._advance(revision)
-                if _boot_clock() - began <= wait_s + LATE_S:
+                if boot_clock() - began <= wait_s + LATE_S:
                     told = [Change(i.key, i.revision, i.value) for i in items]
                     self._tell(StoreNews(base, max(base, revision), told))
                 if items:
@@ -294,8 +295,3 @@
             self.in_touch = False
             self.was_lost = True
             log.warning("store lost", extra={"reason": reason})
-
-
-def _boot_clock() -> float:
-    """Seconds of the clock that also runs while the machine is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/wisteriastair/relay/quota.py
+++ b/wisteriastair/relay/quota.py
@@ -11,12 +11,12 @@
 import asyncio
 import logging
 import random
-import time
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
 import anyio
 
+from ..clocks import boot_clock
 from ..core.customers import Customer
 from ..core.ledgerwire import AskPermit, LedgerMessage, PermitReply
 from ..core.membership import Member, View
@@ -72,7 +72,8 @@
         # Whether a permit that counts a little later will do.
         self.ahead = False
         self.asked: Member | None = None
-        # On the clock that also runs while the machine is suspended.
+        # On the boot clock: the holder's bucket fills up while this machine is
+        # suspended, so a permit from before is worth nothing.
         self.asked_at = 0.0
         self.op = 0
         self.permit: Permit | None = None
@@ -189,7 +190,7 @@
     ) -> Permit | None:
         """Return a holder's answer; a permit is waited for until it counts."""
         loop = asyncio.get_running_loop()
-        old = _boot_clock() - ticket.asked_at > FRESH_S
+        old = boot_clock() - ticket.asked_at > FRESH_S
         if ticket.asked != member or ticket.ahead or old:
             self._send(ticket, member)
         with anyio.move_on_after(max(0.0, min(ANSWER_S, until - loop.time()))):
@@ -197,12 +198,17 @@
         permit = ticket.permit
         self.drop(ticket)
         if permit is None:
-            self._suspects[member.address] = loop.time() + SUSPECT_S
+            self._suspect(member, loop.time())
             return None
         if permit.answer is Answer.GRANTED and permit.wait_s > 0:
             await anyio.sleep(permit.wait_s)
         return permit
 
+    def _suspect(self, member: Member, now: float) -> None:
+        if self._suspects.get(member.address, 0.0) <= now:
+            log.info("holder of quotas does not answer", extra={"keeper": member.name})
+        self._suspects[member.address] = now + SUSPECT_S
+
     def _order(self, ticket: Ticket) -> list[Member]:
         quota = ticket.customer.quota
         assert quota is not None, "only customers with a quota have tickets"
@@ -217,7 +223,7 @@
         self._op += 1
         ticket.op = self._op
         ticket.asked = member
-        ticket.asked_at = _boot_clock()
+        ticket.asked_at = boot_clock()
         ticket.permit = None
         ticket.replied = asyncio.Event()
         self._waiting[ticket.op] = ticket
@@ -229,11 +235,3 @@
             ticket.ahead,
         )
         self._transport.send(member.address, question)
-
-
-def _boot_clock() -> float:
-    """Seconds of the clock that also runs while the machine is suspended.
-
-    The holder's bucket fills up meanwhile, so a permit from before is worth nothing.
-    """
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
