Logs tell why a configuration is late: the failed call and its wait, the source of each change

Of the incident's three hypotheses none could be told from another by its lines. New: which call failed and how long it had waited (a late look after an outage), from whom a configuration came (no way of its own), and an answer of a watch whose newest change is older than the revision that it names. Logic is unchanged; tests/platform, tests/relay/test_daemon and tests/operators pass.

--- a/wisteriastair/platform/mirror.py
+++ b/wisteriastair/platform/mirror.py
@@ -24,7 +24,7 @@
 from ..clocks import boot_clock
 from ..core.ledgerwire import Change, StoreNews
 from ..core.watchers import Subscription
-from .store import WATCH_S, Changes, HistoryLost, Item, Store, StoreTrouble
+from .store import MS_PER_S, WATCH_S, Changes, HistoryLost, Item, Store, StoreTrouble
 
 # Pause after a call that failed, in seconds; drawn between half of it and all, so that
 # many processes do not come back to a store at the same moment.
@@ -90,6 +90,8 @@
         self.regained_at = float("-inf")
         # Whether this process makes calls of its own to hear of changes.
         self.watches = True
+        # Where the change came from that is taken in now, for the log.
+        self.source = ""
         self._store = store
         self._on_change = on_change
         self._on_listed = on_listed
@@ -103,6 +105,8 @@
         self._pause_s = PAUSE_S
         self._next_wait_s = WATCH_S
         self._answered_at = float("-inf")
+        self._lost_at = float("-inf")
+        self._called_at = float("-inf")
         self._heard = anyio.Event()
 
     async def run(self) -> None:
@@ -125,6 +129,7 @@
         if self._subscription is None:
             return
         if news.in_touch and news.changes is not None:
+            self.source = sender
             self._take_told(news.base, news.revision, news.changes)
         now = time.monotonic()
         self._subscription.hear(sender, news, now)
@@ -186,11 +191,13 @@
             await self._heard.wait()
 
     async def _list(self) -> bool:
+        self._called_at = time.monotonic()
         snapshot = await self._store.list_all(EVERYTHING)
         if isinstance(snapshot, StoreTrouble):
-            await self._trouble(snapshot)
+            await self._trouble(snapshot, "list")
             return False
         self._note_answer()
+        self.source = "list"
         if snapshot.revision < self.revision:
             # Changes up to a newer revision were told meanwhile: nothing is missing.
             self.catching_up = False
@@ -215,10 +222,11 @@
     async def _watch(self, wait_s: float) -> bool:
         base = self.revision
         began = boot_clock()
+        self._called_at = time.monotonic()
         changes = await self._store.watch(EVERYTHING, base, wait_s)
         match changes:
             case StoreTrouble():
-                await self._trouble(changes)
+                await self._trouble(changes, "watch")
             case HistoryLost():
                 log.info(
                     "store history lost, reading all again",
@@ -227,6 +235,8 @@
                 return False
             case Changes(revision, items):
                 self._note_answer()
+                self.source = "watch"
+                self._compare(base, revision, items)
                 for item in items:
                     if item.revision > self.revision:
                         self._take(item)
@@ -239,6 +249,15 @@
                     await anyio.sleep(GATHER_S)
         return True
 
+    def _compare(self, base: int, revision: int, items: tuple[Item, ...]) -> None:
+        """Log an answer that names a newer revision than the changes in it reach."""
+        newest = max((item.revision for item in items), default=base)
+        if newest < revision:
+            log.warning(
+                "answer of a watch lacks changes",
+                extra={"base": base, "newest": newest, "revision": revision},
+            )
+
     def _usual_wait_s(self) -> float:
         subscription = self._subscription
         if subscription is None or not self._for_others():
@@ -281,17 +300,29 @@
             self.in_touch = True
             self.catching_up = True
             self.regained_at = time.monotonic()
-            log.info("store in touch", extra={"revision": self.revision})
-
-    async def _trouble(self, trouble: StoreTrouble) -> None:
-        self._note_lost(trouble.reason)
+            extra: dict[str, object] = {"revision": self.revision}
+            if self.was_lost:
+                extra["away_ms"] = _ms(self.regained_at - self._lost_at)
+            log.info("store in touch", extra=extra)
+
+    async def _trouble(self, trouble: StoreTrouble, call: str) -> None:
+        waited_ms = _ms(time.monotonic() - self._called_at)
+        self._note_lost(trouble.reason, call, waited_ms)
         self._tell(StoreNews(self.revision, self.revision, in_touch=False))
         self._next_wait_s = RETRY_WAIT_S
         await anyio.sleep(self._pause_s * random.uniform(0.5, 1.0))
         self._pause_s = min(PAUSE_MAX_S, self._pause_s * 2)
 
-    def _note_lost(self, reason: str) -> None:
+    def _note_lost(self, reason: str, call: str = "", waited_ms: int = 0) -> None:
+        about = {"reason": reason, "call": call, "waited_ms": waited_ms}
         if self.in_touch:
             self.in_touch = False
             self.was_lost = True
-            log.warning("store lost", extra={"reason": reason})
+            self._lost_at = time.monotonic()
+            log.warning("store lost", extra={**about, "revision": self.revision})
+        else:
+            log.info("store still lost", extra=about)
+
+
+def _ms(seconds: float) -> int:
+    return round(seconds * MS_PER_S)
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -195,7 +195,8 @@
             extra={"keeper": sender, "documents": len(message.documents)},
         )
         for document in message.documents:
-            self._on_item(Item(document.key, document.revision, document.value))
+            item = Item(document.key, document.revision, document.value)
+            self._on_item(item, sender)
         self._hinted = True
 
     # What the store tells
@@ -205,15 +206,15 @@
         ids = {key.removeprefix(SERVERS) for key in present}
         self._fleet.keep_only(ids, asyncio.get_running_loop().time())
 
-    def _on_item(self, item: Item) -> None:
+    def _on_item(self, item: Item, source: str = "") -> None:
         if item.key == CONFIG_KEY:
-            self._take_config(item)
+            self._take_config(item, source or self._mirror.source)
         elif item.key == VIEW_KEY and item.value is not None:
             self._take_view(item.value)
         elif item.key.startswith(SERVERS):
             self._take_server(item)
 
-    def _take_config(self, item: Item) -> None:
+    def _take_config(self, item: Item, source: str) -> None:
         if item.value is None:
             log.warning("configuration removed from the store; the last one stays")
             return
@@ -228,13 +229,18 @@
             self._handler.table is not None
             and table.version <= self._handler.table.version
         ):
-            log.info("older configuration ignored", extra={"config": table.version})
+            log.info(
+                "older configuration ignored",
+                extra={"config": table.version, "source": source},
+            )
             return
         self._handler.table = table
         log.info(
             "configuration in force",
             extra={
                 "config": table.version,
+                "revision": item.revision,
+                "source": source,
                 "routes": len(table.routes),
                 "customers": len(table.customers.by_name) if table.customers else 0,
             },
