Test: a process that starts while the store is silent lacks changes for too long (red)

Virtual time, the shipped Mirror: all processes start again during a silence of the store and the operators change the configuration as it comes back. Of ten lengths of the silence three are late (6.7, 6.8, 6.9 s): a process lacks the change for 3.05 s or more, where 3 s are allowed.

--- a/tests/platform/fleet_of_mirrors.py
+++ b/tests/platform/fleet_of_mirrors.py
@@ -20,6 +20,9 @@
 from wisteriastair.core.membership import Member, View
 from wisteriastair.core.watchers import Subscribers, make_subscription
 from wisteriastair.platform.mirror import Mirror
+from wisteriastair.platform.store import (
+    CALL_S as STORE_CALL_S,
+)
 from wisteriastair.platform.store import (
     Changes,
     HistoryLost,
@@ -51,9 +54,16 @@
         self.told_at: dict[int, float] = {}
         self.oldest = 0
         self.down = False
+        # While it is silent no call is answered, nor later one that came meanwhile.
+        self.silent = False
+        self.silences = 0
         self.calls = 0
         self._changed = anyio.Event()
 
+    def fall_silent(self) -> None:
+        self.silent = True
+        self.silences += 1
+
     def change(self, key: str, value: bytes | None) -> None:
         self.revision += 1
         item = Item(key, self.revision, value)
@@ -202,9 +212,12 @@
         return None
 
     async def list_all(self, prefix: str) -> Snapshot | StoreTrouble:
-        refused = await self._refused(2.5)
+        refused = await self._refused(STORE_CALL_S)
         if refused is not None:
             return refused
+        if self._model.silent:
+            await anyio.sleep(STORE_CALL_S)
+            return StoreTrouble("no answer", False)
         snapshot = Snapshot(self._model.revision, tuple(self._model.items.values()))
         await anyio.sleep(CALL_S)
         await self._process.awake()
@@ -217,8 +230,12 @@
         if refused is not None:
             return refused
         answer: Changes | HistoryLost | None = None
+        silences = self._model.silences
         with anyio.move_on_after(wait_s + SLACK_S):
-            answer = await self._model.wait(after, wait_s)
+            found = await self._model.wait(after, wait_s)
+            if self._model.silent or self._model.silences > silences:
+                await anyio.sleep_forever()
+            answer = found
             await anyio.sleep(CALL_S)
             while self._process.cut_store:
                 await anyio.sleep(0.05)
@@ -300,7 +317,9 @@
             assert process.knows(item), f"{process.member} claims {item}"
         if process.frozen or process.cut_store or process.busy_store:
             return
-        if self.store.down or now - process.sound_since < CONTACT_S:
+        if self.store.down or self.store.silent:
+            return
+        if now - process.sound_since < CONTACT_S:
             return
         for item in newest.values():
             if not process.knows(item):
--- a/tests/platform/test_mirror_watchers.py
+++ b/tests/platform/test_mirror_watchers.py
@@ -228,3 +228,22 @@
         assert fleet.store.calls - before <= 2 * (8 + 1)
 
     play(story, seed=seed)
+
+
+@pytest.mark.parametrize("tenths", range(60, 70))
+def test_a_start_while_the_store_is_silent_does_not_delay_changes(tenths: int) -> None:
+    """Guards against a reading begun in an outage that outlives it by too long."""
+
+    async def story(fleet: Fleet) -> None:
+        fleet.store.fall_silent()
+        await anyio.sleep(1.0)
+        for process in fleet.processes:
+            process.kill()
+        await anyio.sleep(tenths / 10 - 1.0)
+        fleet.store.silent = False
+        for process in fleet.processes:
+            process.disturbed()
+        fleet.store.change("op/config", b"second")
+        await anyio.sleep(CONTACT_S + 2.0)
+
+    play(story)
