A call of the store and the pause after it end within the time to find the store again

Callers saw: some seconds after an outage of the store a route still led to the service that it had before a configuration which the store had acknowledged.

Cause: a call that was sent while the store was silent is never answered, also later. A process looked again only after the call's limit and a pause, which were chosen apart: 2.5 s for a reading of everything and up to 1 s, 3.5 s together, where contactMs allows 3 s. Whoever starts in an outage is in a reading. An own watch, 2.8 s and 0.25 s, was over it as well.

Change: core/storetimes.py derives all limits of calls and pauses from contactMs, which the settings give, less half a second for a new connection and the reading.

--- a/tests/platform/fleet_of_mirrors.py
+++ b/tests/platform/fleet_of_mirrors.py
@@ -18,11 +18,9 @@
 
 from wisteriastair.core.ledgerwire import LedgerMessage, StoreNews, Subscribe
 from wisteriastair.core.membership import Member, View
+from wisteriastair.core.storetimes import make_store_times
 from wisteriastair.core.watchers import Subscribers, make_subscription
 from wisteriastair.platform.mirror import Mirror
-from wisteriastair.platform.store import (
-    CALL_S as STORE_CALL_S,
-)
 from wisteriastair.platform.store import (
     Changes,
     HistoryLost,
@@ -38,8 +36,6 @@
 CONTACT_S: Final = 3.0
 LOSSES: Final = 1
 CALL_S: Final = 0.004
-# How much later than asked a silent call is given up, in seconds.
-SLACK_S: Final = 0.8
 TICK_S: Final = 0.1
 CHECK_S: Final = 0.05
 
@@ -197,6 +193,7 @@
 
     def __init__(self, model: StoreModel, process: Process) -> None:
         self.calls = 0
+        self.times = make_store_times(CONTACT_S)
         self._model = model
         self._process = process
 
@@ -212,11 +209,11 @@
         return None
 
     async def list_all(self, prefix: str) -> Snapshot | StoreTrouble:
-        refused = await self._refused(STORE_CALL_S)
+        refused = await self._refused(self.times.call_s)
         if refused is not None:
             return refused
         if self._model.silent:
-            await anyio.sleep(STORE_CALL_S)
+            await anyio.sleep(self.times.call_s)
             return StoreTrouble("no answer", False)
         snapshot = Snapshot(self._model.revision, tuple(self._model.items.values()))
         await anyio.sleep(CALL_S)
@@ -224,14 +221,14 @@
         return snapshot
 
     async def watch(
-        self, prefix: str, after: int, wait_s: float = 2.0
+        self, prefix: str, after: int, wait_s: float
     ) -> Changes | HistoryLost | StoreTrouble:
-        refused = await self._refused(wait_s + SLACK_S)
+        refused = await self._refused(wait_s + self.times.slack_s)
         if refused is not None:
             return refused
         answer: Changes | HistoryLost | None = None
         silences = self._model.silences
-        with anyio.move_on_after(wait_s + SLACK_S):
+        with anyio.move_on_after(wait_s + self.times.slack_s):
             found = await self._model.wait(after, wait_s)
             if self._model.silent or self._model.silences > silences:
                 await anyio.sleep_forever()
--- a/tests/platform/test_mirror.py
+++ b/tests/platform/test_mirror.py
@@ -7,9 +7,12 @@
 import anyio
 
 from tests.platform.standin_store import StoreStandin, standin_store
+from wisteriastair.core.storetimes import make_store_times
 from wisteriastair.platform.mirror import Mirror
 from wisteriastair.platform.store import Item, Store, StoreTrouble, Swapped, SwapRefused
 
+CONTACT_S = 3.0
+
 
 class Copy:
     """What a mirror has told."""
@@ -35,7 +38,7 @@
         async with standin_store() as standin:
             for number in range(5):
                 standin.put(f"servers/{number}", b"first")
-            store = Store(standin.address)
+            store = Store(standin.address, make_store_times(CONTACT_S))
             copy = Copy()
             mirror = Mirror(store, copy.change, copy.listed)
             async with anyio.create_task_group() as group:
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -45,6 +45,7 @@
     assert cfg.memory_bytes == 150 * 1024 * 1024
     assert cfg.drain_s == 2.0
     assert cfg.change_s == 2.0
+    assert cfg.contact_s == 3.0
     assert cfg.tolerated_losses == 1
     assert cfg.seeds == ("10.3.0.6:7380",)
 
@@ -59,6 +60,7 @@
         ('"10.2.0.1:8142"', '"nowhere"', "platform.address"),
         ("machines = 1", "machines = -1", "tolerate.machines"),
         ("graceS = 8", "graceS = 8\nconfigMs = 0", "bounds.configMs"),
+        ("graceS = 8", "graceS = 8\ncontactMs = 0", "bounds.contactMs"),
     ],
 )
 def test_wrong_field_is_named(tmp_path: Path, old: str, new: str, field: str) -> None:
--- a/wisteriastair/keeper/daemon.py
+++ b/wisteriastair/keeper/daemon.py
@@ -27,6 +27,7 @@
     Subscribe,
 )
 from ..core.membership import Member, View, next_view
+from ..core.storetimes import make_store_times
 from ..core.watchers import Subscribers, make_subscription
 from ..logs import dropped_lines
 from ..nodemetrics import KeeperMetrics, serve_metrics
@@ -78,7 +79,7 @@
         self._cfg = cfg
         self._log = Log(os.path.join(cfg.data_dir, "ledger"))
         self._documents = Documents(os.path.join(cfg.data_dir, "store"))
-        self._store = Store(cfg.store)
+        self._store = Store(cfg.store, make_store_times(cfg.contact_s))
         self._subscription = make_subscription(
             cfg.internal, cfg.domain, cfg.tolerated_losses, cfg.change_s
         )
--- a/wisteriastair/nodeoptions.py
+++ b/wisteriastair/nodeoptions.py
@@ -50,6 +50,9 @@
         Seconds within which an ended turn must be settled in the ledger.
     config_s : float
         Seconds within which a configuration must be in force everywhere.
+    contact_s : float
+        Seconds after the store's return, or its own, within which a process must know
+        what the store holds.
     quota : QuotaBounds
         How customers' quotas are judged.
     """
@@ -69,6 +72,7 @@
     drain_s: float
     settle_s: float
     config_s: float
+    contact_s: float
     seeds: tuple[str, ...]
     quota: QuotaBounds = QuotaBounds()
 
--- a/wisteriastair/platform/mirror.py
+++ b/wisteriastair/platform/mirror.py
@@ -24,25 +24,14 @@
 from ..clocks import boot_clock
 from ..core.ledgerwire import Change, StoreNews
 from ..core.watchers import Subscription
-from .store import MS_PER_S, WATCH_S, Changes, HistoryLost, Item, Store, StoreTrouble
+from .store import MS_PER_S, Changes, HistoryLost, Item, Store, StoreTrouble
 
-# Pause after a call that failed, in seconds; drawn between half of it and all, so that
-# many processes do not come back to a store at the same moment.
-PAUSE_S: Final = 0.25
-# A reading that is refused for lack of room is tried again more slowly.
-PAUSE_MAX_S: Final = 1.0
 # Changes within this time after one, in seconds, come with one call instead of one
 # each. A tenth of the time in which a configuration has to be in force.
 GATHER_S: Final = 0.2
-# A watch is answered this much later than it was to wait, in seconds, by a slow store.
-# An answer that took longer may have waited here while the machine was suspended.
-LATE_S: Final = 0.8
 # The first watch after others were relied on waits hardly at all, in seconds: until it
 # is answered nothing tells whether the store can be reached.
 FIRST_WAIT_S: Final = 0.02
-# A watch after one that failed waits shortly, in seconds: begun during a cut it is not
-# answered, and the usual one would find out only after the cut has long healed.
-RETRY_WAIT_S: Final = 0.7
 EVERYTHING: Final = ""
 
 OnChange = Callable[[Item], None]
@@ -102,8 +91,9 @@
         # Removals beyond `revision`: an older value of the key may still arrive.
         self._removed: dict[str, int] = {}
         self._listed = False
-        self._pause_s = PAUSE_S
-        self._next_wait_s = WATCH_S
+        self._times = store.times
+        self._pause_s = store.times.pause_s
+        self._next_wait_s = store.times.watch_s
         self._answered_at = float("-inf")
         self._lost_at = float("-inf")
         self._called_at = float("-inf")
@@ -159,7 +149,7 @@
         if subscription is None or not self._for_others() or not self.in_touch:
             return None
         since_s = time.monotonic() - self._answered_at
-        if since_s > subscription.times.wait_s + LATE_S:
+        if since_s > subscription.times.wait_s + self._times.slack_s:
             return None
         return StoreNews(self.revision, self.revision)
 
@@ -171,7 +161,10 @@
             return 0.0
         now = time.monotonic()
         since_s = now - self._answered_at
-        if self._subscription.store_lost(now) and since_s > WATCH_S + LATE_S:
+        if (
+            self._subscription.store_lost(now)
+            and since_s > self._times.watch_s + self._times.slack_s
+        ):
             self._note_lost("all watchers lost it")
         return self._subscription.covered_until(now) - now
 
@@ -242,7 +235,7 @@
                         self._take(item)
                 self.catching_up = False
                 self._advance(revision)
-                if boot_clock() - began <= wait_s + LATE_S:
+                if boot_clock() - began <= wait_s + self._times.slack_s:
                     told = [Change(i.key, i.revision, i.value) for i in items]
                     self._tell(StoreNews(base, max(base, revision), told))
                 if items:
@@ -261,8 +254,8 @@
     def _usual_wait_s(self) -> float:
         subscription = self._subscription
         if subscription is None or not self._for_others():
-            return WATCH_S
-        return min(WATCH_S, subscription.times.wait_s)
+            return self._times.watch_s
+        return min(self._times.watch_s, subscription.times.wait_s)
 
     def _for_others(self) -> bool:
         chosen = self._subscription is not None and self._subscription.is_watcher
@@ -295,7 +288,7 @@
         self._fine()
 
     def _fine(self) -> None:
-        self._pause_s = PAUSE_S
+        self._pause_s = self._times.pause_s
         if not self.in_touch:
             self.in_touch = True
             self.catching_up = True
@@ -309,9 +302,10 @@
         waited_ms = _ms(time.monotonic() - self._called_at)
         self._note_lost(trouble.reason, call, waited_ms)
         self._tell(StoreNews(self.revision, self.revision, in_touch=False))
-        self._next_wait_s = RETRY_WAIT_S
+        self._next_wait_s = self._times.retry_watch_s
+        # Drawn, so that many processes do not come back at the same moment.
         await anyio.sleep(self._pause_s * random.uniform(0.5, 1.0))
-        self._pause_s = min(PAUSE_MAX_S, self._pause_s * 2)
+        self._pause_s = min(self._times.pause_max_s, self._pause_s * 2)
 
     def _note_lost(self, reason: str, call: str = "", waited_ms: int = 0) -> None:
         about = {"reason": reason, "call": call, "waited_ms": waited_ms}
--- a/wisteriastair/platform/settings.py
+++ b/wisteriastair/platform/settings.py
@@ -39,6 +39,7 @@
     grace_s: float
     settle_ms: float = 1000.0
     config_ms: float = 2000.0
+    contact_ms: float = 3000.0
     quota_window_s: Annotated[float, msgspec.Meta(gt=0)] = 1.0
     quota_over: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     quota_slack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
@@ -117,6 +118,8 @@
         return BadNodeSetting("tolerate.machines", "is below 0")
     if settings.bounds.config_ms <= 0:
         return BadNodeSetting("bounds.configMs", "is not above 0")
+    if settings.bounds.contact_ms <= 0:
+        return BadNodeSetting("bounds.contactMs", "is not above 0")
     return NodeOptions(
         name=settings.node_name,
         address=settings.ip,
@@ -133,6 +136,7 @@
         drain_s=settings.bounds.drain_ms / MS_PER_S,
         settle_s=settings.bounds.settle_ms / MS_PER_S,
         config_s=settings.bounds.config_ms / MS_PER_S,
+        contact_s=settings.bounds.contact_ms / MS_PER_S,
         seeds=tuple(_internal(seed, settings) for seed in settings.seeds),
         quota=QuotaBounds(
             settings.bounds.quota_window_s,
--- a/wisteriastair/platform/store.py
+++ b/wisteriastair/platform/store.py
@@ -18,19 +18,12 @@
 import httpx
 import msgspec
 
+from ..core.storetimes import StoreTimes
 from ..sockets import SOCKET_OPTIONS
 from .credentials import without_keys
 from .documents import CONFIG_KEY
 
 CONNECT_S: Final = 0.7
-# A slow store answers after some hundred milliseconds; see the platform's slow periods.
-CALL_S: Final = 2.5
-# How long a watch waits.  The answer of a watch can be lost while its connection stays
-# alive: keep-alive probes then show nothing, and changes would be missed for as long as
-# the watch was to wait.  This and the slack below stay under three seconds, after which
-# a process that can reach the store again is expected to know what it holds.
-WATCH_S: Final = 2.0
-WATCH_SLACK_S: Final = 0.8
 MS_PER_S: Final = 1000
 
 
@@ -123,16 +116,19 @@
     ----------
     address : str
         ``IP:PORT`` of the store.
+    times : StoreTimes
+        How long calls may go unanswered.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, times: StoreTimes) -> None:
         self.calls = 0
+        self.times = times
         # The store speaks plain HTTP.  Without this the client reads all certificate
         # authorities first, which takes 0.1 s of a start that callers wait for.
         transport = httpx.AsyncHTTPTransport(
             verify=False, socket_options=SOCKET_OPTIONS, retries=0
         )
-        timeout = httpx.Timeout(CALL_S, connect=CONNECT_S)
+        timeout = httpx.Timeout(times.call_s, connect=CONNECT_S)
         self._client = httpx.AsyncClient(
             base_url=f"http://{address}", transport=transport, timeout=timeout
         )
@@ -163,7 +159,7 @@
             after = page.items[-1].key
 
     async def watch(
-        self, prefix: str, after: int, wait_s: float = WATCH_S
+        self, prefix: str, after: int, wait_s: float
     ) -> Changes | HistoryLost | StoreTrouble:
         """Wait for changes below a prefix, at most `wait_s` seconds."""
         params = {
@@ -171,7 +167,7 @@
             "after": str(after),
             "waitMs": str(int(wait_s * MS_PER_S)),
         }
-        timeout = httpx.Timeout(wait_s + WATCH_SLACK_S, connect=CONNECT_S)
+        timeout = httpx.Timeout(wait_s + self.times.slack_s, connect=CONNECT_S)
         answer = await self._call("GET", "/v1/kv-watch", params=params, timeout=timeout)
         if isinstance(answer, StoreTrouble):
             return answer
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -23,6 +23,7 @@
 )
 from ..core.membership import View
 from ..core.stopping import Stop
+from ..core.storetimes import make_store_times
 from ..core.watchers import make_subscription
 from ..http1.caller import CallerChannel
 from ..logs import dropped_lines
@@ -70,7 +71,7 @@
 
     def __init__(self, cfg: NodeOptions) -> None:
         self._cfg = cfg
-        self._store = Store(cfg.store)
+        self._store = Store(cfg.store, make_store_times(cfg.contact_s))
         self._fleet = Fleet(cfg.drain_s)
         self._subscription = make_subscription(
             cfg.internal, cfg.domain, cfg.tolerated_losses, cfg.change_s
