Test: a relay that the store turns away misses a change at its start (red)

A new configuration that comes before its first subscription, up to 0.25 s later, never reaches it: 2 s later it still answers by the older one (503 for the new route).

--- a/tests/relay/machines.py
+++ b/tests/relay/machines.py
@@ -10,6 +10,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
+from typing import Any
 
 import anyio
 import anyio.to_thread
@@ -24,7 +25,9 @@
 OTHER_RELAY_IP = "127.0.0.4"
 KEEPER_IP = "127.0.0.2"
 OTHER_KEEPER_IP = "127.0.0.3"
-CONFIG = {
+# Where nobody listens: the store as it is for a machine that it turns away.
+NO_STORE = "127.0.0.1:1"
+CONFIG: dict[str, Any] = {
     "version": 3,
     "routes": [
         {
@@ -63,7 +66,7 @@
         self._folder = folder
         self._store = store
 
-    def _settings(self, role: str, ip: str) -> Path:
+    def _settings(self, role: str, ip: str, store: str) -> Path:
         name = f"{role}-{ip}"
         return write_settings(
             self._folder / f"{name}.toml",
@@ -71,7 +74,7 @@
             ip=ip,
             zone="z1",
             internal_port=self._internal,
-            store=self._store.address,
+            store=store or self._store.address,
             data_dir=self._folder / name,
             seeds=(f"{KEEPER_IP}:1", f"{OTHER_KEEPER_IP}:1"),
             front=f"{ip}:{self.front}",
@@ -79,9 +82,11 @@
         )
 
     @asynccontextmanager
-    async def run(self, role: str, ip: str) -> AsyncIterator[subprocess.Popen[bytes]]:
-        """Run a relay or a keeper."""
-        boot = str(self._settings(role, ip))
+    async def run(
+        self, role: str, ip: str, store: str = ""
+    ) -> AsyncIterator[subprocess.Popen[bytes]]:
+        """Run a relay or a keeper; `store` is another address of its store."""
+        boot = str(self._settings(role, ip, store))
         process = subprocess.Popen(
             [sys.executable, "-m", "wisteriastair", role],
             env=os.environ | {"WISTERIASTAIR_BOOT": boot},
@@ -103,9 +108,9 @@
                 continue
             return Caller(reader, writer)
 
-    async def ask(self, request_id: str) -> Reply:
+    async def ask(self, request_id: str, path: str = "unsafe") -> Reply:
         caller = await self.open(self.front)
-        await caller.send("unsafe", request_id)
+        await caller.send(path, request_id)
         return await caller.read()
 
     async def take_turn(self, ip: str, program: str, turn: str) -> Reply:
--- a/tests/relay/test_daemon.py
+++ b/tests/relay/test_daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import signal
 from contextlib import AsyncExitStack
 from pathlib import Path
@@ -12,7 +13,9 @@
 
 from tests.platform.standin_store import StoreStandin
 from tests.relay.machines import (
+    CONFIG,
     KEEPER_IP,
+    NO_STORE,
     OTHER_KEEPER_IP,
     OTHER_RELAY_IP,
     RELAY_IP,
@@ -23,6 +26,9 @@
 from tests.relay.stand import Caller, Exchange, Reply, ScriptedServer
 from wisteriastair.core.stopping import NOTICE_S
 
+# Time after which a new configuration is in force, in seconds: ``configMs``.
+CHANGE_S = 2.0
+
 
 def test_a_planned_stop_ends_what_is_under_way_and_then_the_process(
     tmp_path: Path,
@@ -201,6 +207,33 @@
     play(ScriptedServer("s1", good), tmp_path, story)
 
 
+def test_a_relay_that_the_store_turns_away_misses_no_change_at_its_start(
+    tmp_path: Path,
+) -> None:
+    """Guards against a change between a keeper's documents and its first news."""
+
+    async def good(exchange: Exchange) -> None:
+        await exchange.answer("fine")
+
+    async def story(
+        machines: Machines, store: StoreStandin, stack: AsyncExitStack
+    ) -> None:
+        await stack.enter_async_context(machines.run("keeper", KEEPER_IP))
+        while not any(event["key"].startswith("wist") for event in store.history):
+            await anyio.sleep(0.05)
+        await anyio.sleep(0.5)
+        relay = machines.run("relay", RELAY_IP, NO_STORE)
+        await stack.enter_async_context(relay)
+        await machines.until_served()
+        moved = CONFIG["routes"][0] | {"prefix": "/moved/"}
+        newer = CONFIG | {"version": 4, "routes": [moved]}
+        store.put("op/config", json.dumps(newer).encode())
+        await anyio.sleep(CHANGE_S)
+        assert (await machines.ask("new", "moved")).status == 200
+
+    play(ScriptedServer("s1", good), tmp_path, story)
+
+
 def test_entries_of_another_writer_name_no_server_and_disturb_none(
     tmp_path: Path,
 ) -> None:
--- a/tests/relay/test_stopping.py
+++ b/tests/relay/test_stopping.py
@@ -312,7 +312,7 @@
     **CONFIG,
     "version": 4,
     "routes": [
-        *CONFIG["routes"],  # type: ignore[misc]
+        *CONFIG["routes"],
         {
             "name": "l",
             "host": "h",
