A relay that the store turns away asks again for documents when news show that they are old

Callers would see: for as long as the store turns a relay away that has just started, up to some seconds, it answers by an older configuration.

Cause: until the store has answered, a relay lives on what a keeper remembers and on the watchers' news. Documents carried no revision, so nothing showed that a change lay between them and the first news, and news without the change itself were taken for enough.

Change: documents carry the keeper's revision; with it the usual comparison works from the start, and a relay that is told of a newer revision than it holds asks that watcher for its documents. A watcher has heard all up to what it tells, so one answer closes the gap. A full reading older than what was told meanwhile is read again instead of taken for complete.

--- a/wisteriastair/core/ledgerwire.py
+++ b/wisteriastair/core/ledgerwire.py
@@ -160,9 +160,17 @@
 
 
 class KnownDocuments(msgspec.Struct, frozen=True, array_like=True, tag=8):
-    """Answer to `AskDocuments`."""
+    """Answer to `AskDocuments`.
+
+    Attributes
+    ----------
+    revision : int
+        The documents are all that there are as of this revision of the store; 0 if the
+        keeper has not heard from the store since its start.
+    """
 
     documents: list[Document]
+    revision: int = 0
 
 
 class Change(msgspec.Struct, frozen=True, array_like=True):
--- a/wisteriastair/keeper/daemon.py
+++ b/wisteriastair/keeper/daemon.py
@@ -181,7 +181,7 @@
 
     def _on_message(self, sender: str, message: LedgerMessage) -> None:
         if isinstance(message, AskDocuments):
-            known = KnownDocuments(self._documents.all())
+            known = KnownDocuments(self._documents.all(), self._mirror.revision)
             self._transport.send(sender, known)
             return
         if isinstance(message, Subscribe):
--- a/wisteriastair/platform/mirror.py
+++ b/wisteriastair/platform/mirror.py
@@ -16,7 +16,7 @@
 import logging
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 import anyio
@@ -114,10 +114,17 @@
                 self._next_wait_s = self._usual_wait_s()
                 self._listed = await self._watch(wait_s)
 
-    def take_news(self, sender: str, news: StoreNews) -> None:
-        """Take what a watcher says."""
+    def take_news(self, sender: str, news: StoreNews) -> bool:
+        """Take what a watcher says.
+
+        Returns
+        -------
+        bool
+            Whether its documents are needed: the store has not answered here yet, and
+            changes before these are missing.
+        """
         if self._subscription is None:
-            return
+            return False
         if news.in_touch and news.changes is not None:
             self.source = sender
             self._take_told(news.base, news.revision, news.changes)
@@ -127,20 +134,40 @@
             self._fine()
             self.catching_up = False
         self._heard.set()
+        return news.in_touch and not self._listed and news.revision > self.revision
+
+    def take_documents(self, sender: str, revision: int, items: list[Item]) -> None:
+        """Take what a keeper remembers, until the store has answered here.
+
+        Parameters
+        ----------
+        revision : int
+            What the keeper knows the store up to; 0 if it does not say.
+        """
+        if self._listed or revision < self.revision:
+            return
+        self.source = sender
+        if revision > 0:
+            self._replace_all(revision, items)
+            self._advance(revision)
+        else:
+            for item in items:
+                self._take(item)
 
     def _take_told(self, base: int, revision: int, changes: list[Change]) -> None:
         """Take changes from a watcher, unless one before them is missing here.
 
-        Before the first reading nothing is missed by taking what there is.
+        Before the first reading nothing is lost by taking what there is.
         """
-        if self._listed and not base <= self.revision < revision:
+        follows = base <= self.revision < revision
+        if self._listed and not follows:
             return
         if self._listed and changes:
             self._fine()
         for change in changes:
             if change.revision > self.revision:
                 self._take(Item(change.key, change.revision, change.value))
-        if self._listed:
+        if follows:
             self._advance(revision)
 
     def news(self) -> StoreNews | None:
@@ -192,25 +219,30 @@
         self._note_answer()
         self.source = "list"
         if snapshot.revision < self.revision:
-            # Changes up to a newer revision were told meanwhile: nothing is missing.
-            self.catching_up = False
-            return True
-        present = {item.key for item in snapshot.items}
-        for item in snapshot.items:
+            # Changes up to a newer revision were told meanwhile.
+            return False
+        present = self._replace_all(snapshot.revision, snapshot.items)
+        self._advance(snapshot.revision)
+        self._on_listed(present)
+        self.catching_up = False
+        self._tell(StoreNews(snapshot.revision, snapshot.revision))
+        return True
+
+    def _replace_all(self, revision: int, items: Iterable[Item]) -> set[str]:
+        """Take all that there is as of a revision; return the keys now known."""
+        present = set()
+        for item in items:
+            present.add(item.key)
             self._take(item)
-        for key, revision in list(self._known.items()):
+        for key, known in list(self._known.items()):
             if key in present:
                 continue
-            if revision <= snapshot.revision:
+            if known <= revision:
                 del self._known[key]
-                self._on_change(Item(key, snapshot.revision, None))
+                self._on_change(Item(key, revision, None))
             else:
                 present.add(key)
-        self._advance(snapshot.revision)
-        self._on_listed(present)
-        self.catching_up = False
-        self._tell(StoreNews(snapshot.revision, snapshot.revision))
-        return True
+        return present
 
     async def _watch(self, wait_s: float) -> bool:
         base = self.revision
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -100,11 +100,12 @@
         self._bad: dict[str, str] = {}
         self._listed = False
         self._hinted = False
+        self._transport: Transport[LedgerMessage]
 
     async def run(self) -> None:
         """Run until told to stop."""
         log.info("relay started")
-        transport: Transport[LedgerMessage] = Transport(
+        self._transport = transport = Transport(
             f"{self._cfg.internal}#{uuid.uuid4().hex[:8]}",
             self._on_message,
             deployment=LEDGER_DEPLOYMENT,
@@ -181,23 +182,28 @@
 
     def _on_message(self, sender: str, message: LedgerMessage) -> None:
         if isinstance(message, StoreNews):
-            self._mirror.take_news(sender, message)
-            return
-        if isinstance(message, PermitReply):
+            if self._mirror.take_news(sender, message):
+                self._transport.send(sender, AskDocuments())
+        elif isinstance(message, PermitReply):
             self._quota.receive(message)
-            return
-        if not isinstance(message, KnownDocuments):
+        elif isinstance(message, KnownDocuments):
+            self._take_documents(sender, message)
+        else:
             self._ledger.receive(sender, message)
-            return
+
+    def _take_documents(self, sender: str, message: KnownDocuments) -> None:
         if self._listed:
             return
         log.info(
             "store as a keeper remembers it",
-            extra={"keeper": sender, "documents": len(message.documents)},
+            extra={
+                "keeper": sender,
+                "documents": len(message.documents),
+                "revision": message.revision,
+            },
         )
-        for document in message.documents:
-            item = Item(document.key, document.revision, document.value)
-            self._on_item(item, sender)
+        items = [Item(d.key, d.revision, d.value) for d in message.documents]
+        self._mirror.take_documents(sender, message.revision, items)
         self._hinted = True
 
     # What the store tells
@@ -207,15 +213,15 @@
         ids = {key.removeprefix(SERVERS) for key in present}
         self._fleet.keep_only(ids, asyncio.get_running_loop().time())
 
-    def _on_item(self, item: Item, source: str = "") -> None:
+    def _on_item(self, item: Item) -> None:
         if item.key == CONFIG_KEY:
-            self._take_config(item, source or self._mirror.source)
+            self._take_config(item)
         elif item.key == VIEW_KEY and item.value is not None:
             self._take_view(item.value)
         elif item.key.startswith(SERVERS):
             self._take_server(item)
 
-    def _take_config(self, item: Item, source: str) -> None:
+    def _take_config(self, item: Item) -> None:
         if item.value is None:
             log.warning("configuration removed from the store; the last one stays")
             return
@@ -232,7 +238,7 @@
         ):
             log.info(
                 "older configuration ignored",
-                extra={"config": table.version, "source": source},
+                extra={"config": table.version, "source": self._mirror.source},
             )
             return
         self._handler.table = table
@@ -241,7 +247,7 @@
             extra={
                 "config": table.version,
                 "revision": item.revision,
-                "source": source,
+                "source": self._mirror.source,
                 "routes": len(table.routes),
                 "customers": len(table.customers.by_name) if table.customers else 0,
             },
