--- a/tests/platform/fleet_of_mirrors.py
+++ b/tests/platform/fleet_of_mirrors.py
@@ -55,11 +55,16 @@
         self.silences = 0
         self.calls = 0
         self._changed = anyio.Event()
+        self._cut = anyio.Event()
 
     def fall_silent(self) -> None:
         self.silent = True
         self.silences += 1
 
+    def cut_watches(self) -> None:
+        self._cut.set()
+        self._cut = anyio.Event()
+
     def change(self, key: str, value: bytes | None) -> None:
         self.revision += 1
         item = Item(key, self.revision, value)
@@ -75,16 +80,28 @@
     def forget(self) -> None:
         self.oldest = self.revision
 
-    async def wait(self, after: int, wait_s: float) -> Changes | HistoryLost:
+    async def wait(
+        self, after: int, wait_s: float
+    ) -> Changes | HistoryLost | StoreTrouble:
         if after < self.oldest:
             return HistoryLost()
+        cut = self._cut
         with anyio.move_on_after(wait_s):
-            while self.revision <= after:
-                await self._changed.wait()
+            while self.revision <= after and not cut.is_set():
+                async with anyio.create_task_group() as group:
+                    group.start_soon(_first, self._changed, group)
+                    group.start_soon(_first, cut, group)
+        if cut.is_set():
+            return StoreTrouble("connection reset", False)
         items = tuple(i for i in self.history if i.revision > after)
         return Changes(self.revision, items)
 
 
+async def _first(event: anyio.Event, group: TaskGroup) -> None:
+    await event.wait()
+    group.cancel_scope.cancel()
+
+
 class Process:
     """One relay or keeper."""
 
@@ -226,7 +243,7 @@
         refused = await self._refused(wait_s + self.times.slack_s)
         if refused is not None:
             return refused
-        answer: Changes | HistoryLost | None = None
+        answer: Changes | HistoryLost | StoreTrouble | None = None
         silences = self._model.silences
         with anyio.move_on_after(wait_s + self.times.slack_s):
             found = await self._model.wait(after, wait_s)
--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -30,6 +30,8 @@
         Writes from now on that take effect and whose answers are lost.
     mutes : int
         Watches from now on whose answers are lost while their channels stay open.
+    withholds : bool
+        Watches are answered with the newest revision and without its changes.
     page : int
         Items of one page of a reading.
     """
@@ -42,6 +44,7 @@
         self.down = False
         self.loses = 0
         self.mutes = 0
+        self.withholds = False
         self.page = 2
         self.calls: list[str] = []
         self.address = ""
@@ -122,6 +125,8 @@
             self.mutes -= 1
             await anyio.sleep_forever()
         events = [event for event in self.history if event["rev"] > after]
+        if self.withholds:
+            events = []
         self._say(channel, events=events)
 
     def _write(self, body: bytes, channel: CallerChannel) -> None:
--- a/tests/platform/test_mirror.py
+++ b/tests/platform/test_mirror.py
@@ -134,6 +134,21 @@
     play(story)
 
 
+def test_a_revision_without_its_changes_is_not_taken_for_known() -> None:
+    """Guards against a change that a watch skips and that nobody asks for again."""
+
+    async def story(standin: StoreStandin, copy: Copy, store: Store) -> None:
+        standin.withholds = True
+        standin.put("op/config", b'{"version":5}')
+        await anyio.sleep(0.5)
+        standin.withholds = False
+        standin.put("servers/1", b"later")
+        await until(lambda: copy.values["servers/1"] == b"later")
+        assert copy.values["op/config"] == b'{"version":5}'
+
+    play(story)
+
+
 def test_a_swap_has_three_outcomes() -> None:
     """A write takes effect and its answer is lost.
 
