A watch's revision is taken for known only with its changes

Callers would see: an older configuration stays in force at every relay, without any line, until the next one.

Cause: the mirror went on from the revision that an answer names, whatever changes it held, and told all who rely on it the same. Change: an answer whose newest change is older than its revision is logged and leads to a full reading, and is told to nobody.

--- a/wisteriastair/platform/mirror.py
+++ b/wisteriastair/platform/mirror.py
@@ -261,10 +261,11 @@
             case Changes(revision, items):
                 self._note_answer()
                 self.source = "watch"
-                self._compare(base, revision, items)
                 for item in items:
                     if item.revision > self.revision:
                         self._take(item)
+                if _lacks_changes(base, revision, items):
+                    return False
                 self.catching_up = False
                 self._advance(revision)
                 if boot_clock() - began <= wait_s + self._times.slack_s:
@@ -274,15 +275,6 @@
                     await anyio.sleep(GATHER_S)
         return True
 
-    def _compare(self, base: int, revision: int, items: tuple[Item, ...]) -> None:
-        """Log an answer that names a newer revision than the changes in it reach."""
-        newest = max((item.revision for item in items), default=base)
-        if newest < revision:
-            log.warning(
-                "answer of a watch lacks changes",
-                extra={"base": base, "newest": newest, "revision": revision},
-            )
-
     def _usual_wait_s(self) -> float:
         subscription = self._subscription
         if subscription is None or not self._for_others():
@@ -350,5 +342,20 @@
             log.info("store still lost", extra=about)
 
 
+def _lacks_changes(base: int, revision: int, items: tuple[Item, ...]) -> bool:
+    """Whether an answer names a newer revision than its changes reach.
+
+    Going on from that revision would skip the missing ones for good.
+    """
+    newest = max((item.revision for item in items), default=base)
+    if newest >= revision:
+        return False
+    log.warning(
+        "answer of a watch lacks changes, reading all again",
+        extra={"base": base, "newest": newest, "revision": revision},
+    )
+    return True
+
+
 def _ms(seconds: float) -> int:
     return round(seconds * MS_PER_S)
