Soak: callers come back to interrupted programs, and a soak ends when they have

Cause: callers gave a program up after four tries in about a second, while processes take longer to start again, and a soak whose last fault kills everything ended before any caller could come back. Now a caller comes back five times, and callers go on for two seconds once new programs are served. No check changed; what is judged at the end is judged as before, with more of it seen.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -48,6 +48,13 @@
 # platform that finds most relays leaving goes on using all of them.
 TO_STOPPING_SHARE: Final = 0.5
 TRIES: Final = 4
+# How often a caller comes back to a program that was interrupted, and its pause before
+# that, in seconds: longer together than processes take to start again.
+RETURNS: Final = 5
+RETURN_PAUSE_S: Final = (0.5, 1.0)
+# Callers go on for so long once new programs are served, in seconds, so that each comes
+# back to the program that the last fault interrupted.
+LAST_RETURN_S: Final = 2.0
 # What a caller waits for an answer before it gives up, in seconds.
 PATIENCE_S: Final = 3.0
 # Everything is served again this long after the last fault, in seconds.  Processes
@@ -109,6 +116,8 @@
         self._witness = witness
         self._draw = draw
         self._ids = 0
+        # Programs that got a last word: 402 or 404.
+        self._over: set[str] = set()
 
     async def play(self, caller: str) -> None:
         """Play one program after another until stopped."""
@@ -123,6 +132,11 @@
         said = previous = ""
         for _ in range(self._draw.randint(2, 5)):
             turn = await self._turn(name, budget, previous, said)
+            for _ in range(RETURNS if previous else 0):
+                if turn is not None or name in self._over or self.stopped:
+                    break
+                await anyio.sleep(self._draw.uniform(*RETURN_PAUSE_S))
+                turn = await self._turn(name, budget, previous, said)
             if turn is None:
                 return False
             previous, said = turn.id, turn.said_after()
@@ -150,6 +164,7 @@
             if reply.status == 200 and reply.whole:
                 return turn
             if reply.status in (402, 404):
+                self._over.add(program)
                 return None
             await anyio.sleep(self._draw.uniform(0.1, 0.4))
         return None
@@ -267,10 +282,11 @@
                     faults = await strike_with_stops(world, faults_draw, STOPS)
                 else:
                     faults = await strike(world, faults_draw, FAULTS)
+                served = await _until_served(callers, "end")
+                await anyio.sleep(LAST_RETURN_S)
                 callers.stopped = True
                 world.stopped = True
-            world.restart_ended()
-            if not await _until_served(callers, "end"):
+            if not served:
                 witness.broken.append(
                     f"not served {RECOVER_S} s after {faults}: {world.states()}"
                 )
