--- a/wisteriastair/platform/mirror.py
+++ b/wisteriastair/platform/mirror.py
@@ -268,6 +268,7 @@
                     return False
                 self.catching_up = False
                 self._advance(revision)
+                # A later answer may have waited here while the machine was suspended.
                 if boot_clock() - began <= wait_s + self._times.slack_s:
                     told = [Change(i.key, i.revision, i.value) for i in items]
                     self._tell(StoreNews(base, max(base, revision), told))
