Decisions of relays in a package of their own; limits and contracts decoded

Cause: the relays' decisions stood among the modules of the product's own mode, which uses none of them, so new decisions had no place, and the limits and contracts of the settings file were read by nobody. Change: choice, fleet, reuse, affinity, retries and reach move from core/ to scheduling/, unchanged. NodeOptions gets the processor share, the bandwidth of the link, and whether memory pressure is among the contracts; nothing uses them yet.

--- a/tests/core/bench.py
+++ b/tests/core/bench.py
@@ -13,13 +13,13 @@
 from collections.abc import Callable
 from typing import Final
 
-from wisteriastair.core.choice import SelectionContext, select_server
 from wisteriastair.core.customers import Customer, Customers, Quota, digest_key
-from wisteriastair.core.fleet import Fleet, Load, Server
 from wisteriastair.core.membership import Member
 from wisteriastair.core.quota import QuotaBounds, QuotaHolder
-from wisteriastair.core.reuse import PromptSegment, rendezvous_server
 from wisteriastair.platform.credentials import key_digest
+from wisteriastair.scheduling.choice import SelectionContext, select_server
+from wisteriastair.scheduling.fleet import Fleet, Load, Server
+from wisteriastair.scheduling.reuse import PromptSegment, rendezvous_server
 
 SERVERS: Final = (23, 30, 300)
 CUSTOMERS: Final = (78, 10_000)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from wisteriastair.core.fleet import Server
 from wisteriastair.platform.documents import InvalidDocument, decode_server
+from wisteriastair.scheduling.fleet import Server
 
 KEY = "servers/i-1"
 ENTRY = {
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -48,6 +48,20 @@
     assert cfg.contact_s == 3.0
     assert cfg.max_failures == 1
     assert cfg.seeds == ("10.3.0.6:7380",)
+    assert cfg.cpu_cores == 0.0
+    assert cfg.link_bytes_per_s == 0.0
+    assert not cfg.has_memory_pressure
+
+
+def test_limits_and_contracts(tmp_path: Path) -> None:
+    """Guards against parts that are switched on where no contract asks for them."""
+    limits = "memoryMb = 150\ncpuShare = 0.5\ncores = 3\nlinkMbps = 24.0"
+    text = VALID.replace("memoryMb = 150", limits)
+    cfg = load(tmp_path, 'contracts = ["base", "pressure"]\n' + text)
+    assert isinstance(cfg, NodeOptions)
+    assert cfg.cpu_cores == 1.5
+    assert cfg.link_bytes_per_s == 3_000_000.0
+    assert cfg.has_memory_pressure
 
 
 @pytest.mark.parametrize(
@@ -59,6 +73,8 @@
         ("internalPorts = [7380, 7395]", "internalPorts = [1]", "internalPorts"),
         ('"10.2.0.1:8142"', '"nowhere"', "platform.address"),
         ("machines = 1", "machines = -1", "tolerate.machines"),
+        ("memoryMb = 150", "memoryMb = 150\ncpuShare = -1", "limits.cpuShare"),
+        ("bootstrap = true", 'bootstrap = true\ncontracts = "all"', "contracts"),
         ("graceS = 8", "graceS = 8\nconfigMs = 0", "bounds.configMs"),
         ("graceS = 8", "graceS = 8\ncontactMs = 0", "bounds.contactMs"),
     ],
--- a/tests/relay/bench.py
+++ b/tests/relay/bench.py
@@ -19,7 +19,7 @@
 import anyio.to_thread
 
 from tests.relay.harness import Caller, Exchange, ScriptedServer, run_harness
-from wisteriastair.core.fleet import Server
+from wisteriastair.scheduling.fleet import Server
 
 TURNS: Final = 800
 CONCURRENT_CALLERS: Final = 8
--- a/tests/relay/harness.py
+++ b/tests/relay/harness.py
@@ -15,7 +15,6 @@
 import anyio
 
 from tests.relay.keepers import QUOTA_BOUNDS, Keepers
-from wisteriastair.core.fleet import Fleet, Server
 from wisteriastair.core.ledgerwire import LedgerMessage
 from wisteriastair.core.routes import (
     CallerLimits,
@@ -35,6 +34,7 @@
 from wisteriastair.relay.pool import ConnectionPool
 from wisteriastair.relay.quota import QuotaClient
 from wisteriastair.relay.streams import StreamRelay
+from wisteriastair.scheduling.fleet import Fleet, Server
 
 HOST = "127.0.0.1"
 STAMP = "X-Server-Stamp: s1"
--- a/tests/relay/test_pool.py
+++ b/tests/relay/test_pool.py
@@ -5,9 +5,9 @@
 import anyio
 
 from tests.relay.harness import Exchange, ScriptedServer
-from wisteriastair.core.fleet import Server
 from wisteriastair.http1.server import ServerConnection
 from wisteriastair.relay.pool import ConnectionPool
+from wisteriastair.scheduling.fleet import Server
 
 
 def test_connection_of_an_earlier_incarnation_is_not_reused() -> None:
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -13,7 +13,7 @@
     answer_ok,
     run_scenario,
 )
-from wisteriastair.core.fleet import EJECTION_FAILURES
+from wisteriastair.scheduling.fleet import EJECTION_FAILURES
 
 EVENTS = ("id: 1\ndata: one\n\n", "id: 2\ndata: two\n\n")
 TURN = {
--- a/tests/relay/test_stopping.py
+++ b/tests/relay/test_stopping.py
@@ -27,7 +27,6 @@
     free_port,
     run_scenario,
 )
-from wisteriastair.core.fleet import Server
 from wisteriastair.core.routes import (
     CallerLimits,
     RequestKind,
@@ -38,6 +37,7 @@
 from wisteriastair.nodeoptions import NodeOptions
 from wisteriastair.platform.settings import load_settings
 from wisteriastair.relay.daemon import Relay
+from wisteriastair.scheduling.fleet import Server
 
 LARGE_BODY = "x" * (7 * 1024 * 1024)
 CHUNK_BYTES = 64 * 1024
--- a/tests/core/test_affinity.py
+++ b/tests/scheduling/test_affinity.py
@@ -7,9 +7,9 @@
 from collections import OrderedDict
 from typing import Final, NamedTuple
 
-from wisteriastair.core.affinity import ACTIVE_WINDOW_S, PrefixAffinity
-from wisteriastair.core.choice import SelectionContext, select_server
-from wisteriastair.core.fleet import Fleet, Load, Server
+from wisteriastair.scheduling.affinity import ACTIVE_WINDOW_S, PrefixAffinity
+from wisteriastair.scheduling.choice import SelectionContext, select_server
+from wisteriastair.scheduling.fleet import Fleet, Load, Server
 
 RELAYS: Final = 8
 DOMAINS: Final = 2
--- a/tests/core/test_choice.py
+++ b/tests/scheduling/test_choice.py
@@ -7,9 +7,9 @@
 from collections import Counter
 from typing import NamedTuple
 
-from wisteriastair.core.choice import SelectionContext, select_server
-from wisteriastair.core.fleet import Fleet, Load, Server, ServerState
-from wisteriastair.core.reuse import PromptSegment
+from wisteriastair.scheduling.choice import SelectionContext, select_server
+from wisteriastair.scheduling.fleet import Fleet, Load, Server, ServerState
+from wisteriastair.scheduling.reuse import PromptSegment
 
 RELAYS = 5
 SERVERS = 6
--- a/tests/core/test_fleet.py
+++ b/tests/scheduling/test_fleet.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from wisteriastair.core.fleet import (
+from wisteriastair.scheduling.fleet import (
     EJECTION_FAILURES,
     MIN_SERVERS_FAST_EJECTION,
     OTHER_REQUEST_WEIGHT,
@@ -11,7 +11,7 @@
     Load,
     Server,
 )
-from wisteriastair.core.reuse import PromptSegment
+from wisteriastair.scheduling.reuse import PromptSegment
 
 
 def server(server_id: str, *, draining: bool = False) -> Server:
--- a/tests/core/test_reach.py
+++ b/tests/scheduling/test_reach.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from wisteriastair.core.reach import Reachability
+from wisteriastair.scheduling.reach import Reachability
 
 
 def test_a_failure_after_a_recent_success_is_ignored() -> None:
--- a/tests/core/test_retries.py
+++ b/tests/scheduling/test_retries.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from wisteriastair.core.retries import (
+from wisteriastair.scheduling.retries import (
     MAX_RETRY_BUDGET,
     MIN_TIMEOUT_S,
     RETRY_FRACTION,
--- a/tests/core/test_reuse.py
+++ b/tests/scheduling/test_reuse.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from wisteriastair.core.choice import SelectionContext, select_server
-from wisteriastair.core.fleet import Fleet, Server
-from wisteriastair.core.reuse import (
+from wisteriastair.scheduling.choice import SelectionContext, select_server
+from wisteriastair.scheduling.fleet import Fleet, Server
+from wisteriastair.scheduling.reuse import (
     MAX_SEGMENTS,
     CachedSegments,
     PromptSegment,
--- a/wisteriastair/nodeoptions.py
+++ b/wisteriastair/nodeoptions.py
@@ -54,6 +54,13 @@
         store or of the process.
     quota : QuotaBounds
         Criteria by which the operators judge quotas.
+    cpu_cores : float
+        Processor time per second that the process may use, in cores; 0 if unknown.
+    link_bytes_per_s : float
+        Bandwidth of the instance's network link in bytes per second; 0 if unknown.
+    has_memory_pressure : bool
+        Whether callers and servers may read slowly, and servers crash if the requests
+        that they hold exceed their memory.
     """
 
     name: str
@@ -74,6 +81,9 @@
     contact_s: float
     seeds: tuple[str, ...]
     quota: QuotaBounds = QuotaBounds()
+    cpu_cores: float = 0.0
+    link_bytes_per_s: float = 0.0
+    has_memory_pressure: bool = False
 
     @property
     def change_deadline_s(self) -> float:
--- a/wisteriastair/platform/documents.py
+++ b/wisteriastair/platform/documents.py
@@ -14,7 +14,6 @@
 import msgspec
 
 from ..core.customers import Customer, CustomerProblem, Customers, Quota
-from ..core.fleet import Server
 from ..core.routes import (
     CallerLimits,
     EngineSpec,
@@ -24,6 +23,7 @@
     Service,
     WeightedService,
 )
+from ..scheduling.fleet import Server
 from .credentials import KEY_DIGESTS_FIELD
 
 CONFIG_KEY: Final = "op/config"
--- a/wisteriastair/platform/headers.py
+++ b/wisteriastair/platform/headers.py
@@ -5,9 +5,9 @@
 import math
 from typing import Final, NamedTuple
 
-from ..core.fleet import Load
-from ..core.reuse import PromptSegment
 from ..http1.messages import Headers, Request, ResponseHead, end_to_end_headers, header
+from ..scheduling.fleet import Load
+from ..scheduling.reuse import PromptSegment
 from .credentials import AUTHORIZATION, key_digest
 
 MS_PER_S: Final = 1000.0
--- a/wisteriastair/platform/settings.py
+++ b/wisteriastair/platform/settings.py
@@ -18,7 +18,11 @@
 SETTINGS_VARIABLE: Final = "WISTERIASTAIR_BOOT"
 RELAY_CLASS: Final = "front"
 BYTES_PER_MB: Final = 1024 * 1024
+BYTES_PER_MEGABIT: Final = 1_000_000 / 8
 MS_PER_S: Final = 1000.0
+# Rules of the platform under which callers and servers may read slowly, and servers
+# crash if the requests that they hold exceed their memory.
+PRESSURE_CONTRACT: Final = "pressure"
 
 
 class _Listen(msgspec.Struct):
@@ -28,6 +32,9 @@
 
 class _Limits(msgspec.Struct, rename="camel"):
     memory_mb: float
+    cpu_share: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    cores: Annotated[float, msgspec.Meta(ge=0)] = 1
+    link_mbps: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class _Tolerate(msgspec.Struct):
@@ -64,6 +71,8 @@
     data_dir: str = ""
     # Addresses of the instances that serve `control`, which share one internal port.
     seeds: list[str] = []
+    # Names of the platform's rules that are in force.
+    contracts: list[str] = []
 
 
 def load_settings(path: str) -> NodeOptions | BadNodeSetting:
@@ -142,6 +151,9 @@
             settings.bounds.quota_over,
             settings.bounds.quota_slack,
         ),
+        cpu_cores=settings.limits.cpu_share * settings.limits.cores,
+        link_bytes_per_s=settings.limits.link_mbps * BYTES_PER_MEGABIT,
+        has_memory_pressure=PRESSURE_CONTRACT in settings.contracts,
     )
 
 
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -13,7 +13,6 @@
 import msgspec
 from anyio.abc import TaskGroup
 
-from ..core.fleet import REREGISTRATION_S, Fleet
 from ..core.ledgerwire import (
     DocumentsReply,
     DocumentsRequest,
@@ -46,6 +45,7 @@
 )
 from ..platform.mirror import Mirror
 from ..platform.store import Store, StoreItem
+from ..scheduling.fleet import REREGISTRATION_S, Fleet
 from .chains import ChainCache
 from .dispatch import Dispatcher
 from .drain import Drain
--- a/wisteriastair/relay/dispatch.py
+++ b/wisteriastair/relay/dispatch.py
@@ -15,14 +15,14 @@
 
 import anyio
 
-from ..core.affinity import PrefixAffinity
-from ..core.choice import SelectionContext, select_server
-from ..core.fleet import Fleet, ServerState
-from ..core.retries import RetryPolicy
-from ..core.reuse import PromptSegment, rendezvous_server
 from ..http1.messages import Headers, Request, ResponseHead, encode_head
 from ..http1.server import Exchange, ExchangeOutcome, ServerConnection
 from ..platform.headers import reported_load, was_not_executed
+from ..scheduling.affinity import PrefixAffinity
+from ..scheduling.choice import SelectionContext, select_server
+from ..scheduling.fleet import Fleet, ServerState
+from ..scheduling.retries import RetryPolicy
+from ..scheduling.reuse import PromptSegment, rendezvous_server
 from .pool import ConnectionPool
 
 # A server that reports that it is full is avoided for this time.
--- a/wisteriastair/relay/ledger.py
+++ b/wisteriastair/relay/ledger.py
@@ -26,8 +26,8 @@
     select_replicas,
     sort_local_first,
 )
-from ..core.reach import Reachability
 from ..peers.transport import Transport
+from ..scheduling.reach import Reachability
 from .questions import (
     Granted,
     QuorumRequest,
--- a/wisteriastair/relay/pool.py
+++ b/wisteriastair/relay/pool.py
@@ -14,8 +14,8 @@
 
 import anyio
 
-from ..core.fleet import Server
 from ..http1.server import ServerConnection
+from ..scheduling.fleet import Server
 from ..sockets import set_options
 
 CONNECT_TIMEOUT_S: Final = 0.5
--- a/wisteriastair/relay/streams.py
+++ b/wisteriastair/relay/streams.py
@@ -12,12 +12,12 @@
 
 import anyio
 
-from ..core.fleet import ServerState
 from ..core.ledger import Turn
 from ..errors import Code, Failure
 from ..http1.messages import ResponseHead
 from ..http1.server import ExchangeOutcome
 from ..platform.headers import forwarded_headers, has_server_stamp, response_headers
+from ..scheduling.fleet import ServerState
 from .answers import is_server_error, send_failure
 from .chains import ChainCache
 from .dispatch import Dispatcher, NotRun, OutcomeUnknown, ResponseStarted, read_body
--- /dev/null
+++ b/wisteriastair/scheduling/__init__.py
@@ -0,0 +1,21 @@
+"""Decisions of the relays, without input or output.
+
+Each module states the load pattern that its decision answers. Times and random numbers
+are passed in, so that tests replay a load in virtual time. `relay` and `platform` may
+import this package, `core` may not; import contracts in ``pyproject.toml`` enforce it.
+
+Modules, from the bottom up:
+
+``reuse``
+    Prompt segments that servers have cached.
+``fleet``
+    Known servers, their load and their failures.
+``affinity``
+    Servers preferred for a shared prefix.
+``choice``
+    Selection of a server for a request.
+``retries``
+    Timeouts per attempt and the retry budget of plain services.
+``reach``
+    Reachability of a set of peers.
+"""
--- a/wisteriastair/core/affinity.py
+++ b/wisteriastair/scheduling/affinity.py
@@ -19,8 +19,8 @@
 
 from typing import Final, NamedTuple
 
+from ..core.hashing import rendezvous_order
 from .fleet import ServerState
-from .hashing import rendezvous_order
 
 # A prefix that was not requested for this time in seconds is not counted. It is several
 # times the pause of a program between two turns.
--- a/wisteriastair/core/reuse.py
+++ b/wisteriastair/scheduling/reuse.py
@@ -18,7 +18,7 @@
 from functools import lru_cache
 from typing import Final, NamedTuple
 
-from .hashing import hash64
+from ..core.hashing import hash64
 
 # Maximum number of segments stored per server: the turns of some minutes at 2.4 turns
 # per second.
