Quota: a holder carries running programs to their end when the limit falls

Cause: a holder admitted programs by what its bucket covered then. After a fall of the limit, all running programs competed for too few permits and failed turn by turn. Their few requests also lowered the estimates of their kind, so that too many new ones started.

Change: when a limit falls, or a running program's permit would be more than 0.5 s late, the holder plans again: it reserves what the programs nearest to their end still need and refuses the others as a whole until the quota covers them. New programs are refused at their first request meanwhile. Refused callers hold a place for waits of up to 1 s. Only programs that ended without a refusal change the estimates. Relays ask no other holder after a running program was refused. The bucket of permits is unchanged.

--- a/wisteriastair/core/quota.py
+++ b/wisteriastair/core/quota.py
@@ -15,6 +15,8 @@
 A program needs many requests, and a request rejected near its end wastes all work done
 before. Requests of running programs therefore have precedence: a new program is
 admitted only while the quota covers the requests that recent programs have needed.
+When the limit falls, or running programs get no permits in time, the holder plans
+again which of them it carries to their end, and refuses the others (`quotaplan`).
 """
 
 from __future__ import annotations
@@ -27,6 +29,12 @@
 from .customers import Customer, Quota
 from .hashing import hash64
 from .membership import Member, spread_over_domains
+from .quotaplan import (
+    MAX_DELAY_S,
+    ProgramNeed,
+    carried_programs,
+    required_level,
+)
 
 # Maximum number of holders per customer. With one of three lost, two thirds of the
 # quota remain.
@@ -38,7 +46,7 @@
 TOLERANCE_FRACTION: Final = 0.8
 # A permit is granted at most this many seconds before it becomes valid, and the relay
 # waits until then. A rejected caller would take longer to come back.
-MAX_ADVANCE_S: Final = 0.5
+MAX_ADVANCE_S: Final = MAX_DELAY_S
 # Wait of a new holder in seconds. It exceeds the time in which its predecessor receives
 # the new member list, or notices that it has lost contact to most members.
 HANDOVER_S: Final = 2.5
@@ -51,8 +59,25 @@
 MAX_MEMBER_LISTS: Final = 16
 # Seconds without a request after which a program counts as ended.
 PROGRAM_IDLE_S: Final = 6.0
-# Requests that a program of an unknown kind is expected to need.
+# Shortest interval in seconds between two plans of a customer. Callers that are refused
+# come back after a longer time, so more frequent plans would see the same programs.
+PLAN_INTERVAL_S: Final = 0.5
+# Longest wait in seconds for which a refused new program holds a place before newer
+# ones. Callers return only if the wait is at most a third of the time that they have
+# left, so a place for a longer wait would mostly be held in vain.
+MAX_PLACE_WAIT_S: Final = 1.0
+# A place lapses if its program has not returned by its time, multiplied by this (the
+# relays' random factor), plus the time of a new connection in seconds.
+PLACE_WAIT_FACTOR: Final = 1.5
+PLACE_GRACE_S: Final = 0.1
+# Requests that a program of an unknown kind is expected to need, and its duration in
+# seconds.
 INITIAL_ESTIMATE: Final = 12.0
+INITIAL_DURATION_S: Final = 6.0
+# Shortest wait in seconds of a refused new program.
+MIN_ADMISSION_WAIT_S: Final = 0.05
+# Shortest duration of a program, in seconds, that a pace is computed from.
+MIN_DURATION_S: Final = 0.05
 # Weight of an ended program in the moving average of its kind.
 ESTIMATE_WEIGHT: Final = 0.1
 # Maximum number of program kinds with an estimate of their own.
@@ -114,7 +139,7 @@
     wait_s : float
         Seconds until the permit is valid, or until a retry is useful.
     is_program_refused : bool
-        Whether a new program is rejected, however soon its first request could run.
+        Whether the program as a whole is rejected, however soon one request could run.
     """
 
     status: PermitStatus
@@ -172,35 +197,114 @@
         self._at = max(self._at, now)
 
 
-class _ProgramUsage(NamedTuple):
-    """An admitted program, with its granted and its reserved requests."""
+class _ProgramUsage:
+    """A program, with its granted and its reserved requests.
 
-    kind: str
-    requests: int
-    reserved: float
-    last_seen_at: float
+    Attributes
+    ----------
+    kind : str
+        Kind of the program; empty if it began at another holder or before a restart.
+    requests : int
+        Granted requests.
+    reserved : float
+        Requests that the quota has reserved for it, including the granted ones.
+    is_counted : bool
+        Whether its requests reduce what new programs may reserve. Programs that ran
+        before a restart would otherwise be counted on top of the reservations of
+        programs that replace them.
+    was_denied : bool
+        Whether its last request got no permit, so that it may not have ended by itself.
+    is_refused : bool
+        Whether the program is refused as a whole.
+    """
 
+    __slots__ = (
+        "is_counted",
+        "is_refused",
+        "kind",
+        "last_seen_at",
+        "requests",
+        "reserved",
+        "started_at",
+        "was_denied",
+    )
 
-class _RequestEstimates:
-    """Moving average of the requests that programs of each kind need."""
+    def __init__(self, kind: str, now: float) -> None:
+        self.kind = kind
+        self.requests = 0
+        self.reserved = 0.0
+        self.is_counted = True
+        self.started_at = now
+        self.last_seen_at = now
+        self.was_denied = False
+        self.is_refused = False
 
-    def __init__(self) -> None:
-        self._means: dict[str, float] = {}
 
-    def estimate(self, kind: str) -> float:
-        """Return the expected requests of a program of this kind."""
-        return self._means.get(kind, INITIAL_ESTIMATE)
+class _Place(NamedTuple):
+    """Place of a refused new program that is expected to return.
+
+    Attributes
+    ----------
+    requests : float
+        Requests that the program is expected to need.
+    lapses_at : float
+        Time by which it has returned, or will not return.
+    """
+
+    requests: float
+    lapses_at: float
+
+
+class _Estimate(NamedTuple):
+    """Expected requests of a program, and its duration in seconds."""
+
+    requests: float = INITIAL_ESTIMATE
+    duration_s: float = INITIAL_DURATION_S
 
-    def add_sample(self, kind: str, requests: int) -> None:
-        """Add the number of requests of an ended program."""
+
+class _RequestEstimates:
+    """Moving averages of what programs of each kind need."""
+
+    def __init__(self) -> None:
+        self._means: dict[str, _Estimate] = {}
+
+    def estimate(self, kind: str) -> _Estimate:
+        """Return what a program of this kind is expected to need."""
+        return self._means.get(kind, _Estimate())
+
+    def mean_estimate(self) -> _Estimate:
+        """Return what a program of an unknown kind is expected to need."""
+        if not self._means:
+            return _Estimate()
+        requests, durations = zip(*self._means.values(), strict=True)
+        count = len(self._means)
+        return _Estimate(sum(requests) / count, sum(durations) / count)
+
+    def add_sample(self, usage: _ProgramUsage) -> None:
+        """Add an ended program."""
+        kind = usage.kind
         if not kind or (kind not in self._means and len(self._means) >= MAX_KINDS):
             return
         mean = self.estimate(kind)
-        self._means[kind] = mean + ESTIMATE_WEIGHT * (requests - mean)
+        duration_s = usage.last_seen_at - usage.started_at
+        self._means[kind] = _Estimate(
+            mean.requests + ESTIMATE_WEIGHT * (usage.requests - mean.requests),
+            mean.duration_s + ESTIMATE_WEIGHT * (duration_s - mean.duration_s),
+        )
 
 
 class _CustomerAccount:
-    """State of a customer at one of its holders."""
+    """State of a customer at one of its holders.
+
+    Attributes
+    ----------
+    permits : _Bucket
+        Permits that may be granted.
+    admissions : _Bucket
+        Permits that are not reserved for running programs.
+    is_over_limit : bool
+        Whether the quota does not cover all that was promised to running programs.
+    """
 
     def __init__(self, bucket: HolderQuota, term_start: float, now: float) -> None:
         term_s = max(0.0, now - term_start)
@@ -208,8 +312,14 @@
         self.list_number = -1
         self.permits = _Bucket(min(bucket.depth, bucket.rate_per_s * term_s), now)
         self.admissions = _Bucket(self.permits.level, now)
+        self.is_over_limit = False
+        self.planned_at = -PLAN_INTERVAL_S
         # Ordered by last request, most recent last.
         self.programs: OrderedDict[str, _ProgramUsage] = OrderedDict()
+        # Refused new programs that are expected to return, in the order of their
+        # refusal, and the sum of their expected requests.
+        self.places: OrderedDict[str, _Place] = OrderedDict()
+        self.place_requests = 0.0
 
     def resume(self, bucket: HolderQuota, term_start: float, now: float) -> None:
         """Start a new term after a gap in which others may have granted permits.
@@ -222,22 +332,100 @@
         term_s = max(0.0, now - term_start)
         self.permits.level = min(self.permits.level, bucket.rate_per_s * term_s)
 
+    def refill(self, bucket: HolderQuota, now: float) -> None:
+        """Add the inflow since the last call."""
+        self.permits.refill(bucket.rate_per_s, bucket.depth, now)
+        self.admissions.refill(bucket.rate_per_s, bucket.depth, now)
+        if self.admissions.level > 0:
+            self.is_over_limit = False
+
+    def knows_programs(self, now: float) -> bool:
+        """Whether programs that were running before this term have become known."""
+        return now - self.term_start > PROGRAM_IDLE_S
+
+    # Admission
+
+    def admission_wait_s(
+        self,
+        program: str,
+        expected: _Estimate,
+        bucket: HolderQuota,
+        *,
+        is_known: bool,
+        now: float,
+    ) -> float:
+        """Return the seconds until a program can be admitted; 0 if it can be now.
+
+        A program that was refused before goes first: newer ones leave the requests
+        that it is expected to need.
+        """
+        self._drop_lapsed_places(now)
+        required = required_level(*expected, bucket.rate_per_s, bucket.depth)
+        level = self.admissions.level
+        holds_place = program in self.places
+        if not (is_known or holds_place) and level < bucket.depth:
+            required += self.place_requests
+        if level > 0 and level >= required:
+            return 0.0
+        wait_s = max(required - level, 0.0) / bucket.rate_per_s
+        if not (is_known or holds_place) and wait_s <= MAX_PLACE_WAIT_S:
+            lapses_at = now + PLACE_WAIT_FACTOR * wait_s + PLACE_GRACE_S
+            self.places[program] = _Place(expected.requests, lapses_at)
+            self.place_requests += expected.requests
+        return max(wait_s, MIN_ADMISSION_WAIT_S)
+
+    def _drop_lapsed_places(self, now: float) -> None:
+        while self.places:
+            name, oldest = next(iter(self.places.items()))
+            if oldest.lapses_at > now:
+                return
+            self._drop_place(name)
+
+    def _drop_place(self, program: str) -> None:
+        place = self.places.pop(program, None)
+        if place is not None:
+            self.place_requests -= place.requests
+        if not self.places:
+            # Rounding errors must not add up.
+            self.place_requests = 0.0
+
     def admit_program(
         self, program: str, kind: str, expected_requests: float, now: float
     ) -> None:
         """Add an admitted program and reserve its expected requests."""
+        self._drop_place(program)
         self.admissions.level -= expected_requests
-        self.programs[program] = _ProgramUsage(kind, 0, expected_requests, now)
+        usage = self.programs.setdefault(program, _ProgramUsage(kind, now))
+        usage.kind = kind
+        usage.is_counted = True
+        usage.reserved = usage.requests + expected_requests
+        usage.is_refused = False
+
+    # Requests of running programs
 
     def record_request(self, program: str, now: float) -> None:
         """Record a permitted request of a program."""
-        known = self.programs.pop(program, _ProgramUsage("", 0, 0.0, now))
-        count = known.requests + 1
+        usage = self.programs.get(program)
+        if usage is None:
+            usage = self.programs[program] = _ProgramUsage("", now)
+            usage.is_counted = self.knows_programs(now)
+        else:
+            self.programs.move_to_end(program)
+        usage.requests += 1
+        usage.last_seen_at = now
+        usage.was_denied = False
         # Requests beyond the reservation reduce the capacity for new programs.
-        shortfall = max(0.0, count - known.reserved) if known.kind else 0.0
-        self.admissions.level -= shortfall
-        reserved = known.reserved + shortfall
-        self.programs[program] = _ProgramUsage(known.kind, count, reserved, now)
+        if usage.is_counted and usage.reserved < usage.requests:
+            self.admissions.level -= usage.requests - usage.reserved
+            usage.reserved = float(usage.requests)
+
+    def record_denial(self, program: str, now: float) -> None:
+        """Record that a request of a known program got no permit."""
+        usage = self.programs.get(program)
+        if usage is not None:
+            self.programs.move_to_end(program)
+            usage.last_seen_at = now
+            usage.was_denied = True
 
     def expire_programs(self, estimates: _RequestEstimates, now: float) -> None:
         """Remove ended programs, release unused reservations, update the estimates."""
@@ -249,10 +437,56 @@
             ):
                 return
             del self.programs[name]
-            estimates.add_sample(oldest.kind, oldest.requests)
-            if oldest.kind:
+            if not oldest.was_denied:
+                # A program that failed for lack of permits needed more requests.
+                estimates.add_sample(oldest)
+            if oldest.is_counted and not oldest.is_refused:
                 self.admissions.level += oldest.reserved - oldest.requests
 
+    # Plan
+
+    def running_count(self) -> int:
+        """Return the number of programs that are not refused."""
+        return sum(not usage.is_refused for usage in self.programs.values())
+
+    def plan(
+        self, bucket: HolderQuota, estimates: _RequestEstimates, now: float
+    ) -> None:
+        """Keep the running programs that the quota carries; refuse the others."""
+        self.planned_at = now
+        needs = [
+            _remaining_need(name, usage, estimates)
+            for name, usage in self.programs.items()
+            if not usage.is_refused
+        ]
+        carried = carried_programs(needs, self.permits.level, bucket.rate_per_s)
+        kept = {need.name: need.requests for need in carried}
+        for need in needs:
+            usage = self.programs[need.name]
+            usage.is_counted = True
+            if need.name in kept:
+                usage.reserved = usage.requests + kept[need.name]
+            else:
+                usage.reserved = 0.0
+                usage.was_denied = True
+                usage.is_refused = True
+        unreserved = self.permits.level - sum(kept.values())
+        self.admissions.level = min(self.admissions.level, unreserved)
+        self.is_over_limit = self.admissions.level <= 0
+
+
+def _remaining_need(
+    name: str, usage: _ProgramUsage, estimates: _RequestEstimates
+) -> ProgramNeed:
+    """Return what a program still needs: at least one request until it is idle."""
+    if usage.kind:
+        expected = estimates.estimate(usage.kind)
+    else:
+        expected = estimates.mean_estimate()
+    remaining = max(1.0, expected.requests - usage.requests)
+    pace_per_s = max(1.0, expected.requests) / max(MIN_DURATION_S, expected.duration_s)
+    return ProgramNeed(name, remaining, pace_per_s)
+
 
 class QuotaHolder:
     """Grants permits to the customers that have this member as a quota holder.
@@ -267,11 +501,20 @@
         Member list at the start of the process.
     now : float
         Time of a monotonic clock in seconds.
+
+    Attributes
+    ----------
+    plans : int
+        Number of plans of running programs.
+    programs_refused : int
+        Number of running programs that were refused by a plan.
     """
 
     def __init__(
         self, me: Member, bounds: QuotaBounds, members: tuple[Member, ...], now: float
     ) -> None:
+        self.plans = 0
+        self.programs_refused = 0
         self._me = me
         self._bounds = bounds
         self._customers: dict[str, Customer] = {}
@@ -298,10 +541,27 @@
                 # An added holder must not grant again the permits that others granted.
                 self._handover_until[name] = now + HANDOVER_S
                 self._list_number += 1
+            if buckets[1].rate_per_s < buckets[0].rate_per_s:
+                self._plan_lowered(name, buckets[1], now)
         self._customers = customers
         for name in self._accounts.keys() - customers.keys():
             del self._accounts[name]
 
+    def _plan_lowered(self, customer: str, bucket: HolderQuota, now: float) -> None:
+        """Plan the running programs of a customer whose limit falls."""
+        account = self._accounts.get(customer)
+        if account is None:
+            return
+        account.refill(bucket, now)
+        account.expire_programs(self._estimates, now)
+        self._plan(account, bucket, now)
+
+    def _plan(self, account: _CustomerAccount, bucket: HolderQuota, now: float) -> None:
+        running_count = account.running_count()
+        account.plan(bucket, self._estimates, now)
+        self.plans += 1
+        self.programs_refused += running_count - account.running_count()
+
     def update_members(self, members: tuple[Member, ...], now: float) -> None:
         """Apply a newer member list."""
         if members == self._member_lists[-1][0]:
@@ -333,29 +593,94 @@
         account = self._account(customer, bucket, now)
         if account is None:
             return Permit(PermitStatus.NOT_HOLDER)
-        account.permits.refill(bucket.rate_per_s, bucket.depth, now)
-        account.admissions.refill(bucket.rate_per_s, bucket.depth, now)
+        account.refill(bucket, now)
         account.expire_programs(self._estimates, now)
+        if not program:
+            return self._permit_single(account, bucket, allow_delayed)
+        usage = account.programs.get(program)
+        if usage is not None and not usage.is_refused:
+            return self._permit_running(account, bucket, program, allow_delayed, now)
         # A new holder cannot tell new programs from running ones.
-        knows_programs = now - account.term_start > PROGRAM_IDLE_S
-        is_new = knows_programs and bool(kind) and program not in account.programs
-        if (is_new or not program) and account.admissions.level <= 0:
-            return Permit(
-                PermitStatus.EXHAUSTED,
-                -account.admissions.level / bucket.rate_per_s,
-                True,
+        knows_programs = account.knows_programs(now)
+        if usage is not None or (knows_programs and kind):
+            return self._permit_admission(
+                account, bucket, program, kind, allow_delayed, now
             )
-        wait_s = max(0.0, 1.0 - account.permits.level) / bucket.rate_per_s
-        if wait_s > (MAX_ADVANCE_S if allow_delayed else 0.0):
-            return Permit(PermitStatus.EXHAUSTED, wait_s)
-        account.permits.level -= 1.0
-        if is_new:
-            account.admit_program(program, kind, self._estimates.estimate(kind), now)
-        if program:
-            account.record_request(program, now)
-        else:
+        unreserved = account.admissions.level
+        if account.is_over_limit:
+            # It may be admitted at another holder. Here it would take the permits of
+            # the programs that are carried to their end.
+            return Permit(PermitStatus.EXHAUSTED, -unreserved / bucket.rate_per_s)
+        if knows_programs and unreserved <= 0 and not allow_delayed:
+            # The relay asks the other holders first, one of which may have reserved
+            # permits for it.
+            return Permit(PermitStatus.EXHAUSTED, MAX_ADVANCE_S)
+        return self._permit_running(account, bucket, program, allow_delayed, now)
+
+    def _permit_single(
+        self, account: _CustomerAccount, bucket: HolderQuota, allow_delayed: bool
+    ) -> Permit:
+        """Decide on a request that belongs to no program."""
+        unreserved = account.admissions.level
+        if unreserved <= 0:
+            return Permit(PermitStatus.EXHAUSTED, -unreserved / bucket.rate_per_s, True)
+        permit = _take(account, bucket, allow_delayed)
+        if permit.status is PermitStatus.GRANTED:
             account.admissions.level -= 1.0
-        return Permit(PermitStatus.GRANTED, wait_s)
+        return permit
+
+    def _permit_admission(
+        self,
+        account: _CustomerAccount,
+        bucket: HolderQuota,
+        program: str,
+        kind: str,
+        allow_delayed: bool,
+        now: float,
+    ) -> Permit:
+        """Decide on a program that is new, or was refused before."""
+        usage = account.programs.get(program)
+        if usage is None:
+            expected = self._estimates.estimate(kind)
+        else:
+            kind = usage.kind or kind
+            need = _remaining_need(program, usage, self._estimates)
+            expected = _Estimate(need.requests, need.requests / need.pace_per_s)
+        wait_s = account.admission_wait_s(
+            program, expected, bucket, is_known=usage is not None, now=now
+        )
+        if wait_s > 0:
+            account.record_denial(program, now)
+            return Permit(PermitStatus.EXHAUSTED, wait_s, True)
+        permit = _take(account, bucket, allow_delayed)
+        if permit.status is PermitStatus.GRANTED:
+            account.admit_program(program, kind, expected.requests, now)
+            account.record_request(program, now)
+        return permit
+
+    def _permit_running(
+        self,
+        account: _CustomerAccount,
+        bucket: HolderQuota,
+        program: str,
+        allow_delayed: bool,
+        now: float,
+    ) -> Permit:
+        """Decide on a request of a program that is running, here or elsewhere."""
+        permit = _take(account, bucket, allow_delayed)
+        if permit.status is PermitStatus.GRANTED:
+            account.record_request(program, now)
+            return permit
+        account.record_denial(program, now)
+        is_late = permit.wait_s > MAX_ADVANCE_S
+        if not is_late or now - account.planned_at < PLAN_INTERVAL_S:
+            return permit
+        self._plan(account, bucket, now)
+        usage = account.programs.get(program)
+        if usage is None or not usage.is_refused:
+            return permit
+        wait_s = max(permit.wait_s, -account.admissions.level / bucket.rate_per_s)
+        return Permit(PermitStatus.EXHAUSTED, wait_s, True)
 
     def _account(
         self, customer: str, bucket: HolderQuota, now: float
@@ -395,3 +720,14 @@
         if term_start is None:
             return None
         return max(term_start, self._handover_until.get(customer, term_start))
+
+
+def _take(
+    account: _CustomerAccount, bucket: HolderQuota, allow_delayed: bool
+) -> Permit:
+    """Take a permit from the bucket if one is valid now, or soon enough."""
+    wait_s = max(0.0, 1.0 - account.permits.level) / bucket.rate_per_s
+    if wait_s > (MAX_ADVANCE_S if allow_delayed else 0.0):
+        return Permit(PermitStatus.EXHAUSTED, wait_s)
+    account.permits.level -= 1.0
+    return Permit(PermitStatus.GRANTED, wait_s)
--- a/wisteriastair/keeper/daemon.py
+++ b/wisteriastair/keeper/daemon.py
@@ -251,6 +251,8 @@
             "accounts": len(core.ledger.accounts),
             "turn_bytes": core.ledger.turn_bytes,
             "stale_refused": core.stale_refused,
+            "quota_plans": core.quota.plans,
+            "quota_programs_refused": core.quota.programs_refused,
             "store_calls": self._store.call_count,
             "store_revision": self._mirror.revision,
             "store_watched": self._mirror.is_watching,
@@ -290,10 +292,15 @@
             return
         self._config_version = table.version
         customers = table.customers.by_name if table.customers else {}
+        refused_before = self._core.quota.programs_refused
         self._core.quota.configure(customers, time.monotonic())
         log.info(
             "quotas in force",
-            extra={"config": table.version, "customers": len(customers)},
+            extra={
+                "config": table.version,
+                "customers": len(customers),
+                "programs_refused": self._core.quota.programs_refused - refused_before,
+            },
         )
 
     def _adopt_view(self, revision: int, value: bytes) -> None:
--- a/wisteriastair/nodemetrics.py
+++ b/wisteriastair/nodemetrics.py
@@ -132,6 +132,11 @@
                 ("accounts", "Programs in the ledger"),
                 ("turn_bytes", "Bytes of kept turns"),
                 ("stale_refused", "Requests under an older view refused"),
+                (
+                    "quota_plans",
+                    "Plans of programs over a customer's quota since start",
+                ),
+                ("quota_programs_refused", "Running programs refused by these plans"),
                 ("store_calls", "Calls to the platform's store since start"),
                 ("store_revision", "Revision up to which changes are known"),
                 ("store_watched", "1 if this process watches the store itself"),
--- a/wisteriastair/relay/quota.py
+++ b/wisteriastair/relay/quota.py
@@ -197,6 +197,10 @@
                 return None
             if permit.status is PermitStatus.EXHAUSTED:
                 exhausted.append((permit, member))
+            if permit.is_program_refused and pending.program and not pending.kind:
+                # The holder that knows the program has given up on it. Another one
+                # would let single requests through, though it cannot end.
+                return _over_quota(permit)
         if not exhausted:
             pending.holder = None
             return HoldersUnreachable(len(order), self._view().number)
@@ -210,8 +214,7 @@
             permit = await self._await_permit(pending, earliest_member, deadline)
             if permit is not None and permit.status is PermitStatus.GRANTED:
                 return None
-        retry_after_s = earliest_permit.wait_s * random.uniform(1.0, MAX_RETRY_JITTER)
-        return OverQuota(max(MIN_RETRY_AFTER_S, retry_after_s))
+        return _over_quota(earliest_permit)
 
     async def _await_permit(
         self, pending: PendingPermit, member: Member, deadline: float
@@ -265,3 +268,9 @@
             pending.allow_delayed,
         )
         self._transport.send(member.address, message)
+
+
+def _over_quota(permit: Permit) -> OverQuota:
+    """Return the refusal of a request, with a random share of its retry delay."""
+    retry_after_s = permit.wait_s * random.uniform(1.0, MAX_RETRY_JITTER)
+    return OverQuota(max(MIN_RETRY_AFTER_S, retry_after_s))
