Shared picture of servers: reports, sums, replies

A relay sees only its own part of a server's requests, so it cannot tell a server that is full of the requests of others, or fails for all, from an idle or healthy one.

Relays report servers to a keeper in their failure domain, keepers exchange sums over their own relays, and each report is answered with the merged picture. Nothing is sent unless a server reports its pace or memory pressure is configured.

--- a/wisteriastair/core/ledgerwire.py
+++ b/wisteriastair/core/ledgerwire.py
@@ -16,6 +16,9 @@
 from .membership import View
 from .quota import Permit
 
+# Id of capacity steps that no keeper has decided yet.
+UNKNOWN_WEIGHTS: Final = -1
+
 
 class ReplyStatus(IntEnum):
     """Result of a request at a replica."""
@@ -242,6 +245,179 @@
     permit: Permit
 
 
+class ServerObservation(msgspec.Struct, frozen=True, array_like=True):
+    """What one relay has observed of a server.
+
+    All numbers are integers, so NaN and infinity cannot be decoded.  Receivers clip the
+    numbers.
+
+    Attributes
+    ----------
+    server : int
+        Key of the server's incarnation, a hash of 32 bits.
+    in_flight : int
+        Requests that the relay has at the server.
+    kilotokens : int
+        Tokens of their prompts and maximum outputs, in units of 1,024.
+    failures, successes : int
+        Requests of the last second that failed and that succeeded.
+    silent : int
+        Requests in flight that have been silent for longer than usual.
+    pace : int
+        Time per generated token in units of 10 us; 0 if unknown or not reported now.
+    """
+
+    server: int
+    in_flight: int
+    kilotokens: int
+    failures: int = 0
+    successes: int = 0
+    silent: int = 0
+    pace: int = 0
+
+
+class ServerLoad(msgspec.Struct, frozen=True, array_like=True):
+    """Sum of the load of some relays on a server.
+
+    Attributes
+    ----------
+    age : int
+        Age of the oldest part of the sum, in units of 20 ms.
+    """
+
+    server: int
+    in_flight: int
+    kilotokens: int
+    age: int = 0
+
+
+class ServerHealth(msgspec.Struct, frozen=True, array_like=True):
+    """Failures of a server, as observed by some relays.
+
+    Attributes
+    ----------
+    witnesses : int
+        Relays that observe failures or silence; a relay with several such requests
+        counts twice.
+    age : int
+        Age of the oldest part of the sums, in units of 20 ms.
+    """
+
+    server: int
+    failures: int
+    successes: int
+    silent: int
+    witnesses: int
+    age: int = 0
+
+
+class ServerPace(msgspec.Struct, frozen=True, array_like=True):
+    """Median pace of a server among some relays, in units of 10 us per token."""
+
+    server: int
+    pace: int
+    relays: int
+
+
+class ServerWeight(msgspec.Struct, frozen=True, array_like=True):
+    """Capacity step of a server; servers at step 0 are omitted."""
+
+    server: int
+    step: int
+
+
+class Weights(msgspec.Struct, frozen=True, array_like=True):
+    """Capacity steps of all servers.
+
+    Attributes
+    ----------
+    id : int
+        Hash of the steps; `UNKNOWN_WEIGHTS` if the sender has none.
+    steps : list of ServerWeight or None
+        None if the receiver has reported that it holds these.
+    """
+
+    id: int = UNKNOWN_WEIGHTS
+    steps: list[ServerWeight] | None = None
+
+
+class PictureBlock(msgspec.Struct, frozen=True, array_like=True):
+    """Entries that a keeper selected at one time."""
+
+    loads: list[ServerLoad]
+    healths: list[ServerHealth] = []
+
+
+class LinkTiming(msgspec.Struct, frozen=True, array_like=True):
+    """Order and age of a message on one link, independent of the clocks of both ends.
+
+    Attributes
+    ----------
+    stamp : int
+        Clock of the sender in ms, which the receiver returns.  It increases with each
+        message on the link.
+    echo : int
+        Newest stamp received from the receiver of this message; -1 if there is none.
+    held_ms : int
+        Milliseconds between receiving that stamp and sending this message.
+    """
+
+    stamp: int
+    echo: int = -1
+    held_ms: int = 0
+
+
+class RelayDigest(msgspec.Struct, frozen=True, array_like=True, tag=14):
+    """What a relay has observed of servers, to a keeper, which replies to it.
+
+    Attributes
+    ----------
+    weights : int
+        Id of the capacity steps that the relay uses.
+    """
+
+    timing: LinkTiming
+    observations: list[ServerObservation] = []
+    weights: int = UNKNOWN_WEIGHTS
+
+
+class PictureUpdate(msgspec.Struct, frozen=True, array_like=True, tag=15):
+    """Merged picture of the servers; reply to `RelayDigest`.
+
+    Attributes
+    ----------
+    included : list of int
+        For each block, the stamp of the relay's newest digest that its sums include.
+    ages_ms : list of int
+        Age of each block.
+    blocks : list of PictureBlock
+        Blocks since the last reply, oldest first.
+    """
+
+    timing: LinkTiming
+    included: list[int] = []
+    ages_ms: list[int] = []
+    blocks: list[PictureBlock] = []
+    weights: Weights = Weights()
+
+
+class DomainSums(msgspec.Struct, frozen=True, array_like=True, tag=16):
+    """Sums over the relays that report to one keeper, to another such keeper.
+
+    Attributes
+    ----------
+    best_rank : int
+        Lowest rank among the sender and the keepers that it hears directly.
+    """
+
+    timing: LinkTiming
+    best_rank: int
+    ages_ms: list[int] = []
+    blocks: list[PictureBlock] = []
+    paces: list[ServerPace] = []
+    weights: Weights = Weights()
+
+
 LedgerMessage = (
     Write
     | FanOutWrite
@@ -256,6 +432,9 @@
     | StoreUpdate
     | PermitRequest
     | PermitReply
+    | RelayDigest
+    | PictureUpdate
+    | DomainSums
 )
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
--- a/wisteriastair/core/watchers.py
+++ b/wisteriastair/core/watchers.py
@@ -44,6 +44,8 @@
 # covers several renewals, so that one lost message has no effect.
 RENEWAL_INTERVAL_S: Final = 1.0
 SUBSCRIPTION_LEASE_S: Final = 4.0
+# Keepers of its own domain to which a relay may report.
+MAX_LOCAL_RECEIVERS: Final = 2
 NEVER: Final = -math.inf
 
 
@@ -73,6 +75,34 @@
     return spread_over_domains(order, max_failures + 1)
 
 
+def digest_keepers(view: View, max_failures: int) -> tuple[Member, ...]:
+    """Choose the keepers that merge what relays report of servers.
+
+    There is one in each failure domain, as bytes between domains are expensive, and at
+    least as many as there are watchers.  The first ones are the watchers.
+    """
+    domains = {member.domain for member in view.members}
+    return watchers_of(view, max(max_failures, len(domains) - 1))
+
+
+def digest_receivers(view: View, domain: str, max_failures: int) -> list[str]:
+    """Return the addresses to which a relay may report, the preferred one first.
+
+    The second one is in the relay's own domain as well, if there are two keepers.
+
+    Parameters
+    ----------
+    domain : str
+        Failure domain of the relay.
+    """
+    by_name = {m.name: m for m in view.members if m.domain == domain}
+    local = [by_name[name] for name in rendezvous_order("store watch", by_name)]
+    local = local[:MAX_LOCAL_RECEIVERS]
+    chosen = digest_keepers(view, max_failures)
+    others = sort_local_first(chosen, domain)
+    return [m.address for m in (*local, *(m for m in others if m not in local))]
+
+
 class _LastUpdate(NamedTuple):
     """Last update from a watcher."""
 
--- a/wisteriastair/keeper/daemon.py
+++ b/wisteriastair/keeper/daemon.py
@@ -23,7 +23,9 @@
     Document,
     DocumentsReply,
     DocumentsRequest,
+    DomainSums,
     LedgerMessage,
+    RelayDigest,
     StoreUpdate,
     Subscribe,
 )
@@ -55,6 +57,7 @@
 from ..platform.store import Store, StoreError, StoreItem, Swapped
 from .documents import Documents
 from .log import Log
+from .picture import PictureKeeper
 from .storage import Storage
 
 TICK_INTERVAL_S: Final = 0.1
@@ -88,11 +91,14 @@
         self._mirror = Mirror(
             self._store,
             self._on_item,
-            self._documents.retain_only,
+            self._on_listed,
             subscription=self._subscription,
             on_update=self._publish,
             has_subscribers=lambda: self._subscribers.has_active(time.monotonic()),
         )
+        self._picture = PictureKeeper(
+            cfg.internal_address, cfg.max_failures, time.monotonic()
+        )
         self._stop = anyio.Event()
         self._metrics = KeeperMetrics()
         self._reported_done: set[str] = set()
@@ -126,6 +132,8 @@
         for document in self._documents.all():
             if document.key == CONFIG_KEY:
                 self._apply_config(document.value)
+            elif document.key.startswith(SERVER_KEY_PREFIX):
+                self._picture.apply_server(document.key, document.value)
         self._storage = Storage(self._log, self._core, self._metrics)
         log.info(
             "keeper started",
@@ -199,10 +207,19 @@
         if isinstance(message, StoreUpdate):
             self._mirror.apply_update(sender, message)
             return
+        if isinstance(message, RelayDigest | DomainSums):
+            self._merge(sender, message)
+            return
         self._core.receive(sender, message, time.monotonic())
         self._send()
         self._storage.wake()
 
+    def _merge(self, sender: str, message: RelayDigest | DomainSums) -> None:
+        self._picture.set_view(self._core.view)
+        replies = self._picture.receive(sender, message, time.monotonic())
+        for to, reply in replies:
+            self._transport.send(to, reply)
+
     def _publish(self, store_update: StoreUpdate) -> None:
         for to, message in self._subscribers.make_updates(
             store_update, time.monotonic()
@@ -255,13 +272,22 @@
             "store_revision": self._mirror.revision,
             "store_watched": self._mirror.is_watching,
             "log_lines_dropped": dropped_line_count(),
+            "picture_relays": self._picture.merger.relay_count,
+            "picture_bytes_sent": self._picture.bytes_sent,
+            "picture_ignored": self._picture.merger.counters.total,
         }
         for name, value in values.items():
             self._metrics.gauges[name].set(value)
 
     # View changes and retirement of instances
 
+    def _on_listed(self, keys: set[str]) -> None:
+        self._documents.retain_only(keys)
+        self._picture.retain_only(keys)
+
     def _on_item(self, item: StoreItem) -> None:
+        if item.key.startswith(SERVER_KEY_PREFIX):
+            self._picture.apply_server(item.key, item.value)
         is_cached = item.key == CONFIG_KEY or item.key.startswith(SERVER_KEY_PREFIX)
         if item.value is None:
             self._documents.remove(item.key)
--- a/wisteriastair/nodemetrics.py
+++ b/wisteriastair/nodemetrics.py
@@ -95,6 +95,10 @@
                 ("ledger_resent", "Ledger requests sent again since start"),
                 ("chain_bytes", "Bytes of cached chains"),
                 ("log_lines_dropped", "Log lines that were not taken in time"),
+                ("picture_age_seconds", "Age of the shared picture, -1 without one"),
+                ("picture_bytes_sent", "Bytes of reports of servers sent since start"),
+                ("picture_ignored", "Parts of replies ignored or clipped since start"),
+                ("servers_suspect", "Servers that are suspect"),
             )
         }
 
@@ -136,6 +140,9 @@
                 ("store_revision", "Revision up to which changes are known"),
                 ("store_watched", "1 if this process watches the store itself"),
                 ("log_lines_dropped", "Log lines that were not taken in time"),
+                ("picture_relays", "Relays that report servers to this process"),
+                ("picture_bytes_sent", "Bytes of merged pictures sent since start"),
+                ("picture_ignored", "Parts of reports ignored or clipped since start"),
             )
         }
 
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -18,6 +18,7 @@
     DocumentsRequest,
     LedgerMessage,
     PermitReply,
+    PictureUpdate,
     StoreUpdate,
 )
 from ..core.membership import View
@@ -51,6 +52,7 @@
 from .drain import Drain
 from .handler import ReadyHandler, RelayHandler
 from .ledger import LedgerClient
+from .picture import PictureClient
 from .pool import ConnectionPool
 from .quota import QuotaClient
 from .streams import StreamRelay
@@ -85,6 +87,13 @@
         self._pool = ConnectionPool(self._on_unexpected_data)
         self._metrics = RelayMetrics()
         self._ledger = LedgerClient(cfg.domain, cfg.max_failures)
+        self._picture = PictureClient(
+            self._fleet,
+            cfg.domain,
+            cfg.max_failures,
+            lambda: self._ledger.view,
+            has_memory_pressure=cfg.has_memory_pressure,
+        )
         self._dispatcher = Dispatcher(self._fleet, self._pool, cfg.domain)
         self._chains = ChainCache(int(cfg.memory_bytes * CHAIN_CACHE_FRACTION))
         streams = StreamRelay(self._dispatcher, self._ledger, self._chains)
@@ -120,6 +129,7 @@
             group.start_soon(self._mirror.run)
             group.start_soon(self._sweep, transport)
             group.start_soon(self._probe_ledger)
+            group.start_soon(self._picture.run, transport)
             group.start_soon(self._request_documents, transport)
             await serve_metrics(self._cfg.ip_address, self._metrics.registry, group)
             group.start_soon(self._watch_signals)
@@ -190,6 +200,9 @@
                 self._transport.send(sender, DocumentsRequest())
         elif isinstance(message, PermitReply):
             self._quota.receive(message)
+        elif isinstance(message, PictureUpdate):
+            now = asyncio.get_running_loop().time()
+            self._picture.receive(sender, message, now)
         elif isinstance(message, DocumentsReply):
             self._apply_documents(sender, message)
         else:
@@ -325,6 +338,7 @@
 
     def _update_gauges(self) -> None:
         table = self._handler.table
+        now = asyncio.get_running_loop().time()
         values = {
             "config_version": table.version if table else 0,
             "view_number": self._ledger.view.number,
@@ -341,6 +355,10 @@
             "ledger_resent": self._ledger.resend_count,
             "chain_bytes": self._chains.size_bytes,
             "log_lines_dropped": dropped_line_count(),
+            "picture_age_seconds": self._picture.age_s(now),
+            "picture_bytes_sent": self._picture.bytes_sent,
+            "picture_ignored": self._picture.ignored + self._picture.picture.clipped,
+            "servers_suspect": self._picture.picture.suspect_count(now),
         }
         for name, value in values.items():
             self._metrics.gauges[name].set(value)
--- a/wisteriastair/relay/dispatch.py
+++ b/wisteriastair/relay/dispatch.py
@@ -21,8 +21,10 @@
 from ..scheduling.affinity import PrefixAffinity
 from ..scheduling.choice import SelectionContext, select_server
 from ..scheduling.fleet import Fleet, ServerState
+from ..scheduling.observations import OpenRequest
 from ..scheduling.retries import RetryPolicy
 from ..scheduling.reuse import PromptSegment, rendezvous_server
+from .answers import is_server_error
 from .pool import ConnectionPool
 
 # A server that reports that it is full is avoided for this time.
@@ -44,6 +46,7 @@
     exchange: Exchange
     server_conn: ServerConnection
     head: ResponseHead
+    open_req: OpenRequest
 
 
 class OutcomeUnknown(NamedTuple):
@@ -123,6 +126,7 @@
         body: bytes,
         *,
         attempt_timeout_s: float | None = None,
+        reserved_tokens: int = 0,
     ) -> AsyncIterator[ResponseStarted | NotRun | OutcomeUnknown]:
         """Send a request and wait for the head of its response.
 
@@ -133,14 +137,21 @@
         ----------
         attempt_timeout_s : float or None
             Seconds to wait for the head of the response; None for no limit.
+        reserved_tokens : int
+            Tokens of the prompt and of the longest output.
         """
         server = state.server
+        loop = asyncio.get_running_loop()
         state.in_flight += 1
+        open_req = state.observations.open(reserved_tokens, loop.time())
+        succeeded: bool | None = None
+        exchange: Exchange | None = None
         server_conn: ServerConnection | str = ""
         try:
             server_conn = await self.pool.acquire(server)
             if isinstance(server_conn, str):
                 self.record_failure(state)
+                succeeded = False
                 yield NotRun(server.id, server_conn)
                 return
             exchange = Exchange(request_id, req.method)
@@ -149,16 +160,25 @@
             with anyio.move_on_after(attempt_timeout_s):
                 await exchange.wait_head()
             if exchange.head is None and exchange.end is None:
+                succeeded = False
                 yield OutcomeUnknown(server.id, f"silent for {attempt_timeout_s} s")
                 return
-            yield self._outcome(state, exchange, server_conn)
+            open_req.record_data(loop.time())
+            yield self._outcome(state, exchange, server_conn, open_req)
         finally:
             state.in_flight -= 1
+            if exchange is not None and exchange.end is not None:
+                succeeded = _has_succeeded(exchange)
+            state.observations.close(open_req, loop.time(), succeeded=succeeded)
             if isinstance(server_conn, ServerConnection):
                 self.pool.release(server, server_conn)
 
     def _outcome(
-        self, state: ServerState, exchange: Exchange, server_conn: ServerConnection
+        self,
+        state: ServerState,
+        exchange: Exchange,
+        server_conn: ServerConnection,
+        open_req: OpenRequest,
     ) -> ResponseStarted | NotRun | OutcomeUnknown:
         server_id = state.server.id
         head = exchange.head
@@ -173,13 +193,24 @@
         if was_not_executed(head):
             state.overloaded_until = now + OVERLOAD_BACKOFF_S
             return NotRun(server_id, f"status {head.status}")
-        return ResponseStarted(state, exchange, server_conn, head)
+        return ResponseStarted(state, exchange, server_conn, head, open_req)
 
     def record_failure(self, state: ServerState) -> None:
         """Record a failure of a server."""
         self.fleet.record_failure(state, asyncio.get_running_loop().time())
 
 
+def _has_succeeded(exchange: Exchange) -> bool | None:
+    """Whether an ended exchange succeeded; None if the server was only full."""
+    head = exchange.head
+    if head is None or exchange.end is None:
+        return False
+    if was_not_executed(head):
+        return None
+    is_complete = exchange.end.outcome is ExchangeOutcome.COMPLETE
+    return is_complete and not is_server_error(head.status)
+
+
 async def read_body(exchange: Exchange, max_bytes: int) -> bytes | str:
     """Read the rest of a response body.
 
--- a/wisteriastair/relay/streams.py
+++ b/wisteriastair/relay/streams.py
@@ -193,7 +193,14 @@
             )
             job.was_sent = True
             async with self._dispatcher.send(
-                state, job.req, job.caller_req.id, headers, body
+                state,
+                job.req,
+                job.caller_req.id,
+                headers,
+                body,
+                reserved_tokens=(
+                    job.caller_req.prompt_tokens + job.caller_req.output_tokens
+                ),
             ) as outcome:
                 error = await self._forward_response(turn, outcome)
             if error is None:
@@ -259,6 +266,7 @@
         exchange, caller_conn = started.exchange, turn.job.caller_conn
 
         def forward(data: bytes) -> bool:
+            started.open_req.record_data(turn.job.now())
             turn.forward(started.head, data)
             return caller_conn.is_writable
 
@@ -267,7 +275,9 @@
             await exchange.wait_data()
             if not caller_conn.is_writable and exchange.end is None:
                 started.server_conn.pause_reading()
+                started.open_req.pause()
                 await caller_conn.wait_writable()
+                started.open_req.resume(turn.job.now())
                 started.server_conn.resume_reading()
         forward(exchange.read_available())
         server_id = started.state.server.id
--- a/wisteriastair/scheduling/__init__.py
+++ b/wisteriastair/scheduling/__init__.py
@@ -8,6 +8,8 @@
 
 ``reuse``
     Prompt segments that servers have cached.
+``observations``
+    Own requests at a server and their outcomes.
 ``fleet``
     Known servers, their load and their failures.
 ``affinity``
@@ -16,6 +18,14 @@
     Selection of a server for a request.
 ``retries``
     Timeouts per attempt and the retry budget of plain services.
+``digest``
+    What a relay reports of each server to the keepers.
+``capacity``
+    Capacity steps of servers.
+``merge``
+    What a keeper merges from the reports of relays and sends to them.
+``picture``
+    What a relay knows from the merged reports.
 ``reach``
     Reachability of a set of peers.
 """
--- a/wisteriastair/scheduling/fleet.py
+++ b/wisteriastair/scheduling/fleet.py
@@ -17,8 +17,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Final, NamedTuple
 
+from .observations import Observations
 from .reuse import CachedSegments
 
 # Consecutive failures after which a server is ejected, and the first ejection time in
@@ -106,6 +108,7 @@
         self._load_at = float("-inf")
         self._in_flight_at_report = 0
         self.cached_segments = CachedSegments()
+        self.observations = Observations()
 
     def record_load(self, load: Load, now: float) -> None:
         """Store a load report."""
@@ -130,6 +133,11 @@
             0, reported - self._in_flight_at_report
         )
 
+    @property
+    def reports_pace(self) -> bool:
+        """Whether the last load report had the fourth figure."""
+        return getattr(self._load, "pace", None) is not None
+
     def removed_within(self, seconds: float, now: float) -> bool:
         """Return whether the entry was removed at most `seconds` ago."""
         return self.removed_at is not None and now - self.removed_at <= seconds
@@ -198,6 +206,10 @@
         """Return a known server, or None."""
         return self._servers.get(server_id)
 
+    def states(self) -> Iterable[ServerState]:
+        """Return all known servers."""
+        return self._servers.values()
+
     def put(self, server: Server) -> Server | None:
         """Add or update an entry; return the incarnation that it replaces, or None.
 
