--- a/wisteriastair/core/ledgerwire.py
+++ b/wisteriastair/core/ledgerwire.py
@@ -7,8 +7,10 @@
 
 from __future__ import annotations
 
+import struct
+from collections.abc import Iterable
 from enum import IntEnum
-from typing import Final
+from typing import Final, NamedTuple
 
 import msgspec
 
@@ -257,8 +259,8 @@
         Key of the server's incarnation, a hash of 32 bits.
     in_flight : int
         Requests that the relay has at the server.
-    kilotokens : int
-        Tokens of their prompts and maximum outputs, in units of 1,024.
+    token_units : int
+        Tokens of their prompts and maximum outputs, in units of 2,048.
     failures, successes : int
         Requests of the last second that failed and that succeeded.
     silent : int
@@ -269,25 +271,31 @@
 
     server: int
     in_flight: int
-    kilotokens: int
+    token_units: int
     failures: int = 0
     successes: int = 0
     silent: int = 0
     pace: int = 0
 
 
-class ServerLoad(msgspec.Struct, frozen=True, array_like=True):
+class ServerLoad(NamedTuple):
     """Sum of the load of some relays on a server.
 
+    Packed into 7 bytes, as these entries make up most of the traffic.  As an array of
+    MessagePack they took 10 bytes, and the budget of a link was too small to send 690
+    of them again before they expired.
+
     Attributes
     ----------
+    in_flight, token_units : int
+        Requests, and tokens in units of 2,048; at most 255.
     age : int
-        Age of the oldest part of the sum, in units of 20 ms.
+        Age of the oldest part of the sum, in units of 20 ms; at most 255.
     """
 
     server: int
     in_flight: int
-    kilotokens: int
+    token_units: int
     age: int = 0
 
 
@@ -342,9 +350,15 @@
 
 
 class PictureBlock(msgspec.Struct, frozen=True, array_like=True):
-    """Entries that a keeper selected at one time."""
+    """Entries that a keeper selected at one time.
+
+    Attributes
+    ----------
+    loads : bytes
+        Packed entries; see `pack_loads`.
+    """
 
-    loads: list[ServerLoad]
+    loads: bytes = b""
     healths: list[ServerHealth] = []
 
 
@@ -437,6 +451,11 @@
     | DomainSums
 )
 
+_LOAD_FORMAT: Final = struct.Struct("<IBBB")
+LOAD_BYTES: Final = _LOAD_FORMAT.size
+MAX_PACKED: Final = 255
+MAX_PACKED_SERVER: Final = 0xFFFFFFFF
+
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _DECODER: Final = msgspec.msgpack.Decoder(LedgerMessage)
 
@@ -455,3 +474,22 @@
         If the data is not a valid message.
     """
     return _DECODER.decode(data)
+
+
+def pack_loads(loads: Iterable[ServerLoad]) -> bytes:
+    """Pack entries; numbers above the limit are reported as the limit."""
+    return b"".join(
+        _LOAD_FORMAT.pack(
+            load.server & MAX_PACKED_SERVER,
+            max(0, min(MAX_PACKED, load.in_flight)),
+            max(0, min(MAX_PACKED, load.token_units)),
+            max(0, min(MAX_PACKED, load.age)),
+        )
+        for load in loads
+    )
+
+
+def unpack_loads(data: bytes) -> list[ServerLoad]:
+    """Unpack entries; an incomplete one at the end is ignored."""
+    whole = len(data) - len(data) % LOAD_BYTES
+    return [ServerLoad(*entry) for entry in _LOAD_FORMAT.iter_unpack(data[:whole])]
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -357,7 +357,7 @@
             "log_lines_dropped": dropped_line_count(),
             "picture_age_seconds": self._picture.age_s(now),
             "picture_bytes_sent": self._picture.bytes_sent,
-            "picture_ignored": self._picture.ignored + self._picture.picture.clipped,
+            "picture_ignored": self._picture.ignored,
             "servers_suspect": self._picture.picture.suspect_count(now),
         }
         for name, value in values.items():
--- a/wisteriastair/scheduling/blocks.py
+++ b/wisteriastair/scheduling/blocks.py
@@ -15,8 +15,15 @@
 
 import msgspec
 
-from ..core.ledgerwire import PictureBlock, ServerHealth, ServerLoad
-from .digest import AGE_UNIT_S, MAX_AGE_UNITS
+from ..core.ledgerwire import (
+    LOAD_BYTES,
+    MAX_PACKED,
+    PictureBlock,
+    ServerHealth,
+    ServerLoad,
+    pack_loads,
+)
+from .digest import AGE_UNIT_S
 
 # Blocks that a receiver gets at most in one message.
 MAX_BLOCKS: Final = 4
@@ -25,8 +32,9 @@
 REFRESH_S: Final = 0.2
 # Fraction of the bytes of a block that failures may take before the loads.
 HEALTH_FRACTION: Final = 0.25
-# Bytes of the frame and of the fields around the entries.
+# Bytes of the frame and of the fields around a block, and of a block without entries.
 OVERHEAD_BYTES: Final = 96
+BLOCK_HEADER_BYTES: Final = 8
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
 
@@ -35,7 +43,7 @@
     """Sum of loads, and when its oldest part was true."""
 
     in_flight: int
-    kilotokens: int
+    token_units: int
     as_of: float
 
 
@@ -96,13 +104,14 @@
         elapsed_s = min(now - self._made_at, MAX_BLOCKS * self._interval_s)
         if self._made_at == -math.inf:
             elapsed_s = self._interval_s
-        budget = self._bytes_per_s * elapsed_s - OVERHEAD_BYTES
+        budget = self._bytes_per_s * elapsed_s - OVERHEAD_BYTES - BLOCK_HEADER_BYTES
         self._made_at = now
         chosen_healths = _select_healths(healths, now, HEALTH_FRACTION * budget)
         budget -= sum(len(_ENCODER.encode(entry)) for entry in chosen_healths)
         chosen_loads = self._select_loads(loads, now, budget)
         self.number += 1
-        data = _ENCODER.encode(PictureBlock(chosen_loads, chosen_healths))
+        block = PictureBlock(pack_loads(chosen_loads), chosen_healths)
+        data = _ENCODER.encode(block)
         self._blocks.append(_Block(self.number, now, msgspec.Raw(data)))
 
     def since(self, number: int, now: float) -> list[AgedBlock]:
@@ -122,22 +131,20 @@
             if last is None:
                 candidates.append((False, -math.inf, server))
                 continue
-            is_same = last[0] == total.in_flight and last[1] == total.kilotokens
+            is_same = last[0] == total.in_flight and last[1] == total.token_units
             if not is_same or now - last[2] >= REFRESH_S:
                 candidates.append((is_same, last[2], server))
         for server, last in self._sent.items():
             if server not in loads:
                 candidates.append((False, last[2], server))
         candidates.sort()
+        del candidates[max(0, int(budget / LOAD_BYTES)) :]
         chosen: list[ServerLoad] = []
         for _, _, server in candidates:
             entry = self._entry(server, loads.get(server), now)
-            budget -= len(_ENCODER.encode(entry))
-            if budget < 0:
-                break
             chosen.append(entry)
             if server in loads:
-                self._sent[server] = entry.in_flight, entry.kilotokens, now
+                self._sent[server] = entry.in_flight, entry.token_units, now
             else:
                 del self._sent[server]
         return chosen
@@ -146,7 +153,7 @@
         if total is None:
             return ServerLoad(server, 0, 0)
         return ServerLoad(
-            server, total.in_flight, total.kilotokens, _age_units(now - total.as_of)
+            server, total.in_flight, total.token_units, _age_units(now - total.as_of)
         )
 
 
@@ -167,4 +174,4 @@
 
 
 def _age_units(seconds: float) -> int:
-    return min(MAX_AGE_UNITS, max(0, math.ceil(seconds / AGE_UNIT_S)))
+    return min(MAX_PACKED, max(0, math.ceil(seconds / AGE_UNIT_S)))
--- a/wisteriastair/scheduling/digest.py
+++ b/wisteriastair/scheduling/digest.py
@@ -23,14 +23,13 @@
 # 32 bits take 5 bytes in a message. Among 690 servers, the chance that two share a key
 # is 0.006%; their loads would then be added until one restarts.
 KEY_MASK: Final = 0xFFFFFFFF
-TOKENS_PER_UNIT: Final = 1024
+TOKENS_PER_UNIT: Final = 2048
 PACE_UNITS_PER_MS: Final = 100
 AGE_UNIT_S: Final = 0.02
-MAX_AGE_UNITS: Final = 127
 # Limits of what one relay may report of one server. No server runs as many requests,
 # and no engine has memory for as many tokens.
 MAX_IN_FLIGHT: Final = 256
-MAX_KILOTOKENS: Final = 4096
+MAX_TOKEN_UNITS: Final = 2048
 MAX_OUTCOMES: Final = 256
 # Limit of the pace: 1 s per token.
 MAX_PACE: Final = 100_000
@@ -78,7 +77,7 @@
     return ServerObservation(
         server_key(state.incarnation),
         clip(observations.in_flight, MAX_IN_FLIGHT),
-        clip(tokens, MAX_KILOTOKENS),
+        clip(tokens, MAX_TOKEN_UNITS),
         clip(observations.failures(now), MAX_OUTCOMES),
         clip(observations.successes(now), MAX_OUTCOMES),
         clip(observations.silent(now), MAX_IN_FLIGHT),
--- a/wisteriastair/scheduling/merge.py
+++ b/wisteriastair/scheduling/merge.py
@@ -30,6 +30,7 @@
     ServerPace,
     ServerWeight,
     Weights,
+    unpack_loads,
 )
 from ..core.links import MS_PER_S, Link
 from .blocks import BlockStream, HealthSum, LoadSum
@@ -38,10 +39,10 @@
     AGE_UNIT_S,
     KEY_MASK,
     MAX_IN_FLIGHT,
-    MAX_KILOTOKENS,
     MAX_OBSERVATIONS,
     MAX_OUTCOMES,
     MAX_PACE,
+    MAX_TOKEN_UNITS,
     clip,
 )
 
@@ -60,7 +61,7 @@
 # Within a domain: blocks per relay every 0.25 s, and bytes per second. With 2 kB/s for
 # the reports themselves this is below the 9 kB/s that control may use.
 PICTURE_INTERVAL_S: Final = 0.25
-PICTURE_BYTES_PER_S: Final = 7000.0
+PICTURE_BYTES_PER_S: Final = 6500.0
 # Between domains, where bytes are expensive: half as often and about half of the bytes.
 SUMS_INTERVAL_S: Final = 0.5
 SUMS_BYTES_PER_S: Final = 4000.0
@@ -79,7 +80,7 @@
 # Limits of the memory that relays and keepers can make a keeper use.
 MAX_RELAYS: Final = 1024
 MAX_PEERS: Final = 64
-# Sums of another keeper are clipped to the limits of this number of relays.
+# Outcomes from another keeper are clipped to the limits of this number of relays.
 RELAYS_PER_SUM: Final = 64
 # Several failing or silent requests of one relay count as two witnesses.
 MAX_WITNESSES_PER_RELAY: Final = 2
@@ -314,16 +315,13 @@
         return peer
 
     def _apply_block(self, peer: _Peer, block: PictureBlock, made_at: float) -> None:
-        limit = MAX_IN_FLIGHT * RELAYS_PER_SUM
-        token_limit = MAX_KILOTOKENS * RELAYS_PER_SUM
-        for load in block.loads[:MAX_OBSERVATIONS]:
-            if not self._is_known(load.server):
-                continue
-            in_flight = clip(load.in_flight, limit)
-            kilotokens = clip(load.kilotokens, token_limit)
-            self.counters.clipped += in_flight != load.in_flight
-            as_of = made_at - max(0, load.age) * AGE_UNIT_S
-            peer.loads[load.server] = LoadSum(in_flight, kilotokens, as_of)
+        for load in unpack_loads(block.loads)[:MAX_OBSERVATIONS]:
+            if self._is_known(load.server):
+                as_of = made_at - load.age * AGE_UNIT_S
+                peer.loads[load.server] = LoadSum(
+                    load.in_flight, load.token_units, as_of
+                )
+        limit = MAX_OUTCOMES * RELAYS_PER_SUM
         for health in block.healths[:MAX_OBSERVATIONS]:
             if self._is_known(health.server):
                 peer.healths[health.server] = HealthSum(
@@ -423,8 +421,8 @@
         healths: dict[int, HealthSum] = {}
         for relay in self._relays.values():
             for server, (seen, as_of) in relay.contributions.items():
-                if seen.in_flight or seen.kilotokens:
-                    part = LoadSum(seen.in_flight, seen.kilotokens, as_of)
+                if seen.in_flight or seen.token_units:
+                    part = LoadSum(seen.in_flight, seen.token_units, as_of)
                     loads[server] = _add_loads(loads.get(server), part)
                 bad = seen.failures + seen.silent
                 if bad or seen.successes:
@@ -450,7 +448,7 @@
         loads, healths = self._own_sums()
         for peer in self._peers.values():
             for server, load in peer.loads.items():
-                if load.in_flight or load.kilotokens:
+                if load.in_flight or load.token_units:
                     loads[server] = _add_loads(loads.get(server), load)
             for server, health in peer.healths.items():
                 healths[server] = _add_healths(healths.get(server), health)
@@ -576,7 +574,7 @@
     return ServerObservation(
         raw.server,
         clip(raw.in_flight, MAX_IN_FLIGHT),
-        clip(raw.kilotokens, MAX_KILOTOKENS),
+        clip(raw.token_units, MAX_TOKEN_UNITS),
         clip(raw.failures, MAX_OUTCOMES),
         clip(raw.successes, MAX_OUTCOMES),
         clip(raw.silent, MAX_IN_FLIGHT),
@@ -589,7 +587,7 @@
         return part
     return LoadSum(
         total.in_flight + part.in_flight,
-        total.kilotokens + part.kilotokens,
+        total.token_units + part.token_units,
         min(total.as_of, part.as_of),
     )
 
--- a/wisteriastair/scheduling/picture.py
+++ b/wisteriastair/scheduling/picture.py
@@ -21,6 +21,7 @@
     PictureBlock,
     ServerObservation,
     Weights,
+    unpack_loads,
 )
 from .capacity import StepChange, clip_step, weight_of_step
 from .digest import (
@@ -81,7 +82,7 @@
 
 class _OthersEntry(NamedTuple):
     in_flight: int
-    kilotokens: int
+    token_units: int
     as_of: float
 
 
@@ -152,14 +153,11 @@
 
     Attributes
     ----------
-    clipped : int
-        Number of received entries that were out of range.
     weights_id : int
         Id of the capacity steps in use.
     """
 
     def __init__(self, fleet: Fleet) -> None:
-        self.clipped = 0
         self.weights_id = UNKNOWN_WEIGHTS
         self._fleet = fleet
         self._others: dict[int, _OthersEntry] = {}
@@ -184,7 +182,7 @@
             silent = min(entry.in_flight, outcomes.others_silent)
         return OthersLoad(
             entry.in_flight,
-            entry.kilotokens * TOKENS_PER_UNIT,
+            entry.token_units * TOKENS_PER_UNIT,
             silent,
             max(0.0, now - entry.as_of),
         )
@@ -227,16 +225,14 @@
         if now - made_at > MAX_AGE_S:
             return
         self._updated_at = max(self._updated_at, made_at)
-        for load in block.loads[:MAX_OBSERVATIONS]:
-            in_flight = clip(load.in_flight, MAX_SUM)
-            kilotokens = clip(load.kilotokens, MAX_SUM)
-            self.clipped += (in_flight, kilotokens) != (load.in_flight, load.kilotokens)
+        for load in unpack_loads(block.loads)[:MAX_OBSERVATIONS]:
+            in_flight, token_units = load.in_flight, load.token_units
             seen = own(load.server)
             if seen is not None:
                 in_flight = max(0, in_flight - seen.in_flight)
-                kilotokens = max(0, kilotokens - seen.kilotokens)
-            as_of = made_at - max(0, load.age) * AGE_UNIT_S
-            self._others[load.server] = _OthersEntry(in_flight, kilotokens, as_of)
+                token_units = max(0, token_units - seen.token_units)
+            as_of = made_at - load.age * AGE_UNIT_S
+            self._others[load.server] = _OthersEntry(in_flight, token_units, as_of)
         for health in block.healths[:MAX_OBSERVATIONS]:
             silent = clip(health.silent, MAX_SUM)
             seen = own(health.server)
