Shared picture: tests with real connections and processes

Guards what the digests are made of (outcomes of each kind of response, reserved tokens) and the switch: without the contract "pressure" no process sends one byte of the picture.

--- a/tests/platform/settings_file.py
+++ b/tests/platform/settings_file.py
@@ -18,6 +18,7 @@
     seeds: tuple[str, ...] = (),
     front: str = "",
     ready: str = "",
+    contracts: tuple[str, ...] = (),
 ) -> Path:
     """Write a settings file and return its path.
 
@@ -27,6 +28,8 @@
         ``IP:PORT`` of instances with a disk.
     front, ready : str
         Addresses that a relay listens on; empty for a keeper.
+    contracts : tuple of str
+        Names of the contracts in force.
     """
     path.write_text(
         f"""
@@ -35,6 +38,7 @@
 zone = "{zone}"
 internalPorts = [{internal_port}, {internal_port}]
 seeds = {json.dumps(list(seeds))}
+contracts = {json.dumps(list(contracts))}
 bootstrap = true
 dataDir = "{data_dir}"
 listen = {{ front = "{front}", ready = "{ready}" }}
--- a/tests/relay/machines.py
+++ b/tests/relay/machines.py
@@ -62,6 +62,7 @@
     def __init__(self, folder: Path, store: StoreStandin) -> None:
         self.front = free_port()
         self.ready = free_port()
+        self.contracts: tuple[str, ...] = ()
         self._internal = free_port()
         self._folder = folder
         self._store = store
@@ -79,6 +80,7 @@
             seeds=(f"{KEEPER_IP}:1", f"{OTHER_KEEPER_IP}:1"),
             front=f"{ip}:{self.front}",
             ready=f"{ip}:{self.ready}",
+            contracts=self.contracts,
         )
 
     @asynccontextmanager
