Shared picture: look only at servers with requests or outcomes

A relay looked at all servers four times a second. At 690 servers that took most of its time for the picture. It now looks at those with requests in flight, recent outcomes or merged outcomes (python -m tests.core.bench_picture).

--- a/tests/core/bench_picture.py
+++ b/tests/core/bench_picture.py
@@ -1,4 +1,4 @@
-"""Sizes, rates and processor time of the shared picture, by the production encoder.
+"""Rates and processor time of the shared picture, by the production encoder.
 
 ``python -m tests.core.bench_picture`` plays some seconds of deployments in virtual time
 and prints, for each kind of link, the bytes per second of the busiest one.
@@ -6,8 +6,8 @@
 
 from __future__ import annotations
 
-import time
 from collections import Counter
+from statistics import median
 from typing import Final, NamedTuple
 
 from tests.relay.picture_world import World
@@ -36,6 +36,9 @@
         Bytes per second between domains, all links together.
     seen : float
         Fraction of the requests of others that relays know of.
+    relay_percent, keeper_percent : float
+        Processor time of a process without the codec, in percent of a core.  Medians,
+        as pauses of the garbage collector of this program fall to one process each.
     """
 
     up: float
@@ -43,7 +46,8 @@
     cross: float
     cross_total: float
     seen: float
-    wall_s: float
+    relay_percent: float
+    keeper_percent: float
 
 
 def play(relays: int, servers: int, domains: int, keepers: int, load: int) -> Result:
@@ -52,12 +56,11 @@
     _change_load(world, load, 1.0)
     world.run(2.0)
     world.bytes_sent.clear()
-    started_at = time.perf_counter()
+    world.busy_s.clear()
     for _ in range(round(PLAY_S / STEP_S)):
         # A request lasts about a second, so a tenth of them changes in each step.
         _change_load(world, load, STEP_S)
         world.run(STEP_S)
-    wall_s = time.perf_counter() - started_at
     rates: dict[str, list[float]] = {"up": [0], "down": [0], "cross": [0]}
     for (one, other), size in world.bytes_sent.items():
         kind = "up" if one[0] == "r" else "down" if other[0] == "r" else "cross"
@@ -68,7 +71,8 @@
         max(rates["cross"]),
         world.cross_domain_bytes() / PLAY_S,
         _seen_fraction(world),
-        wall_s,
+        _percent(world, "r"),
+        _percent(world, "k"),
     )
 
 
@@ -88,6 +92,11 @@
         relay.set_in_flight(number, count + 1, REQUEST_TOKENS)
 
 
+def _percent(world: World, kind: str) -> float:
+    busy = [seconds for name, seconds in world.busy_s.items() if name[0] == kind]
+    return 100 * median(busy) / PLAY_S
+
+
 def _seen_fraction(world: World) -> float:
     totals: Counter[int] = Counter()
     for relay in world.relays:
@@ -104,13 +113,15 @@
 
 def main() -> None:
     """Print a table."""
-    print("relays servers domains   up   down  cross  cross all  seen  wall s")
+    print(
+        "relays servers domains   up   down  cross  cross all  seen  relay % keeper %"
+    )
     for size in SIZES:
         result = play(*size)
         print(
             f"{size[0]:6} {size[1]:7} {size[2]:7} {result.up:5.0f} {result.down:6.0f}"
             f" {result.cross:6.0f} {result.cross_total:10.0f} {result.seen:5.2f}"
-            f" {result.wall_s:7.1f}"
+            f" {result.relay_percent:8.2f} {result.keeper_percent:8.2f}"
         )
 
 
--- a/tests/relay/picture_world.py
+++ b/tests/relay/picture_world.py
@@ -9,7 +9,8 @@
 import heapq
 import json
 import random
-from collections import Counter
+import time
+from collections import Counter, defaultdict
 from collections.abc import Callable
 
 from wisteriastair.core.hashing import address_of
@@ -172,6 +173,8 @@
         self.cut: set[tuple[str, str]] = set()
         self.bytes_sent: Counter[tuple[str, str]] = Counter()
         self.messages: Counter[str] = Counter()
+        # Seconds of processor time by address, without the codec.
+        self.busy_s: defaultdict[str, float] = defaultdict(float)
         self.on_check: Callable[[], None] = lambda: None
         self._incarnations = 0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -235,7 +238,10 @@
     def _tick(self, relay: RelayProcess) -> None:
         if not relay.is_alive:
             return
-        for to, digest in relay.client.tick(self.now + relay.clock):
+        started_at = time.process_time()
+        digests = relay.client.tick(self.now + relay.clock)
+        self.busy_s[relay.address] += time.process_time() - started_at
+        for to, digest in digests:
             self.send(relay.member, to, digest)
         self.at(REPORT_INTERVAL_S, lambda: self._tick(relay))
 
@@ -261,12 +267,17 @@
             if is_target and isinstance(message, RelayDigest | DomainSums):
                 keeper.picture.set_view(self.view)
                 now = self.now + keeper.clock
-                for target, reply in keeper.picture.receive(sender, message, now):
+                started_at = time.process_time()
+                replies = keeper.picture.receive(sender, message, now)
+                self.busy_s[address] += time.process_time() - started_at
+                for target, reply in replies:
                     self.send(keeper.member, target, reply)
             return
         for relay in self.relays:
             if relay.member == to and isinstance(message, PictureUpdate):
+                started_at = time.process_time()
                 relay.client.receive(sender, message, self.now + relay.clock)
+                self.busy_s[address] += time.process_time() - started_at
 
     # Checks
 
--- a/tests/scheduling/test_digest.py
+++ b/tests/scheduling/test_digest.py
@@ -15,7 +15,7 @@
     DigestSource,
     server_key,
 )
-from wisteriastair.scheduling.fleet import Server, ServerState
+from wisteriastair.scheduling.fleet import Fleet, Server, ServerState
 
 
 def state(number: int) -> ServerState:
@@ -23,7 +23,18 @@
 
 
 def test_idle_servers_are_not_reported() -> None:
-    assert DigestSource().next_observations([state(0)], 0.0) == []
+    servers = Fleet()
+    for n in range(3):
+        servers.put(state(n).server)
+    busy = servers.get("s1")
+    assert busy is not None
+    assert servers.active_states(0.0) == []
+    req = busy.observations.open(1, 0.0)
+    assert servers.active_states(0.0) == [busy]
+    busy.observations.close(req, 0.0, succeeded=True)
+    assert servers.active_states(0.5) == [busy]
+    assert servers.active_states(2.0) == []
+    assert DigestSource().next_observations(servers.active_states(2.0), 2.0) == []
 
 
 def test_an_unchanged_server_is_reported_again_after_the_refresh_time() -> None:
@@ -41,10 +52,9 @@
     req = server.observations.open(10, 0.0)
     source.next_observations([server], 0.0)
     server.observations.close(req, 0.1, succeeded=None)
-    (seen,) = source.next_observations([server], 0.2)
-    assert seen.in_flight == 0
-    assert source.next_observations([server], 5.0) == []
-    assert source.next_observations([server], 10.0) == []
+    (seen,) = source.next_observations([], 0.2)
+    assert (seen.server, seen.in_flight) == (server_key("s0.3"), 0)
+    assert source.next_observations([], 0.4) == []
 
 
 def test_changed_servers_come_first_and_the_rest_later() -> None:
--- a/tests/scheduling/test_observations.py
+++ b/tests/scheduling/test_observations.py
@@ -25,7 +25,7 @@
         seen.close(seen.open(0, 0.0), 0.0, succeeded=outcome)
     assert (seen.successes(0.5), seen.failures(0.5)) == (1, 2)
     assert (seen.successes(WINDOW_S + 0.1), seen.failures(WINDOW_S + 0.1)) == (0, 0)
-    assert seen.is_idle
+    assert seen.is_idle(WINDOW_S + 0.1)
 
 
 def test_a_request_without_data_becomes_silent() -> None:
--- a/wisteriastair/relay/picture.py
+++ b/wisteriastair/relay/picture.py
@@ -193,7 +193,8 @@
         observations = []
         # The age of a report is known only after the keeper has answered once.
         if receiver.member and now >= self._silent_until:
-            observations = self._source.next_observations(self._fleet.states(), now)
+            active = self._fleet.active_states(now)
+            observations = self._source.next_observations(active, now)
         is_waiting = not receiver.member or receiver.unanswered_since is not None
         is_due = is_waiting or now - receiver.sent_at >= RENEWAL_INTERVAL_S
         if not observations and not is_due:
--- a/wisteriastair/scheduling/digest.py
+++ b/wisteriastair/scheduling/digest.py
@@ -41,8 +41,6 @@
 # Seconds after which an unchanged server is reported again: in each report. With
 # every second report, sums from other domains were often older than 1.5 s.
 REFRESH_S: Final = 0.2
-# Servers that were not reported for this time in seconds have vanished.
-FORGET_AFTER_S: Final = 5.0
 # Seconds after which an unchanged pace is reported again.
 PACE_REFRESH_S: Final = 2.0
 
@@ -92,6 +90,18 @@
     pace_at: float
 
 
+_NEVER: Final = _Reported(ServerObservation(-1, 0, 0), -math.inf, -math.inf)
+
+
+class _Candidate(NamedTuple):
+    """A server that may be reported; sorted by the first three fields."""
+
+    is_unchanged: bool
+    last_at: float
+    incarnation: str
+    observation: ServerObservation
+
+
 class DigestSource:
     """Selects what a relay reports next."""
 
@@ -110,40 +120,39 @@
 
         A server whose last request has ended is reported with zeros once. If that is
         lost, the receiver forgets the server after a second.
+
+        Parameters
+        ----------
+        states : iterable of ServerState
+            The servers with requests in flight or recent outcomes.
         """
-        candidates: list[tuple[bool, float, str, ServerObservation]] = []
+        candidates: list[_Candidate] = []
+        vanished = dict(self._reported)
         for state in states:
-            last = self._reported.get(state.incarnation)
-            if last is None and state.observations.is_idle:
-                continue
+            last = vanished.pop(state.incarnation, _NEVER)
             current = observe(state, now)
-            is_changed = last is None or current != last.observation
-            last_at = last.at if last else -math.inf
-            if not is_changed and now - last_at < REFRESH_S:
-                continue
-            if _is_empty(current) and (not is_changed or last is None):
-                self._reported.pop(state.incarnation, None)
+            is_changed = current != last.observation
+            if not is_changed and now - last.at < REFRESH_S:
                 continue
-            if last is None or now - last.pace_at >= PACE_REFRESH_S:
+            if now - last.pace_at >= PACE_REFRESH_S:
                 pace = _pace_units(learned_pace(state))
                 current = msgspec.structs.replace(current, pace=pace)
-            candidates.append((not is_changed, last_at, state.incarnation, current))
+            candidates.append(
+                _Candidate(not is_changed, last.at, state.incarnation, current)
+            )
+        for incarnation, last in vanished.items():
+            ended = ServerObservation(server_key(incarnation), 0, 0)
+            candidates.append(_Candidate(False, last.at, incarnation, ended))
         candidates.sort(key=lambda candidate: candidate[:3])
         del candidates[MAX_REPORTED:]
-        for _, _, incarnation, current in candidates:
-            last = self._reported.get(incarnation)
-            pace_at = now if current.pace else (last.pace_at if last else -math.inf)
-            without_pace = msgspec.structs.replace(current, pace=0)
-            self._reported[incarnation] = _Reported(without_pace, now, pace_at)
-        self._forget_vanished(now)
-        return [current for _, _, _, current in candidates]
-
-    def _forget_vanished(self, now: float) -> None:
-        """Forget servers that no longer exist."""
-        for incarnation, last in list(self._reported.items()):
-            if now - last.at > FORGET_AFTER_S:
-                del self._reported[incarnation]
-
-
-def _is_empty(seen: ServerObservation) -> bool:
-    return not (seen.in_flight or seen.failures or seen.successes or seen.silent)
+        for candidate in candidates:
+            self._record(candidate, is_ended=candidate.incarnation in vanished, now=now)
+        return [candidate.observation for candidate in candidates]
+
+    def _record(self, candidate: _Candidate, *, is_ended: bool, now: float) -> None:
+        last = self._reported.pop(candidate.incarnation, _NEVER)
+        if is_ended:
+            return
+        pace_at = now if candidate.observation.pace else last.pace_at
+        without_pace = msgspec.structs.replace(candidate.observation, pace=0)
+        self._reported[candidate.incarnation] = _Reported(without_pace, now, pace_at)
--- a/wisteriastair/scheduling/fleet.py
+++ b/wisteriastair/scheduling/fleet.py
@@ -18,6 +18,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from functools import partial
 from typing import Final, NamedTuple
 
 from .observations import Observations
@@ -194,6 +195,8 @@
         self.store_unstable = False
         self._last_resort_s = LAST_RESORT_FRACTION * drain_s
         self._servers: dict[str, ServerState] = {}
+        # Servers that have had requests recently.
+        self._active: set[ServerState] = set()
         self._by_service: dict[str, list[ServerState]] = {}
         # Cached partition of the servers of each service. With 1,500 servers, checking
         # each server per request cost more than the request itself.
@@ -210,6 +213,15 @@
         """Return all known servers."""
         return self._servers.values()
 
+    def active_states(self, now: float) -> list[ServerState]:
+        """Return the servers with own requests in flight or recent outcomes.
+
+        A relay has requests at a few of hundreds of servers.
+        """
+        idle = [s for s in self._active if s.observations.is_idle(now)]
+        self._active.difference_update(idle)
+        return list(self._active)
+
     def put(self, server: Server) -> Server | None:
         """Add or update an entry; return the incarnation that it replaces, or None.
 
@@ -227,6 +239,7 @@
         if state is not None:
             self._discard(state)
         state = ServerState(server)
+        state.observations.on_open = partial(self._active.add, state)
         self._servers[server.id] = state
         self._by_service.setdefault(server.service, []).append(state)
         self._partitions.pop(server.service, None)
@@ -336,6 +349,7 @@
 
     def _discard(self, state: ServerState) -> None:
         del self._servers[state.server.id]
+        self._active.discard(state)
         self._by_service[state.server.service].remove(state)
         self._partitions.pop(state.server.service, None)
 
--- a/wisteriastair/scheduling/observations.py
+++ b/wisteriastair/scheduling/observations.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from typing import Final
 
 # Time in seconds for which failures and successes count.
@@ -62,10 +63,18 @@
 
 
 class Observations:
-    """Requests in flight at one server, and the outcomes of the last second."""
+    """Requests in flight at one server, and the outcomes of the last second.
+
+    Attributes
+    ----------
+    on_open : callable or None
+        Called when a request is sent, so that servers without any need not be looked
+        at.
+    """
 
     def __init__(self) -> None:
         self.reserved_tokens = 0
+        self.on_open: Callable[[], None] | None = None
         self._open: set[OpenRequest] = set()
         self._failures: deque[float] = deque(maxlen=MAX_STORED)
         self._successes: deque[float] = deque(maxlen=MAX_STORED)
@@ -79,16 +88,19 @@
         """Number of requests in flight."""
         return len(self._open)
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether there is nothing to report."""
-        return not self._open and not self._failures and not self._successes
+    def is_idle(self, now: float) -> bool:
+        """Return whether there is nothing to report."""
+        if self._open:
+            return False
+        return not self.failures(now) and not self.successes(now)
 
     def open(self, tokens: int, now: float) -> OpenRequest:
         """Record that a request is sent."""
         req = OpenRequest(self, max(0, tokens), now)
         self._open.add(req)
         self.reserved_tokens += req.tokens
+        if self.on_open is not None:
+            self.on_open()
         return req
 
     def close(self, req: OpenRequest, now: float, *, succeeded: bool | None) -> None:
--- a/wisteriastair/scheduling/picture.py
+++ b/wisteriastair/scheduling/picture.py
@@ -12,7 +12,7 @@
 from __future__ import annotations
 
 import math
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple
 
@@ -45,6 +45,8 @@
 MAX_SUCCESSES_PER_FAILURE: Final = 2
 # At most one server in this number is suspect in a service.
 SERVERS_PER_SUSPECT: Final = 3
+# Seconds after which the list of servers is read again.
+INDEX_INTERVAL_S: Final = 1.0
 # Limits of a sum: more than any server runs or has memory for.
 MAX_SUM: Final = 1 << 20
 # Own reports that are kept per server: those of the oldest block that may arrive.
@@ -167,6 +169,10 @@
         self._evidence: dict[str, _Evidence] = {}
         self._suspects: dict[str, float] = {}
         self._updated_at = -math.inf
+        self._indexed_at = -math.inf
+        self._states: dict[str, ServerState] = {}
+        self._incarnations: dict[int, str] = {}
+        self._service_sizes: Counter[str] = Counter()
 
     # Decisions
 
@@ -269,19 +275,10 @@
             s for s, o in self._outcomes_of.items() if now - o.as_of > MAX_AGE_S
         ]:
             del self._outcomes_of[server]
-        by_service: dict[str, list[ServerState]] = {}
-        sizes: dict[str, int] = {}
-        for state in self._fleet.states():
-            service = state.server.service
-            sizes[service] = sizes.get(service, 0) + 1
+        self._index_fleet(now)
+        for state in self._judged_servers(now):
             self._collect_evidence(state, now)
-            if state.incarnation in self._evidence:
-                by_service.setdefault(service, []).append(state)
-        suspects: dict[str, float] = {}
-        for service, states in by_service.items():
-            states.sort(key=self._suspicion_order)
-            for state in states[: sizes[service] // SERVERS_PER_SUSPECT]:
-                suspects[state.incarnation] = self._evidence[state.incarnation].until
+        suspects = self._choose_suspects()
         changes = [
             SuspectChange(name, True, self._evidence[name].witnesses)
             for name in sorted(suspects.keys() - self._suspects.keys())
@@ -293,6 +290,40 @@
         self._suspects = suspects
         return changes
 
+    def _index_fleet(self, now: float) -> None:
+        """Update what is derived from all servers, which is too slow for each call."""
+        is_same = len(self._fleet) == len(self._states)
+        if is_same and now - self._indexed_at < INDEX_INTERVAL_S:
+            return
+        self._indexed_at = now
+        states = self._fleet.states()
+        self._states = {state.incarnation: state for state in states}
+        self._incarnations = {server_key(name): name for name in self._states}
+        self._service_sizes = Counter(state.server.service for state in states)
+
+    def _judged_servers(self, now: float) -> list[ServerState]:
+        """Return the servers of which there are outcomes."""
+        judged = {state.incarnation: state for state in self._fleet.active_states(now)}
+        for server in self._outcomes_of:
+            name = self._incarnations.get(server)
+            if name is not None:
+                judged[name] = self._states[name]
+        return list(judged.values())
+
+    def _choose_suspects(self) -> dict[str, float]:
+        by_service: dict[str, list[ServerState]] = {}
+        for name in self._evidence:
+            state = self._states.get(name)
+            if state is not None:
+                by_service.setdefault(state.server.service, []).append(state)
+        suspects: dict[str, float] = {}
+        for service, states in by_service.items():
+            states.sort(key=self._suspicion_order)
+            limit = self._service_sizes[service] // SERVERS_PER_SUSPECT
+            for state in states[:limit]:
+                suspects[state.incarnation] = self._evidence[state.incarnation].until
+        return suspects
+
     def _suspicion_order(self, state: ServerState) -> tuple[bool, int, str]:
         """Order suspects; those that are suspect already stay so."""
         is_new = state.incarnation not in self._suspects
@@ -313,7 +344,7 @@
     def _outcomes(self, state: ServerState, now: float) -> _Outcomes | None:
         """Return the merged outcomes of a server, or the own ones without these."""
         merged = self._outcomes_of.get(server_key(state.incarnation))
-        if merged is not None or state.observations.is_idle:
+        if merged is not None:
             return merged
         seen = state.observations
         failures, silent = seen.failures(now), seen.silent(now)
