--- a/tests/relay/test_picture.py
+++ b/tests/relay/test_picture.py
@@ -556,3 +556,53 @@
                 relay.end_requests(target, succeeded=True)
         world.run(0.1)
     assert sent < 40 if shared else sent > 55
+
+
+def _wrong_messages(rng: random.Random) -> list[bytes]:
+    """Return messages with the right types and drawn numbers."""
+    extremes = (-(2**63), -1, 0, 1, 7, 2**31, 2**63, 2**64 - 1)
+
+    def number() -> int:
+        return rng.choice(extremes)
+
+    def numbers(count: int) -> list[int]:
+        return [number() for _ in range(count)]
+
+    def block() -> list[object]:
+        return [rng.randbytes(rng.randrange(30)), [numbers(6)]]
+
+    weights = [number(), [numbers(2), numbers(2)]]
+    blocks = [block(), block()]
+    return [
+        msgspec.msgpack.encode([14, numbers(3), [numbers(7)], number()]),
+        msgspec.msgpack.encode(
+            [15, numbers(3), numbers(2), numbers(2), blocks, weights]
+        ),
+        msgspec.msgpack.encode(
+            [16, numbers(3), number(), numbers(2), blocks, [numbers(3)], weights]
+        ),
+    ]
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_failure_drawn_numbers_in_all_messages(seed: int) -> None:
+    """An exception in a handler would end the process that receives the message."""
+    rng = random.Random(seed)
+    world = busy_world()
+    world.run(SETTLE_S)
+    keepers = sorted(world.keepers)
+    decoded = 0
+    for _ in range(300):
+        for data in _wrong_messages(rng):
+            for target in (*keepers, *(relay.member for relay in world.relays)):
+                try:
+                    decode_ledger(data)
+                except msgspec.DecodeError:
+                    continue
+                decoded += 1
+                sender = rng.choice([f"{k}#wrong" for k in keepers] + ["r9:1#wrong"])
+                world._deliver(sender, target, data)
+        world.run(0.02)
+    assert decoded > 1000
+    world.run(12.0)
+    assert others_of(world) == all_but_own(world)
