Shared picture: bounded log lines of a relay

A relay whose keepers are away changes keepers every second, and a fault of the network changes its suspects several times a second; each wrote lines. They share a limit of 8 lines in 2 s now.

--- a/tests/relay/test_picture.py
+++ b/tests/relay/test_picture.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import math
 import random
 
@@ -22,7 +23,12 @@
     encode_ledger,
     pack_loads,
 )
-from wisteriastair.relay.picture import ANSWER_TIMEOUT_S, PictureClient
+from wisteriastair.relay.picture import (
+    ANSWER_TIMEOUT_S,
+    LOG_INTERVAL_S,
+    MAX_LOGGED,
+    PictureClient,
+)
 from wisteriastair.scheduling.capacity import (
     CONFIRMATIONS,
     DECISION_INTERVAL_S,
@@ -606,3 +612,20 @@
     assert decoded > 1000
     world.run(12.0)
     assert others_of(world) == all_but_own(world)
+
+
+def test_log_lines_are_bounded(caplog: pytest.LogCaptureFixture) -> None:
+    """All keepers are away and all servers fail, for a long time."""
+    caplog.set_level(logging.INFO)
+    world = World(relays=1, servers=90)
+    for address in list(world.keepers):
+        world.kill_keeper(address)
+    relay = world.relays[0]
+    seconds = 20.0
+    for _ in range(10):
+        for number in range(90):
+            relay.end_requests(number, succeeded=False, count=2)
+        world.run(seconds / 10)
+    assert any(r.message == "server suspect" for r in caplog.records)
+    assert any(r.message.startswith("reporting servers") for r in caplog.records)
+    assert len(caplog.records) <= MAX_LOGGED * (seconds / LOG_INTERVAL_S + 1)
--- a/wisteriastair/relay/picture.py
+++ b/wisteriastair/relay/picture.py
@@ -44,9 +44,10 @@
 ANSWER_TIMEOUT_S: Final = 1.0
 # Seconds between two attempts to return to the preferred keeper.
 RETURN_INTERVAL_S: Final = 5.0
-# Log lines about servers per call and kind.  A change of many servers at once would
-# otherwise write hundreds.
+# Log lines per interval in seconds.  A fault of the network changes what is known of
+# many servers at once, and again and again.
 MAX_LOGGED: Final = 8
+LOG_INTERVAL_S: Final = 2.0
 
 log = logging.getLogger(__name__)
 
@@ -70,6 +71,22 @@
         return self.member or self.address
 
 
+class _LineLimit:
+    """Limits the lines that are logged per interval, and counts the others."""
+
+    def __init__(self) -> None:
+        self._since = -math.inf
+        self._count = 0
+
+    def allows(self, now: float) -> bool:
+        """Return whether one more line may be logged."""
+        if now - self._since >= LOG_INTERVAL_S:
+            self._since = now
+            self._count = 0
+        self._count += 1
+        return self._count <= MAX_LOGGED
+
+
 class PictureClient:
     """Reports to a keeper and applies its replies.
 
@@ -119,6 +136,7 @@
         self._preferred: _Receiver | None = None
         self._reported_at = -math.inf
         self._silent_until = -math.inf
+        self._lines = _LineLimit()
 
     async def run(self, transport: Transport[LedgerMessage]) -> None:
         """Report until cancelled."""
@@ -141,7 +159,7 @@
         """Return the reports to send now, and judge the servers again."""
         if not self._check_enabled():
             return []
-        _log_suspects(self.picture.refresh(now))
+        self._log_suspects(self.picture.refresh(now), now)
         receiver = self._choose_receiver(now)
         if receiver is None:
             return []
@@ -177,7 +195,7 @@
 
     def _switch(self, receiver: _Receiver, now: float) -> _Receiver:
         """Report to another keeper once the last one has forgotten this relay."""
-        if self._receiver is not None:
+        if self._receiver is not None and self._lines.allows(now):
             log.info(
                 "reporting servers to another keeper",
                 extra={"keeper": receiver.address, "before": self._receiver.address},
@@ -260,11 +278,13 @@
             self.picture.apply_block(block, made_at, own, now)
         changes = self.picture.apply_weights(update.weights)
         if changes:
-            self._log_steps(changes)
+            self._log_steps(changes, now)
 
-    def _log_steps(self, changes: list[StepChange]) -> None:
+    def _log_steps(self, changes: list[StepChange], now: float) -> None:
         names = {server_key(s.incarnation): s.server.id for s in self._fleet.states()}
-        for change in changes[:MAX_LOGGED]:
+        for change in changes:
+            if not self._lines.allows(now):
+                return
             log.info(
                 "weight of a server changed",
                 extra={
@@ -275,15 +295,16 @@
                 },
             )
 
-
-def _log_suspects(changes: list[SuspectChange]) -> None:
-    for change in changes[:MAX_LOGGED]:
-        text = "server suspect" if change.is_suspect else "server no longer suspect"
-        log.info(
-            text,
-            extra={
-                "server": change.incarnation,
-                "witnesses": change.witnesses,
-                "changes": len(changes),
-            },
-        )
+    def _log_suspects(self, changes: list[SuspectChange], now: float) -> None:
+        for change in changes:
+            if not self._lines.allows(now):
+                return
+            text = "server suspect" if change.is_suspect else "server no longer suspect"
+            log.info(
+                text,
+                extra={
+                    "server": change.incarnation,
+                    "witnesses": change.witnesses,
+                    "changes": len(changes),
+                },
+            )
