--- a/wisteriastair/core/ledgerwire.py
+++ b/wisteriastair/core/ledgerwire.py
@@ -7,8 +7,10 @@
 
 from __future__ import annotations
 
+import struct
+from collections.abc import Iterable
 from enum import IntEnum
-from typing import Final
+from typing import Final, NamedTuple
 
 import msgspec
 
@@ -16,6 +18,9 @@
 from .membership import View
 from .quota import Permit
 
+# Id of capacity steps that no keeper has decided yet.
+UNKNOWN_WEIGHTS: Final = -1
+
 
 class ReplyStatus(IntEnum):
     """Result of a request at a replica."""
@@ -242,6 +247,191 @@
     permit: Permit
 
 
+class ServerObservation(msgspec.Struct, frozen=True, array_like=True):
+    """What one relay has observed of a server.
+
+    All numbers are integers, so NaN and infinity cannot be decoded.  Receivers clip the
+    numbers.
+
+    Attributes
+    ----------
+    server : int
+        Key of the server's incarnation, a hash of 32 bits.
+    in_flight : int
+        Requests that the relay has at the server.
+    token_units : int
+        Tokens of their prompts and maximum outputs, in units of 2,048.
+    failures, successes : int
+        Requests of the last second that failed and that succeeded.
+    silent : int
+        Requests in flight that have been silent for longer than usual.
+    pace : int
+        Time per generated token in units of 10 us; 0 if unknown or not reported now.
+    """
+
+    server: int
+    in_flight: int
+    token_units: int
+    failures: int = 0
+    successes: int = 0
+    silent: int = 0
+    pace: int = 0
+
+
+class ServerLoad(NamedTuple):
+    """Sum of the load of some relays on a server.
+
+    Packed into 7 bytes, as these entries make up most of the traffic.  As an array of
+    MessagePack they took 10 bytes, and the budget of a link was too small to send 690
+    of them again before they expired.
+
+    Attributes
+    ----------
+    in_flight, token_units : int
+        Requests, and tokens in units of 2,048; at most 255.
+    age : int
+        Age of the oldest part of the sum, in units of 20 ms; at most 255.
+    """
+
+    server: int
+    in_flight: int
+    token_units: int
+    age: int = 0
+
+
+class ServerHealth(msgspec.Struct, frozen=True, array_like=True):
+    """Failures of a server, as observed by some relays.
+
+    Attributes
+    ----------
+    witnesses : int
+        Relays that observe failures or silence; a relay with several such requests
+        counts twice.
+    age : int
+        Age of the oldest part of the sums, in units of 20 ms.
+    """
+
+    server: int
+    failures: int
+    successes: int
+    silent: int
+    witnesses: int
+    age: int = 0
+
+
+class ServerPace(msgspec.Struct, frozen=True, array_like=True):
+    """Median pace of a server among some relays, in units of 10 us per token."""
+
+    server: int
+    pace: int
+    relays: int
+
+
+class ServerWeight(msgspec.Struct, frozen=True, array_like=True):
+    """Capacity step of a server; servers at step 0 are omitted."""
+
+    server: int
+    step: int
+
+
+class Weights(msgspec.Struct, frozen=True, array_like=True):
+    """Capacity steps of all servers.
+
+    Attributes
+    ----------
+    id : int
+        Hash of the steps; `UNKNOWN_WEIGHTS` if the sender has none.
+    steps : list of ServerWeight or None
+        None if the receiver has reported that it holds these.
+    """
+
+    id: int = UNKNOWN_WEIGHTS
+    steps: list[ServerWeight] | None = None
+
+
+class PictureBlock(msgspec.Struct, frozen=True, array_like=True):
+    """Entries that a keeper selected at one time.
+
+    Attributes
+    ----------
+    loads : bytes
+        Packed entries; see `pack_loads`.
+    """
+
+    loads: bytes = b""
+    healths: list[ServerHealth] = []
+
+
+class LinkTiming(msgspec.Struct, frozen=True, array_like=True):
+    """Order and age of a message on one link, independent of the clocks of both ends.
+
+    Attributes
+    ----------
+    stamp : int
+        Clock of the sender in ms, which the receiver returns.  It increases with each
+        message on the link.
+    echo : int
+        Newest stamp received from the receiver of this message; -1 if there is none.
+    held_ms : int
+        Milliseconds between receiving that stamp and sending this message.
+    """
+
+    stamp: int
+    echo: int = -1
+    held_ms: int = 0
+
+
+class RelayDigest(msgspec.Struct, frozen=True, array_like=True, tag=14):
+    """What a relay has observed of servers, to a keeper, which replies to it.
+
+    Attributes
+    ----------
+    weights : int
+        Id of the capacity steps that the relay uses.
+    """
+
+    timing: LinkTiming
+    observations: list[ServerObservation] = []
+    weights: int = UNKNOWN_WEIGHTS
+
+
+class PictureUpdate(msgspec.Struct, frozen=True, array_like=True, tag=15):
+    """Merged picture of the servers; reply to `RelayDigest`.
+
+    Attributes
+    ----------
+    included : list of int
+        For each block, the stamp of the relay's newest digest that its sums include.
+    ages_ms : list of int
+        Age of each block.
+    blocks : list of PictureBlock
+        Blocks since the last reply, oldest first.
+    """
+
+    timing: LinkTiming
+    included: list[int] = []
+    ages_ms: list[int] = []
+    blocks: list[PictureBlock] = []
+    weights: Weights = Weights()
+
+
+class DomainSums(msgspec.Struct, frozen=True, array_like=True, tag=16):
+    """Sums over the relays that report to one keeper, to another such keeper.
+
+    Attributes
+    ----------
+    best_rank : int
+        Lowest rank among the sender and the keepers that it hears directly.
+    """
+
+    timing: LinkTiming
+    best_rank: int
+    ages_ms: list[int] = []
+    blocks: list[PictureBlock] = []
+    paces: list[ServerPace] = []
+    weights: Weights = Weights()
+
+
 LedgerMessage = (
     Write
     | FanOutWrite
@@ -256,8 +446,16 @@
     | StoreUpdate
     | PermitRequest
     | PermitReply
+    | RelayDigest
+    | PictureUpdate
+    | DomainSums
 )
 
+_LOAD_FORMAT: Final = struct.Struct("<IBBB")
+LOAD_BYTES: Final = _LOAD_FORMAT.size
+MAX_PACKED: Final = 255
+MAX_PACKED_SERVER: Final = 0xFFFFFFFF
+
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _DECODER: Final = msgspec.msgpack.Decoder(LedgerMessage)
 
@@ -276,3 +474,22 @@
         If the data is not a valid message.
     """
     return _DECODER.decode(data)
+
+
+def pack_loads(loads: Iterable[ServerLoad]) -> bytes:
+    """Pack entries; numbers above the limit are reported as the limit."""
+    return b"".join(
+        _LOAD_FORMAT.pack(
+            load.server & MAX_PACKED_SERVER,
+            max(0, min(MAX_PACKED, load.in_flight)),
+            max(0, min(MAX_PACKED, load.token_units)),
+            max(0, min(MAX_PACKED, load.age)),
+        )
+        for load in loads
+    )
+
+
+def unpack_loads(data: bytes) -> list[ServerLoad]:
+    """Unpack entries; an incomplete one at the end is ignored."""
+    whole = len(data) - len(data) % LOAD_BYTES
+    return [ServerLoad(*entry) for entry in _LOAD_FORMAT.iter_unpack(data[:whole])]
--- a/wisteriastair/scheduling/fleet.py
+++ b/wisteriastair/scheduling/fleet.py
@@ -17,8 +17,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+from functools import partial
 from typing import Final, NamedTuple
 
+from .observations import Observations
 from .reuse import CachedSegments
 
 # Consecutive failures after which a server is ejected, and the first ejection time in
@@ -106,6 +109,7 @@
         self._load_at = float("-inf")
         self._in_flight_at_report = 0
         self.cached_segments = CachedSegments()
+        self.observations = Observations()
 
     def record_load(self, load: Load, now: float) -> None:
         """Store a load report."""
@@ -130,6 +134,11 @@
             0, reported - self._in_flight_at_report
         )
 
+    @property
+    def reports_pace(self) -> bool:
+        """Whether the last load report had the fourth figure."""
+        return getattr(self._load, "pace", None) is not None
+
     def removed_within(self, seconds: float, now: float) -> bool:
         """Return whether the entry was removed at most `seconds` ago."""
         return self.removed_at is not None and now - self.removed_at <= seconds
@@ -186,6 +195,8 @@
         self.store_unstable = False
         self._last_resort_s = LAST_RESORT_FRACTION * drain_s
         self._servers: dict[str, ServerState] = {}
+        # Servers that have had requests recently.
+        self._active: set[ServerState] = set()
         self._by_service: dict[str, list[ServerState]] = {}
         # Cached partition of the servers of each service. With 1,500 servers, checking
         # each server per request cost more than the request itself.
@@ -198,6 +209,19 @@
         """Return a known server, or None."""
         return self._servers.get(server_id)
 
+    def states(self) -> Iterable[ServerState]:
+        """Return all known servers."""
+        return self._servers.values()
+
+    def active_states(self, now: float) -> list[ServerState]:
+        """Return the servers with own requests in flight or recent outcomes.
+
+        A relay has requests at a few of hundreds of servers.
+        """
+        idle = [s for s in self._active if s.observations.is_idle(now)]
+        self._active.difference_update(idle)
+        return list(self._active)
+
     def put(self, server: Server) -> Server | None:
         """Add or update an entry; return the incarnation that it replaces, or None.
 
@@ -215,6 +239,7 @@
         if state is not None:
             self._discard(state)
         state = ServerState(server)
+        state.observations.on_open = partial(self._active.add, state)
         self._servers[server.id] = state
         self._by_service.setdefault(server.service, []).append(state)
         self._partitions.pop(server.service, None)
@@ -324,6 +349,7 @@
 
     def _discard(self, state: ServerState) -> None:
         del self._servers[state.server.id]
+        self._active.discard(state)
         self._by_service[state.server.service].remove(state)
         self._partitions.pop(state.server.service, None)
 
