Choose servers of paced services by predicted finish

Cause: servers count as equally fast, so a server at 0.46 of the speed gets 0.5 to 0.9 of the requests of a fast one, also while fast ones are idle.

Change: scheduling/pace.py learns milliseconds per token from gaps between events, corrected for the reported figure, and notices silent servers. scheduling/finish.py chooses the least predicted finish among a few drawn servers. Rendezvous hashing and affinity accept weights. ServerPicture is the interface to what other relays know.

--- a/tests/core/bench.py
+++ b/tests/core/bench.py
@@ -18,7 +18,9 @@
 from wisteriastair.core.quota import QuotaBounds, QuotaHolder
 from wisteriastair.platform.credentials import key_digest
 from wisteriastair.scheduling.choice import SelectionContext, select_server
-from wisteriastair.scheduling.fleet import Fleet, Load, Server
+from wisteriastair.scheduling.finish import FinishChooser, NoPicture
+from wisteriastair.scheduling.fleet import Fleet, Load, Server, ServerState
+from wisteriastair.scheduling.pace import ServicePace
 from wisteriastair.scheduling.reuse import PromptSegment, rendezvous_server
 
 SERVERS: Final = (23, 30, 300)
@@ -32,6 +34,9 @@
     """Print the median times."""
     for count in SERVERS:
         print(f"one choice of {count} servers: {choice_us(count):.1f} us")
+        print(
+            f"one choice by finish of {count} servers: {finish_choice_us(count):.1f} us"
+        )
     for count in CUSTOMERS:
         print(f"the holder of a key among {count}: {key_us(count):.2f} us")
         print(f"one permit among {count} customers: {permit_us(count):.2f} us")
@@ -82,14 +87,74 @@
 def choice_us(count: int) -> float:
     """Return the time of one server selection."""
     rng = random.Random(1)
+    states, prompts = make_servers(count, rng)
+    names = tuple(state.server.id for state in states)
+    connected = frozenset(state.server.incarnation for state in states[::2])
+
+    def choose_all() -> None:
+        for prompt in prompts:
+            rendezvous_id = rendezvous_server(prompt, names)
+            context = SelectionContext(
+                "d1", prompt, frozenset(), 20.0, connected, rendezvous_id=rendezvous_id
+            )
+            select_server(states, context, rng.randrange, 0.1)
+
+    return median_us(choose_all, PROGRAMS)
+
+
+def finish_choice_us(count: int) -> float:
+    """Return the time of one choice by predicted finish, with affinity servers."""
+    rng = random.Random(1)
+    states, prompts = make_servers(count, rng)
+    names = tuple(state.server.id for state in states)
+    connected = frozenset(state.server.incarnation for state in states[::2])
+    affinity_servers = frozenset(state.server.id for state in states[::3])
+    service = ServicePace()
+    chooser = FinishChooser(service, "d1", NoPicture(), rng.randrange)
+    for state in states:
+        pace = state.pace
+        timer = pace.start(0.0, 1)
+        for event in range(1, 7):
+            pace.record_events(timer, 1, event * rng.uniform(0.04, 0.08))
+        pace.record_stream(
+            timer, service, 0.3, tokens_per_event=44, missing_tokens=2_500
+        )
+        pace.end(timer, 0.3)
+        pace.record_others(rng.randrange(6), 0.3, service)
+        pace.record_figure(rng.choice([100.0, 250.0]))
+        # The own streams in flight are checked for silence.
+        if rng.random() < 0.3:
+            state.in_flight = 1
+            pace.start(0.4, 1)
+
+    def choose_all() -> None:
+        for prompt in prompts:
+            rendezvous_id = rendezvous_server(prompt, names)
+            context = SelectionContext(
+                "d1",
+                prompt,
+                frozenset(),
+                20.0,
+                connected,
+                affinity_servers,
+                rendezvous_id,
+            )
+            chooser.choose(states, context, 264, 0.4)
+
+    return median_us(choose_all, PROGRAMS)
+
+
+def make_servers(
+    count: int, rng: random.Random
+) -> tuple[list[ServerState], list[tuple[PromptSegment, ...]]]:
+    """Return servers with reported load, and prompts that they have cached."""
     fleet = Fleet()
     for number in range(count):
         domain = f"d{number % 3}"
         fleet.put(Server(f"s{number}", "svc", "a:1", domain, 48, False, 0.0))
     states = fleet.eligible_servers("svc", 0.0)
-    names = tuple(state.server.id for state in states)
     shared = PromptSegment("shared", 2_500)
-    prompts = [
+    prompts: list[tuple[PromptSegment, ...]] = [
         (shared, PromptSegment(f"line-{n}", 2_000), PromptSegment(f"helper-{n}", 500))
         for n in range(PROGRAMS)
     ]
@@ -98,17 +163,7 @@
     for state in states:
         state.record_load(Load(rng.randrange(20), 0, 48), 0.0)
         state.record_success(rng.uniform(0.2, 0.6))
-    connected = frozenset(state.server.incarnation for state in states[::2])
-
-    def choose_all() -> None:
-        for prompt in prompts:
-            rendezvous_id = rendezvous_server(prompt, names)
-            context = SelectionContext(
-                "d1", prompt, frozenset(), 20.0, connected, rendezvous_id=rendezvous_id
-            )
-            select_server(states, context, rng.randrange, 0.1)
-
-    return median_us(choose_all, PROGRAMS)
+    return states, prompts
 
 
 if __name__ == "__main__":
--- a/wisteriastair/core/hashing.py
+++ b/wisteriastair/core/hashing.py
@@ -7,10 +7,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import math
+from collections.abc import Iterable, Mapping
 from hashlib import blake2b
+from typing import Final
 
 HASH_BYTES = 8
+# Bits of a hash that make up a score: a float holds them and half of the last one, so
+# that no score is infinite.
+SCORE_BITS: Final = 52
 
 
 def hash64(*parts: str) -> int:
@@ -24,6 +29,33 @@
     return sorted(candidates, key=lambda name: hash64(item, name), reverse=True)
 
 
+def weighted_score(hash_value: int, weight: float) -> float:
+    """Return the score of a candidate in weighted rendezvous hashing.
+
+    The candidate with the highest score is chosen. Its probability is proportional to
+    its weight, and if a weight changes, only items of that candidate move. With equal
+    weights the order is that of the hashes.
+
+    Parameters
+    ----------
+    hash_value : int
+        Hash of item and candidate.
+    weight : float
+        Greater than 0.
+    """
+    leading_bits = hash_value >> (8 * HASH_BYTES - SCORE_BITS)
+    return -weight / math.log((leading_bits + 0.5) / 2.0**SCORE_BITS)
+
+
+def weighted_rendezvous_order(item: str, weights: Mapping[str, float]) -> list[str]:
+    """Order candidates by weighted rendezvous hash of the item."""
+    return sorted(
+        weights,
+        key=lambda name: weighted_score(hash64(item, name), weights[name]),
+        reverse=True,
+    )
+
+
 def program_id(customer: str, key: str) -> str:
     """Return the id of the program for a customer's idempotency key.
 
--- a/wisteriastair/scheduling/__init__.py
+++ b/wisteriastair/scheduling/__init__.py
@@ -8,12 +8,16 @@
 
 ``reuse``
     Prompt segments that servers have cached.
+``pace``
+    Pace of each server, learned from its responses, and its silence.
 ``fleet``
     Known servers, their load and their failures.
 ``affinity``
     Servers preferred for a shared prefix.
 ``choice``
     Selection of a server for a request.
+``finish``
+    Selection by predicted finish, for services whose servers report their pace.
 ``retries``
     Timeouts per attempt and the retry budget of plain services.
 ``reach``
--- a/wisteriastair/scheduling/affinity.py
+++ b/wisteriastair/scheduling/affinity.py
@@ -12,14 +12,15 @@
 Affinity servers are chosen by rendezvous hash in each failure domain. Relays thus agree
 without communication, a server that leaves moves only its own prefixes, and no prefix
 is sent to another domain for its affinity. Affinity is a preference, which load can
-outweigh.
+outweigh. If the servers of a service differ in capacity, they are chosen in proportion
+to their weights, which all relays know alike.
 """
 
 from __future__ import annotations
 
 from typing import Final, NamedTuple
 
-from ..core.hashing import rendezvous_order
+from ..core.hashing import rendezvous_order, weighted_rendezvous_order
 from .fleet import ServerState
 
 # A prefix that was not requested for this time in seconds is not counted. It is several
@@ -58,6 +59,7 @@
         # Cached affinity servers for the most recent list of servers.
         self._servers: list[ServerState] = []
         self._ids: list[str] = []
+        self._weights: tuple[float, ...] = ()
         self._cached_servers: dict[tuple[str, int], frozenset[str]] = {}
 
     def record_use(self, prefix: str, tokens: int, now: float) -> None:
@@ -76,21 +78,33 @@
             self._active_tokens -= use.tokens
 
     def affinity_servers(
-        self, prefix: str, servers: list[ServerState]
+        self,
+        prefix: str,
+        servers: list[ServerState],
+        weights: tuple[float, ...] = (),
     ) -> frozenset[str]:
-        """Return the ids of a prefix's affinity servers; empty for no restriction."""
+        """Return the ids of a prefix's affinity servers; empty for no restriction.
+
+        Parameters
+        ----------
+        weights : tuple of float
+            Relative capacities of the servers; empty if they are equal.
+        """
         budget_tokens = MEMORY_FRACTION * self._memory_tokens
         if budget_tokens <= 0 or self._active_tokens <= budget_tokens:
             return frozenset()
         step = max(1, int(FRACTION_STEPS * budget_tokens / self._active_tokens))
         if servers is not self._servers:
             self._update_servers(servers)
+        if weights != self._weights:
+            self._weights = weights
+            self._cached_servers.clear()
         affinity_servers = self._cached_servers.get((prefix, step))
         if affinity_servers is None:
             if len(self._cached_servers) >= MAX_CACHED_RESULTS:
                 self._cached_servers.clear()
             affinity_servers = self._cached_servers[prefix, step] = _choose_servers(
-                prefix, servers, step
+                prefix, servers, step, weights
             )
         return affinity_servers
 
@@ -107,13 +121,18 @@
 
 
 def _choose_servers(
-    prefix: str, states: list[ServerState], step: int
+    prefix: str, states: list[ServerState], step: int, weights: tuple[float, ...]
 ) -> frozenset[str]:
-    by_domain: dict[str, list[str]] = {}
-    for state in states:
-        by_domain.setdefault(state.server.domain, []).append(state.server.id)
+    by_domain: dict[str, dict[str, float]] = {}
+    for position, state in enumerate(states):
+        weight = weights[position] if weights else 1.0
+        by_domain.setdefault(state.server.domain, {})[state.server.id] = weight
     chosen: list[str] = []
     for servers in by_domain.values():
         count = max(1, round(len(servers) * step / FRACTION_STEPS))
-        chosen += rendezvous_order(f"beginning {prefix}", servers)[:count]
+        item = f"beginning {prefix}"
+        if weights:
+            chosen += weighted_rendezvous_order(item, servers)[:count]
+        else:
+            chosen += rendezvous_order(item, servers)[:count]
     return frozenset(chosen)
--- a/wisteriastair/scheduling/fleet.py
+++ b/wisteriastair/scheduling/fleet.py
@@ -19,6 +19,7 @@
 
 from typing import Final, NamedTuple
 
+from .pace import ServerPace
 from .reuse import CachedSegments
 
 # Consecutive failures after which a server is ejected, and the first ejection time in
@@ -81,11 +82,18 @@
 
 
 class Load(NamedTuple):
-    """Load that a server reported with a response."""
+    """Load that a server reported with a response.
+
+    Attributes
+    ----------
+    pace : float or None
+        How long work takes on the machine now, 100 if as usual; None if not reported.
+    """
 
     running: int
     waiting: int
     slots: int
+    pace: float | None = None
 
 
 class ServerState:
@@ -106,6 +114,7 @@
         self._load_at = float("-inf")
         self._in_flight_at_report = 0
         self.cached_segments = CachedSegments()
+        self.pace = ServerPace()
 
     def record_load(self, load: Load, now: float) -> None:
         """Store a load report."""
--- a/wisteriastair/scheduling/reuse.py
+++ b/wisteriastair/scheduling/reuse.py
@@ -18,7 +18,7 @@
 from functools import lru_cache
 from typing import Final, NamedTuple
 
-from ..core.hashing import hash64
+from ..core.hashing import hash64, weighted_score
 
 # Maximum number of segments stored per server: the turns of some minutes at 2.4 turns
 # per second.
@@ -38,25 +38,31 @@
 
 
 class CachedSegments:
-    """Segments that one server has probably cached; the oldest are evicted."""
+    """Segments that one server has probably cached; the oldest are evicted.
+
+    Attributes
+    ----------
+    tokens : dict of str to int
+        Tokens by id of the segment, the oldest first; must not be modified.
+    """
 
     def __init__(self) -> None:
-        self._tokens: dict[str, int] = {}
+        self.tokens: dict[str, int] = {}
 
     def __contains__(self, segment_id: str) -> bool:
-        return segment_id in self._tokens
+        return segment_id in self.tokens
 
     def __len__(self) -> int:
-        return len(self._tokens)
+        return len(self.tokens)
 
     def add(self, segments: Iterable[PromptSegment]) -> None:
         """Add the segments of a prompt that the server has computed."""
         for segment in segments:
-            self._tokens[segment.id] = max(
-                segment.tokens, self._tokens.pop(segment.id, 0)
+            self.tokens[segment.id] = max(
+                segment.tokens, self.tokens.pop(segment.id, 0)
             )
-        while len(self._tokens) > MAX_SEGMENTS:
-            del self._tokens[next(iter(self._tokens))]
+        while len(self.tokens) > MAX_SEGMENTS:
+            del self.tokens[next(iter(self.tokens))]
 
     def missing_fraction(
         self, segments: tuple[PromptSegment, ...], total: int = 0
@@ -74,19 +80,34 @@
         total = total or sum(segment.tokens for segment in segments)
         if total <= 0:
             return 0.0
-        known = self._tokens
-        cached_tokens = 0
-        for segment_id, tokens in segments:
-            known_tokens = known.get(segment_id, 0)
-            if known_tokens < tokens:
-                cached_tokens += known_tokens
-                break
-            cached_tokens += tokens
-        return 1.0 - cached_tokens / total
+        return 1.0 - self.cached_tokens(segments) / total
+
+    def cached_tokens(self, segments: tuple[PromptSegment, ...]) -> int:
+        """Return the number of a prompt's tokens that the server has cached."""
+        return cached_tokens(self.tokens, segments)
+
+
+def cached_tokens(known: dict[str, int], segments: tuple[PromptSegment, ...]) -> int:
+    """Return the number of a prompt's tokens that are cached.
+
+    Parameters
+    ----------
+    known : dict of str to int
+        Cached tokens by id of the segment.
+    """
+    cached = 0
+    for segment_id, tokens in segments:
+        known_tokens = known.get(segment_id, 0)
+        if known_tokens < tokens:
+            return cached + known_tokens
+        cached += tokens
+    return cached
 
 
 def rendezvous_server(
-    segments: tuple[PromptSegment, ...], servers: tuple[str, ...]
+    segments: tuple[PromptSegment, ...],
+    servers: tuple[str, ...],
+    weights: tuple[float, ...] = (),
 ) -> str:
     """Return the server that all processes choose for a program; empty for none.
 
@@ -94,20 +115,33 @@
     ----------
     servers : tuple of str
         Ids of the servers that may get requests.
+    weights : tuple of float
+        Relative capacities of the servers; empty if they are equal. A server gets a
+        share of the programs in proportion to its weight.
     """
     if len(segments) <= FIRST_PRIVATE or not servers:
         return ""
-    return _top_ranked(segments[FIRST_PRIVATE].id, servers)
+    return _top_ranked(segments[FIRST_PRIVATE].id, servers, weights)
 
 
 @lru_cache(maxsize=4096)
-def _top_ranked(segment_id: str, servers: tuple[str, ...]) -> str:
+def _top_ranked(
+    segment_id: str, servers: tuple[str, ...], weights: tuple[float, ...]
+) -> str:
+    by_id = dict(zip(servers, weights, strict=True)) if weights else {}
     if len(servers) > MAX_RANKED:
         order = _servers_by_hash(servers)
         start = bisect(order, (hash64("program", segment_id), ""))
         following = (order[(start + n) % len(order)] for n in range(MAX_RANKED))
         servers = tuple(name for _, name in following)
-    return max(servers, key=lambda name: hash64("program", segment_id, name))
+    if not by_id:
+        return max(servers, key=lambda name: hash64("program", segment_id, name))
+    return max(
+        servers,
+        key=lambda name: weighted_score(
+            hash64("program", segment_id, name), by_id[name]
+        ),
+    )
 
 
 @lru_cache(maxsize=16)
