Measure pace and use predicted finish in relays

Cause: reported_load accepted exactly three figures, so reports with a fourth were ignored without a log line, and relays measured only whole responses.

Change: three or four figures are accepted; wrong ones are counted and logged at most every 10 s. Streams and plain responses are timed per attempt. The dispatcher uses FinishChooser once a server of the service has reported a fourth figure, else select_server as before.

--- a/tests/relay/harness.py
+++ b/tests/relay/harness.py
@@ -183,6 +183,7 @@
         self.fleet = fleet
         self.caller_conns: set[CallerConnection] = set()
         self.keepers = Keepers(3)
+        self.dispatcher: Dispatcher
 
     async def open(self) -> Caller:
         reader, writer = await asyncio.open_connection(HOST, self.port)
@@ -284,6 +285,7 @@
         keepers.client.start(cast(Transport[LedgerMessage], keepers), group)
         harness = RelayHarness(0, handler, fleet)
         harness.keepers = keepers
+        harness.dispatcher = dispatcher
         listener = await loop.create_server(
             lambda: CallerConnection(handler, group, harness.caller_conns), HOST, 0
         )
--- a/wisteriastair/nodemetrics.py
+++ b/wisteriastair/nodemetrics.py
@@ -95,6 +95,11 @@
                 ("ledger_resent", "Ledger requests sent again since start"),
                 ("chain_bytes", "Bytes of cached chains"),
                 ("log_lines_dropped", "Log lines that were not taken in time"),
+                ("load_reports_wrong", "Wrong load reports of servers since start"),
+                ("silent_ends", "Requests ended at a silent server since start"),
+                ("paced_services", "Services chosen by predicted finish"),
+                ("servers_avoided", "Servers of paced services that seem to hang"),
+                ("servers_slow", "Servers of paced services at under 0.7 of the pace"),
             )
         }
 
--- a/wisteriastair/platform/headers.py
+++ b/wisteriastair/platform/headers.py
@@ -17,6 +17,11 @@
 LAST_EVENT_ID: Final = b"Last-Event-Id"
 CUSTOMER_HEADER: Final = b"X-Tenant"
 
+# Largest plausible figures in a load report: requests or slots, and the pace, which
+# states a machine that is a hundred times slower than usual.
+MAX_LOAD_COUNT: Final = 100_000
+MAX_PACE: Final = 10_000.0
+
 # Headers that only the system may set.  A caller that set them could lease memory of an
 # engine, continue from another caller's cache, or raise its own priority.
 SYSTEM_HEADERS: Final = frozenset(
@@ -238,11 +243,54 @@
     return bool(stamp) and not content_coding
 
 
-def reported_load(head: ResponseHead) -> Load | None:
-    """Return the load that a server reports in a response, or None."""
+class LoadReport(NamedTuple):
+    """A server's report of its load, decoded.
+
+    Attributes
+    ----------
+    load : Load or None
+        The load; None without a report or if one of its first three figures is wrong.
+    problem : str
+        What is wrong with the report; empty if nothing is.
+    """
+
+    load: Load | None
+    problem: str = ""
+
+
+def reported_load(head: ResponseHead) -> LoadReport:
+    """Return the load that a server reports in a response.
+
+    A wrong fourth figure does not invalidate the first three, and further figures are
+    ignored: a newer build of the server may send them.
+    """
     value = header(head.headers, b"x-server-load")
+    if not value:
+        return LoadReport(None)
+    figures = value.split(",")
     try:
-        running, waiting, slots = (int(part) for part in value.split(","))
+        running, waiting, slots = (_parse_load_count(part) for part in figures[:3])
     except ValueError:
-        return None
-    return Load(running, waiting, slots)
+        return LoadReport(None, "one of the first three figures")
+    load = Load(running, waiting, slots)
+    if len(figures) == 3:
+        return LoadReport(load)
+    try:
+        load = load._replace(pace=_parse_pace(figures[3]))
+    except ValueError:
+        return LoadReport(load, "the fourth figure")
+    return LoadReport(load, "more than four figures" if len(figures) > 4 else "")
+
+
+def _parse_load_count(value: str) -> int:
+    count = int(value)
+    if not 0 <= count <= MAX_LOAD_COUNT:
+        raise ValueError(value)
+    return count
+
+
+def _parse_pace(value: str) -> float:
+    pace = float(value)
+    if not 0.0 < pace <= MAX_PACE:
+        raise ValueError(value)
+    return pace
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -325,6 +325,7 @@
 
     def _update_gauges(self) -> None:
         table = self._handler.table
+        servers_avoided, servers_slow = self._dispatcher.count_paced_servers()
         values = {
             "config_version": table.version if table else 0,
             "view_number": self._ledger.view.number,
@@ -341,6 +342,11 @@
             "ledger_resent": self._ledger.resend_count,
             "chain_bytes": self._chains.size_bytes,
             "log_lines_dropped": dropped_line_count(),
+            "load_reports_wrong": self._dispatcher.bad_load_reports,
+            "silent_ends": self._dispatcher.silent_ends,
+            "paced_services": len(self._dispatcher.paced_services()),
+            "servers_avoided": servers_avoided,
+            "servers_slow": servers_slow,
         }
         for name, value in values.items():
             self._metrics.gauges[name].set(value)
--- a/wisteriastair/relay/dispatch.py
+++ b/wisteriastair/relay/dispatch.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import random
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -20,7 +21,9 @@
 from ..platform.headers import reported_load, was_not_executed
 from ..scheduling.affinity import PrefixAffinity
 from ..scheduling.choice import SelectionContext, select_server
+from ..scheduling.finish import FinishChooser, NoPicture, ServerPicture
 from ..scheduling.fleet import Fleet, ServerState
+from ..scheduling.pace import AttemptTimer, ServicePace
 from ..scheduling.retries import RetryPolicy
 from ..scheduling.reuse import PromptSegment, rendezvous_server
 from .pool import ConnectionPool
@@ -28,6 +31,14 @@
 # A server that reports that it is full is avoided for this time.
 OVERLOAD_BACKOFF_S: Final = 0.15
 BYTES_PER_KB: Final = 1000.0
+# Interval in seconds at which the weights of servers are read.
+WEIGHTS_INTERVAL_S: Final = 0.5
+# Shortest interval in seconds between two log lines about wrong load reports.
+BAD_REPORT_LOG_INTERVAL_S: Final = 10.0
+# Speed relative to the service below which a server counts as slow in the metrics.
+SLOW_SERVER_SPEED: Final = 0.7
+
+log = logging.getLogger(__name__)
 
 
 class NotRun(NamedTuple):
@@ -44,6 +55,7 @@
     exchange: Exchange
     server_conn: ServerConnection
     head: ResponseHead
+    timer: AttemptTimer
 
 
 class OutcomeUnknown(NamedTuple):
@@ -64,13 +76,34 @@
         Connections to them.
     domain : str
         Failure domain of this process.
+    picture : ServerPicture or None
+        What other relays know of the servers; None if nothing is known.
+
+    Attributes
+    ----------
+    bad_load_reports : int
+        Load reports that were wrong, in whole or in part, since the start.
+    silent_ends : int
+        Requests that ended while their server was silent, since the start.
     """
 
-    def __init__(self, fleet: Fleet, pool: ConnectionPool, domain: str) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        pool: ConnectionPool,
+        domain: str,
+        picture: ServerPicture | None = None,
+    ) -> None:
         self.fleet = fleet
         self.pool = pool
         self.retry_policy = RetryPolicy()
+        self.bad_load_reports = 0
+        self.silent_ends = 0
         self._domain = domain
+        self._picture = picture or NoPicture()
+        self._choosers: dict[str, FinishChooser] = {}
+        self._weights: dict[str, _CachedWeights] = {}
+        self._bad_report_logged_at = float("-inf")
         self._prefix_affinity: dict[tuple[str, int], PrefixAffinity] = {}
         self._randrange = random.Random().randrange
 
@@ -82,18 +115,27 @@
         parts: tuple[PromptSegment, ...] = (),
         memory_tokens: int = 0,
         body_bytes: int = 0,
+        output_tokens: int = 0,
     ) -> ServerState | None:
         """Choose a server for a request.
 
+        For a paced service the server with the least predicted finish is chosen.
+
         Parameters
         ----------
         parts : tuple of PromptSegment
             Segments of the prompt; the last one belongs to this request or program.
         memory_tokens : int
             Tokens that fit into the memory of an engine of the service; 0 if unknown.
+        output_tokens : int
+            Maximum number of tokens to generate; 0 if unknown.
         """
         now = asyncio.get_running_loop().time()
         servers = self.fleet.eligible_servers(service, now)
+        chooser = self._chooser(service)
+        weights: tuple[float, ...] = ()
+        if chooser.service.is_paced and len(parts) > 1:
+            weights = self._server_weights(service, servers, now)
         affinity_servers: frozenset[str] = frozenset()
         if len(parts) > 1:
             key = service, memory_tokens
@@ -101,7 +143,7 @@
             if affinity is None:
                 affinity = self._prefix_affinity[key] = PrefixAffinity(memory_tokens)
             affinity.record_use(parts[0].id, parts[0].tokens, now)
-            affinity_servers = affinity.affinity_servers(parts[0].id, servers)
+            affinity_servers = affinity.affinity_servers(parts[0].id, servers, weights)
         context = SelectionContext(
             self._domain,
             parts,
@@ -109,9 +151,58 @@
             body_bytes / BYTES_PER_KB,
             self.pool.idle_incarnations(),
             affinity_servers,
-            rendezvous_server(parts, tuple(state.server.id for state in servers)),
+            rendezvous_server(
+                parts, tuple(state.server.id for state in servers), weights
+            ),
         )
-        return select_server(servers, context, self._randrange, now)
+        if not chooser.service.is_paced:
+            return select_server(servers, context, self._randrange, now)
+        return chooser.choose(servers, context, output_tokens, now)
+
+    def _chooser(self, service: str) -> FinishChooser:
+        chooser = self._choosers.get(service)
+        if chooser is None:
+            chooser = FinishChooser(
+                ServicePace(), self._domain, self._picture, self._randrange
+            )
+            self._choosers[service] = chooser
+        return chooser
+
+    def service_pace(self, service: str) -> ServicePace:
+        """Return the usual pace of a service."""
+        return self._chooser(service).service
+
+    def paced_services(self) -> list[str]:
+        """Return the names of the paced services."""
+        return [n for n, c in self._choosers.items() if c.service.is_paced]
+
+    def count_paced_servers(self) -> tuple[int, int]:
+        """Return how many servers of paced services are avoided, and are slow."""
+        now = self._now()
+        avoided = slow = 0
+        for service in self.paced_services():
+            usual_ms = self.service_pace(service).token_ms
+            for state in self.fleet.eligible_servers(service, now):
+                avoided += state.pace.is_avoided(now)
+                slow += state.pace.token_ms * SLOW_SERVER_SPEED > usual_ms
+        return avoided, slow
+
+    def _server_weights(
+        self, service: str, servers: list[ServerState], now: float
+    ) -> tuple[float, ...]:
+        """Return the capacities of servers; empty if they are all equal."""
+        cached = self._weights.get(service)
+        if (
+            cached is not None
+            and cached.servers is servers
+            and now - cached.read_at < WEIGHTS_INTERVAL_S
+        ):
+            return cached.weights
+        weights = tuple(self._picture.weight(s.incarnation) for s in servers)
+        if len(set(weights)) <= 1:
+            weights = ()
+        self._weights[service] = _CachedWeights(servers, now, weights)
+        return weights
 
     @asynccontextmanager
     async def send(
@@ -137,6 +228,7 @@
         server = state.server
         state.in_flight += 1
         server_conn: ServerConnection | str = ""
+        timer: AttemptTimer | None = None
         try:
             server_conn = await self.pool.acquire(server)
             if isinstance(server_conn, str):
@@ -146,38 +238,109 @@
             exchange = Exchange(request_id, req.method)
             first_line = f"{req.method} {req.target} HTTP/1.1".encode("latin-1")
             server_conn.send_request(exchange, encode_head(first_line, headers) + body)
+            timer = state.pace.start(self._now(), state.in_flight)
             with anyio.move_on_after(attempt_timeout_s):
                 await exchange.wait_head()
             if exchange.head is None and exchange.end is None:
                 yield OutcomeUnknown(server.id, f"silent for {attempt_timeout_s} s")
                 return
-            yield self._outcome(state, exchange, server_conn)
+            yield self._outcome(state, exchange, server_conn, timer)
         finally:
             state.in_flight -= 1
+            if timer is not None:
+                self._end_attempt(state, timer)
             if isinstance(server_conn, ServerConnection):
                 self.pool.release(server, server_conn)
 
+    def _end_attempt(self, state: ServerState, timer: AttemptTimer) -> None:
+        silent_s = self._now() - timer.last_at
+        if not state.pace.end(timer, self._now()):
+            return
+        self.silent_ends += 1
+        if self.service_pace(state.server.service).is_paced:
+            log.warning(
+                "server silent",
+                extra={
+                    "server": state.server.id,
+                    "silent_ms": round(silent_s * 1000),
+                    "in_a_row": state.pace.silent_ends,
+                },
+            )
+
     def _outcome(
-        self, state: ServerState, exchange: Exchange, server_conn: ServerConnection
+        self,
+        state: ServerState,
+        exchange: Exchange,
+        server_conn: ServerConnection,
+        timer: AttemptTimer,
     ) -> ResponseStarted | NotRun | OutcomeUnknown:
         server_id = state.server.id
         head = exchange.head
+        now = self._now()
         if head is None:
             assert exchange.end is not None, "an exchange has a head or has ended"
+            state.pace.record_progress(timer, now)
             self.record_failure(state)
             return OutcomeUnknown(server_id, exchange.end.reason)
-        now = asyncio.get_running_loop().time()
-        load = reported_load(head)
-        if load is not None:
-            state.record_load(load, now)
+        state.pace.record_progress(timer, now)
+        self._record_load(state, head, timer, now)
         if was_not_executed(head):
             state.overloaded_until = now + OVERLOAD_BACKOFF_S
             return NotRun(server_id, f"status {head.status}")
-        return ResponseStarted(state, exchange, server_conn, head)
+        return ResponseStarted(state, exchange, server_conn, head, timer)
+
+    def _record_load(
+        self, state: ServerState, head: ResponseHead, timer: AttemptTimer, now: float
+    ) -> None:
+        report = reported_load(head)
+        if report.problem:
+            self._count_bad_report(state, report.problem, now)
+        load = report.load
+        if load is None:
+            return
+        others = max(0, load.running + load.waiting - state.in_flight)
+        state.record_load(load, now)
+        service_pace = self.service_pace(state.server.service)
+        if load.pace is not None and not service_pace.is_paced:
+            service_pace.is_paced = True
+            log.info(
+                "service paced",
+                extra={"service": state.server.service, "server": state.server.id},
+            )
+        state.pace.record_others(others, now, service_pace)
+        state.pace.record_figure(load.pace)
+        timer.running = max(timer.running, load.running)
+        timer.correction = 1.0 + state.pace.figure_excess
+
+    def _count_bad_report(self, state: ServerState, problem: str, now: float) -> None:
+        self.bad_load_reports += 1
+        if now - self._bad_report_logged_at < BAD_REPORT_LOG_INTERVAL_S:
+            return
+        self._bad_report_logged_at = now
+        log.warning(
+            "wrong load report",
+            extra={
+                "server": state.server.id,
+                "reason": problem,
+                "total": self.bad_load_reports,
+            },
+        )
 
     def record_failure(self, state: ServerState) -> None:
         """Record a failure of a server."""
-        self.fleet.record_failure(state, asyncio.get_running_loop().time())
+        self.fleet.record_failure(state, self._now())
+
+    @staticmethod
+    def _now() -> float:
+        return asyncio.get_running_loop().time()
+
+
+class _CachedWeights(NamedTuple):
+    """Capacities of a list of servers, and when they were read."""
+
+    servers: list[ServerState]
+    read_at: float
+    weights: tuple[float, ...]
 
 
 async def read_body(exchange: Exchange, max_bytes: int) -> bytes | str:
--- a/wisteriastair/relay/job.py
+++ b/wisteriastair/relay/job.py
@@ -38,6 +38,8 @@
         Why the request failed or was retried; empty if neither happened.
     failure : Failure or None
         Failure that the relay itself reported.
+    predicted_ms : float
+        Predicted milliseconds at the last server, of a paced service; 0 otherwise.
     tried : list of str
         Ids of the servers that were tried, in order.
     was_sent : bool
@@ -85,6 +87,7 @@
         self.was_sent = False
         self.ledger_s = 0.0
         self.first_event_s = 0.0
+        self.predicted_ms = 0.0
         self.customer = customer
         self.quota_check = quota_check
         self.customer_name: str | None = None
@@ -132,10 +135,14 @@
         if self._shutdown is not None:
             since_shutdown_s = self.req.received_at - self._shutdown.started_at
             stopping["stopping_ms"] = round(since_shutdown_s * 1000)
+        predicted = {}
+        if self.predicted_ms:
+            predicted["predicted_ms"] = round(self.predicted_ms)
         log.info(
             "request ended" if self.status else "request broken off",
             extra={
                 **stopping,
+                **predicted,
                 "request": self.caller_req.id,
                 "program": self.caller_req.program,
                 "customer": self.customer_name or "",
--- a/wisteriastair/relay/plain.py
+++ b/wisteriastair/relay/plain.py
@@ -72,6 +72,7 @@
             return Failure(code, detail, "no", RETRY_AFTER_S)
         server_id = state.server.id
         job.tried.append(server_id)
+        job.predicted_ms = state.pace.predicted_ms
         headers = forwarded_headers(
             job.req,
             remaining_s=job.remaining_s(),
@@ -93,6 +94,8 @@
             attempt_timeout_s=attempt_timeout_s,
         ) as outcome:
             result = await _read_response(job, outcome)
+            if isinstance(result, ServerResponse):
+                _record_pace(job, dispatcher, outcome, result)
         if isinstance(result, ServerResponse):
             if is_server_error(result.head.status):
                 # As successes, immediate errors would make the server look fast.
@@ -115,6 +118,20 @@
         retry_policy.record_retry()
 
 
+def _record_pace(
+    job: Job,
+    dispatcher: Dispatcher,
+    outcome: ResponseStarted | NotRun | OutcomeUnknown,
+    response: ServerResponse,
+) -> None:
+    if not isinstance(outcome, ResponseStarted):
+        return
+    if response.head.status in SUCCESS_STATUSES:
+        outcome.state.pace.record_response(
+            outcome.timer, dispatcher.service_pace(job.service), job.now()
+        )
+
+
 async def _read_response(
     job: Job, outcome: ResponseStarted | NotRun | OutcomeUnknown
 ) -> ServerResponse | NotRun | OutcomeUnknown:
--- a/wisteriastair/relay/streams.py
+++ b/wisteriastair/relay/streams.py
@@ -173,6 +173,7 @@
                 parts=job.caller_req.parts,
                 memory_tokens=job.engine.memory_tokens if job.engine else 0,
                 body_bytes=len(body),
+                output_tokens=job.caller_req.output_tokens,
             )
             resume_on = None
             if state is None or len(excluded) >= MAX_REFUSALS:
@@ -182,6 +183,7 @@
                 code = Code.SERVERS_FULL if excluded else Code.NO_SERVER
                 return Failure(code, detail, "no", RETRY_AFTER_S)
             job.tried.append(state.server.id)
+            job.predicted_ms = state.pace.predicted_ms
             headers = forwarded_headers(
                 job.req,
                 remaining_s=job.remaining_s(),
@@ -229,6 +231,7 @@
         if error is not None:
             return error
         outcome.state.record_success(job.elapsed_s())
+        self._record_pace(turn, outcome)
         outcome.state.cached_segments.add(job.caller_req.parts)
         failure = await self._settle(turn)
         if failure is not None:
@@ -237,6 +240,18 @@
         job.status = head.status
         return None
 
+    def _record_pace(self, turn: _TurnState, started: ResponseStarted) -> None:
+        job, state, timer = turn.job, started.state, started.timer
+        parts = job.caller_req.parts
+        cached_tokens = state.cached_segments.cached_tokens(parts)
+        state.pace.record_stream(
+            timer,
+            self._dispatcher.service_pace(job.service),
+            job.now(),
+            tokens_per_event=job.engine.tokens_per_event if job.engine else 1,
+            missing_tokens=sum(part.tokens for part in parts) - cached_tokens,
+        )
+
     async def _forward_error(
         self, turn: _TurnState, started: ResponseStarted
     ) -> NotRun | OutcomeUnknown | None:
@@ -257,9 +272,13 @@
     ) -> OutcomeUnknown | None:
         """Forward events as they arrive, with backpressure from caller to server."""
         exchange, caller_conn = started.exchange, turn.job.caller_conn
+        pace, timer = started.state.pace, started.timer
 
         def forward(data: bytes) -> bool:
+            count = turn.events.count
             turn.forward(started.head, data)
+            if turn.events.count > count:
+                pace.record_events(timer, turn.events.count - count, turn.job.now())
             return caller_conn.is_writable
 
         while exchange.end is None:
@@ -267,9 +286,12 @@
             await exchange.wait_data()
             if not caller_conn.is_writable and exchange.end is None:
                 started.server_conn.pause_reading()
+                timer.is_paused = True
                 await caller_conn.wait_writable()
+                timer.resume(turn.job.now())
                 started.server_conn.resume_reading()
         forward(exchange.read_available())
+        timer.is_paused = True
         server_id = started.state.server.id
         if exchange.end.outcome is not ExchangeOutcome.COMPLETE:
             turn.events.partial = b""
