--- a/tests/relay/test_picture.py
+++ b/tests/relay/test_picture.py
@@ -10,6 +10,7 @@
 import pytest
 
 from tests.relay.picture_world import RelayProcess, World, server
+from tests.scheduling.fixed_pace import FixedPace
 from wisteriastair.core.hashing import address_of
 from wisteriastair.core.ledgerwire import (
     MAX_PACKED,
@@ -79,7 +80,7 @@
 
 def set_pace(relay: RelayProcess, number: int, pace_ms: float) -> None:
     state = relay.state(number)
-    state.pace = pace_ms  # type: ignore[attr-defined]
+    state.pace = FixedPace(pace_ms)
 
 
 def uneven_world(**options: int) -> World:
--- a/tests/scheduling/test_digest.py
+++ b/tests/scheduling/test_digest.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from tests.scheduling.fixed_pace import FixedPace
 from wisteriastair.scheduling.digest import (
     MAX_PACE,
     MAX_REPORTED,
@@ -77,7 +78,7 @@
 )
 def test_pace_is_limited_and_repeated_rarely(pace: float, expected: int) -> None:
     source, server = DigestSource(), state(0)
-    server.pace = pace  # type: ignore[attr-defined]
+    server.pace = FixedPace(pace)
     server.observations.open(10, 0.0)
     paces = [
         source.next_observations([server], 0.25 * n)[0].pace
--- a/wisteriastair/nodemetrics.py
+++ b/wisteriastair/nodemetrics.py
@@ -99,6 +99,11 @@
                 ("picture_bytes_sent", "Bytes of reports of servers sent since start"),
                 ("picture_ignored", "Parts of replies ignored or clipped since start"),
                 ("servers_suspect", "Servers that are suspect"),
+                ("load_reports_wrong", "Wrong load reports of servers since start"),
+                ("silent_ends", "Requests ended at a silent server since start"),
+                ("paced_services", "Services chosen by predicted finish"),
+                ("servers_avoided", "Servers of paced services that seem to hang"),
+                ("servers_slow", "Servers of paced services at under 0.7 of the pace"),
             )
         }
 
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -94,7 +94,9 @@
             lambda: self._ledger.view,
             has_memory_pressure=cfg.has_memory_pressure,
         )
-        self._dispatcher = Dispatcher(self._fleet, self._pool, cfg.domain)
+        self._dispatcher = Dispatcher(
+            self._fleet, self._pool, cfg.domain, self._picture.picture
+        )
         self._chains = ChainCache(int(cfg.memory_bytes * CHAIN_CACHE_FRACTION))
         streams = StreamRelay(self._dispatcher, self._ledger, self._chains)
         self._quota = QuotaClient(
@@ -339,6 +341,7 @@
     def _update_gauges(self) -> None:
         table = self._handler.table
         now = asyncio.get_running_loop().time()
+        servers_avoided, servers_slow = self._dispatcher.count_paced_servers()
         values = {
             "config_version": table.version if table else 0,
             "view_number": self._ledger.view.number,
@@ -359,6 +362,11 @@
             "picture_bytes_sent": self._picture.bytes_sent,
             "picture_ignored": self._picture.ignored,
             "servers_suspect": self._picture.picture.suspect_count(now),
+            "load_reports_wrong": self._dispatcher.bad_load_reports,
+            "silent_ends": self._dispatcher.silent_ends,
+            "paced_services": len(self._dispatcher.paced_services()),
+            "servers_avoided": servers_avoided,
+            "servers_slow": servers_slow,
         }
         for name, value in values.items():
             self._metrics.gauges[name].set(value)
--- a/wisteriastair/scheduling/__init__.py
+++ b/wisteriastair/scheduling/__init__.py
@@ -10,12 +10,16 @@
     Prompt segments that servers have cached.
 ``observations``
     Own requests at a server and their outcomes.
+``pace``
+    Pace of each server, learned from its responses, and its silence.
 ``fleet``
     Known servers, their load and their failures.
 ``affinity``
     Servers preferred for a shared prefix.
 ``choice``
     Selection of a server for a request.
+``finish``
+    Selection by predicted finish, for services whose servers report their pace.
 ``retries``
     Timeouts per attempt and the retry budget of plain services.
 ``digest``
--- a/wisteriastair/scheduling/digest.py
+++ b/wisteriastair/scheduling/digest.py
@@ -51,12 +51,6 @@
     return hash64("server incarnation", incarnation) & KEY_MASK
 
 
-def learned_pace(state: ServerState) -> float:
-    """Return the learned time per generated token in ms; 0.0 if unknown."""
-    pace = getattr(state, "pace", 0.0)
-    return float(pace) if isinstance(pace, int | float) else 0.0
-
-
 def clip(value: int, limit: int) -> int:
     """Limit a count to a range from 0."""
     return max(0, min(limit, value))
@@ -135,7 +129,7 @@
             if not is_changed and now - last.at < REFRESH_S:
                 continue
             if now - last.pace_at >= PACE_REFRESH_S:
-                pace = _pace_units(learned_pace(state))
+                pace = _pace_units(state.pace.sampled_ms)
                 current = msgspec.structs.replace(current, pace=pace)
             candidates.append(
                 _Candidate(not is_changed, last.at, state.incarnation, current)
--- a/wisteriastair/scheduling/fleet.py
+++ b/wisteriastair/scheduling/fleet.py
@@ -22,6 +22,7 @@
 from typing import Final, NamedTuple
 
 from .observations import Observations
+from .pace import ServerPace
 from .reuse import CachedSegments
 
 # Consecutive failures after which a server is ejected, and the first ejection time in
@@ -84,11 +85,18 @@
 
 
 class Load(NamedTuple):
-    """Load that a server reported with a response."""
+    """Load that a server reported with a response.
+
+    Attributes
+    ----------
+    pace : float or None
+        How long work takes on the machine now, 100 if as usual; None if not reported.
+    """
 
     running: int
     waiting: int
     slots: int
+    pace: float | None = None
 
 
 class ServerState:
@@ -110,6 +118,7 @@
         self._in_flight_at_report = 0
         self.cached_segments = CachedSegments()
         self.observations = Observations()
+        self.pace = ServerPace()
 
     def record_load(self, load: Load, now: float) -> None:
         """Store a load report."""
@@ -137,7 +146,7 @@
     @property
     def reports_pace(self) -> bool:
         """Whether the last load report had the fourth figure."""
-        return getattr(self._load, "pace", None) is not None
+        return self._load.pace is not None
 
     def removed_within(self, seconds: float, now: float) -> bool:
         """Return whether the entry was removed at most `seconds` ago."""
