Order at engines and their memory wired into relays

Cause: the decisions of urgency and engine memory were not used.

Change: relay/engine_order.py sets the priority of a turn and reserves memory at the chosen server, under memory pressure (priorities also for a paced service). Other deployments keep the rank as priority. The shared picture and is_paced are parameters of EngineOrder that the relay does not pass yet.

Measured: tests/relay and tests/scheduling pass; no run on a deployment.

--- a/wisteriastair/core/routes.py
+++ b/wisteriastair/core/routes.py
@@ -165,6 +165,7 @@
         self.services = services
         self.limits = limits
         self._by_host: dict[str, dict[str, Route]] = {}
+        self._ranks: dict[str, frozenset[int]] = {}
         for route in routes:
             self._by_host.setdefault(route.host, {})[route.prefix] = route
         self.max_timeout_s = max(
@@ -187,3 +188,23 @@
                 return route
             end = path.rfind("/", 0, end)
         return None
+
+    def ranks(self, service: str) -> frozenset[int]:
+        """Return the ranks that streamed requests to a service may have."""
+        known = self._ranks.get(service)
+        if known is None:
+            known = self._ranks[service] = self._find_ranks(service)
+        return known
+
+    def _find_ranks(self, service: str) -> frozenset[int]:
+        routes = [
+            route
+            for route in self.routes
+            if route.kind is RequestKind.STREAM
+            and any(share.service == service for share in route.weighted_services)
+        ]
+        ranks = {route.rank for route in routes}
+        if self.customers is not None and any(not r.is_public for r in routes):
+            customers = self.customers.by_name.values()
+            ranks |= {c.rank for c in customers if c.rank is not None}
+        return frozenset(ranks)
--- a/wisteriastair/nodemetrics.py
+++ b/wisteriastair/nodemetrics.py
@@ -77,6 +77,18 @@
             buckets=LEDGER_BUCKETS,
             registry=self.registry,
         )
+        self.engine_turns = Counter(
+            "wisteriastair_engine_turns",
+            "Turns sent to an engine, by their priority there",
+            ["priority"],
+            registry=self.registry,
+        )
+        self.memory_wait = Histogram(
+            "wisteriastair_memory_wait_seconds",
+            "Seconds for which turns waited for memory of an engine",
+            buckets=LEDGER_BUCKETS,
+            registry=self.registry,
+        )
         self._labelled_customers: set[str] = set()
         self.gauges = {
             name: Gauge(f"wisteriastair_{name}", text, registry=self.registry)
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -49,6 +49,7 @@
 from .chains import ChainCache
 from .dispatch import Dispatcher
 from .drain import Drain
+from .engine_order import EngineOrder
 from .handler import ReadyHandler, RelayHandler
 from .ledger import LedgerClient
 from .pool import ConnectionPool
@@ -87,7 +88,10 @@
         self._ledger = LedgerClient(cfg.domain, cfg.max_failures)
         self._dispatcher = Dispatcher(self._fleet, self._pool, cfg.domain)
         self._chains = ChainCache(int(cfg.memory_bytes * CHAIN_CACHE_FRACTION))
-        streams = StreamRelay(self._dispatcher, self._ledger, self._chains)
+        order = EngineOrder(
+            self._fleet, name=cfg.name, has_memory_pressure=cfg.has_memory_pressure
+        )
+        streams = StreamRelay(self._dispatcher, self._ledger, self._chains, order)
         self._quota = QuotaClient(
             cfg.quota, lambda: self._ledger.view, lambda: self._ledger.is_reachable
         )
--- a/wisteriastair/relay/handler.py
+++ b/wisteriastair/relay/handler.py
@@ -210,6 +210,10 @@
         if job.customer is not None:
             metrics.count_customer_request(job.customer.name, code or "answered")
             metrics.permit_wait.observe(job.quota_check.waited_s)
+        if job.engine_priority is not None:
+            metrics.engine_turns.labels(job.engine_priority).inc()
+        if job.memory_wait_s:
+            metrics.memory_wait.observe(job.memory_wait_s)
         if job.ledger_s:
             metrics.reserve_duration.observe(job.ledger_s)
 
--- a/wisteriastair/relay/job.py
+++ b/wisteriastair/relay/job.py
@@ -42,6 +42,12 @@
         Ids of the servers that were tried, in order.
     was_sent : bool
         Whether a server may have received the request.
+    engine_priority : int or None
+        Priority at the engine that ran the request last; None if none did.
+    memory_wait_s : float
+        Seconds for which the request waited for memory of an engine.
+    service_ranks : frozenset of int
+        Ranks that requests to the service may have.
     customer_name : str or None
         Name that servers receive; empty on a route without keys, None if the
         configuration has no customers.
@@ -85,6 +91,9 @@
         self.was_sent = False
         self.ledger_s = 0.0
         self.first_event_s = 0.0
+        self.engine_priority: int | None = None
+        self.memory_wait_s = 0.0
+        self.service_ranks = table.ranks(self.service)
         self.customer = customer
         self.quota_check = quota_check
         self.customer_name: str | None = None
@@ -147,6 +156,8 @@
                 "servers": self.tried,
                 "sent": self.was_sent,
                 "events": self.event_count,
+                "engine_priority": self.engine_priority,
+                "memory_ms": round(self.memory_wait_s * 1000, 1),
                 "ledger_ms": round(self.ledger_s * 1000, 1),
                 "permit_ms": round(self.quota_check.waited_s * 1000, 1),
                 "first_ms": round(self.first_event_s * 1000, 1),
--- a/wisteriastair/relay/streams.py
+++ b/wisteriastair/relay/streams.py
@@ -21,6 +21,7 @@
 from .answers import is_server_error, send_failure
 from .chains import ChainCache
 from .dispatch import Dispatcher, NotRun, OutcomeUnknown, ResponseStarted, read_body
+from .engine_order import EngineOrder
 from .events import EventSplitter
 from .job import Job
 from .ledger import (
@@ -46,8 +47,6 @@
 SETTLE_TIMEOUT_S: Final = 1.0
 # Number of times that one stream may be resumed.
 MAX_RESUMES: Final = 2
-# The least urgent priority that engines support.
-MAX_ENGINE_PRIORITY: Final = 9
 
 
 class StreamRelay:
@@ -61,14 +60,21 @@
         Stores budgets and turns.
     chains : ChainCache
         Cache of earlier turns.
+    order : EngineOrder or None
+        Priority of turns at engines and memory of these; None to ignore both.
     """
 
     def __init__(
-        self, dispatcher: Dispatcher, ledger: LedgerClient, chains: ChainCache
+        self,
+        dispatcher: Dispatcher,
+        ledger: LedgerClient,
+        chains: ChainCache,
+        order: EngineOrder | None = None,
     ) -> None:
         self._dispatcher = dispatcher
         self._ledger = ledger
         self._chains = chains
+        self._order = order or EngineOrder(dispatcher.fleet)
 
     async def run(self, job: Job) -> None:
         """Answer one request."""
@@ -81,6 +87,7 @@
             with anyio.move_on_after(max(0.0, job.remaining_s())):
                 failure = await self._run(turn)
         finally:
+            self._order.finish(job)
             if turn.reserved and not turn.settled and reservation is not None:
                 self._ledger.settle_in_background(reservation, turn.sent_tokens())
         if failure is None:
@@ -163,13 +170,14 @@
     async def _serve(self, turn: _TurnState) -> Failure | None:
         job = turn.job
         excluded: set[str] = set()
+        full: frozenset[str] = frozenset()
         resume_count = 0
         resume_on: ServerState | None = None
         while True:
             body = turn.history + job.req.body
             state = resume_on or self._dispatcher.choose_server(
                 job.service,
-                frozenset(excluded),
+                frozenset(excluded) | full,
                 parts=job.caller_req.parts,
                 memory_tokens=job.engine.memory_tokens if job.engine else 0,
                 body_bytes=len(body),
@@ -181,13 +189,21 @@
                 detail = "no server has room" if excluded else "no server is there"
                 code = Code.SERVERS_FULL if excluded else Code.NO_SERVER
                 return Failure(code, detail, "no", RETRY_AFTER_S)
+            room = await self._order.take_room(job, state, excluded)
+            if isinstance(room, Failure):
+                if turn.response_started or resume_count:
+                    return Failure(Code.SERVER_LOST, room.detail, "unknown")
+                return room
+            full = room
+            if full:
+                continue
             job.tried.append(state.server.id)
             headers = forwarded_headers(
                 job.req,
                 remaining_s=job.remaining_s(),
                 server_id=state.server.id,
                 body_bytes=len(body),
-                engine_priority=min(MAX_ENGINE_PRIORITY, job.priority),
+                engine_priority=self._order.priority(job),
                 customer=job.customer_name,
                 last_event_id=turn.events.last_id or None,
             )
--- a/wisteriastair/scheduling/__init__.py
+++ b/wisteriastair/scheduling/__init__.py
@@ -16,6 +16,10 @@
     Selection of a server for a request.
 ``retries``
     Timeouts per attempt and the retry budget of plain services.
+``urgency``
+    Priority of a turn at an engine.
+``engine_memory``
+    Servers that have memory left for a request.
 ``reach``
     Reachability of a set of peers.
 """
