--- a/wisteriastair/relay/dispatch.py
+++ b/wisteriastair/relay/dispatch.py
@@ -176,6 +176,11 @@
         """Return the usual pace of a service."""
         return self._chooser(service).service
 
+    def is_paced(self, service: str) -> bool:
+        """Return whether a server of the service has reported a fourth load figure."""
+        chooser = self._choosers.get(service)
+        return chooser is not None and chooser.service.is_paced
+
     def paced_services(self) -> list[str]:
         """Return the names of the paced services."""
         return [n for n, c in self._choosers.items() if c.service.is_paced]
--- a/wisteriastair/scheduling/__init__.py
+++ b/wisteriastair/scheduling/__init__.py
@@ -30,6 +30,10 @@
     What a keeper merges from the reports of relays and sends to them.
 ``picture``
     What a relay knows from the merged reports.
+``urgency``
+    Priority of a turn at an engine.
+``engine_memory``
+    Servers that have memory left for a request.
 ``reach``
     Reachability of a set of peers.
 """
