Relays: one byte budget for callers and servers, refusal of new programs

Cause: request bodies, plain responses and send buffers had no common bound, and a process that exceeds its memory is killed. A caller that does not read left its server unread until the server aborted the response.

Change: scheduling/buffers.py keeps an account for each connection and decides from their sum; http1 reports what it holds. scheduling/relay_load.py decides from the lag of the event loop and the use of the link. relay/pressure.py measures both. Off unless the settings file has the contract named pressure.

--- a/tests/relay/bench.py
+++ b/tests/relay/bench.py
@@ -4,7 +4,8 @@
 loopback to a caller and a server in this process.  The benchmark prints the processor
 time of the child for one turn with 17 kB of input and 10 events of 160 bytes, stored in
 the ledger.  Events are sent one by one, as engines produce them; events that arrive
-together would be forwarded together, which takes half of the processor time.
+together would be forwarded together, which takes half of the processor time.  With
+``--pressure`` the budget for held bytes is on.
 """
 
 from __future__ import annotations
@@ -19,18 +20,22 @@
 import anyio.to_thread
 
 from tests.relay.harness import Caller, Exchange, ScriptedServer, run_harness
+from wisteriastair.scheduling.buffers import make_buffer_limits
 from wisteriastair.scheduling.fleet import Server
 
 TURNS: Final = 800
 CONCURRENT_CALLERS: Final = 8
 EVENT_GAP_S: Final = 0.01
+MEMORY_BYTES: Final = 256 * 1024 * 1024
+PRESSURE_OPTION: Final = "--pressure"
 BODY: Final = "x" * 17_000
 EVENTS: Final = [f"id: {n}\ndata: {'y' * 140}\n\n" for n in range(1, 11)]
 
 
-async def _run_relay(server_address: str) -> None:
+async def _run_relay(server_address: str, has_pressure: bool) -> None:
     """Serve; print the processor time used between two lines on standard input."""
-    async with run_harness() as harness:
+    limits = make_buffer_limits(MEMORY_BYTES, 0) if has_pressure else None
+    async with run_harness(limits=limits) as harness:
         server = Server("s1", "svc", server_address, "d", 100, False, 0.0)
         harness.fleet.put(server)
         print(harness.port, flush=True)
@@ -61,11 +66,11 @@
         assert reply.whole, reply.status
 
 
-async def _measure() -> None:
+async def _measure(options: list[str]) -> None:
     server = ScriptedServer("s1", _stream_events)
     await server.start()
     relay = subprocess.Popen(
-        [sys.executable, "-m", "tests.relay.bench", server.address],
+        [sys.executable, "-m", "tests.relay.bench", server.address, *options],
         stdin=subprocess.PIPE,
         stdout=subprocess.PIPE,
         text=True,
@@ -92,7 +97,9 @@
 
 
 if __name__ == "__main__":
-    if len(sys.argv) > 1:
-        anyio.run(_run_relay, sys.argv[1])
+    arguments = [argument for argument in sys.argv[1:] if argument != PRESSURE_OPTION]
+    options = [PRESSURE_OPTION] if PRESSURE_OPTION in sys.argv else []
+    if arguments:
+        anyio.run(_run_relay, arguments[0], bool(options))
     else:
-        anyio.run(_measure)
+        anyio.run(_measure, options)
--- a/tests/relay/harness.py
+++ b/tests/relay/harness.py
@@ -32,8 +32,10 @@
 from wisteriastair.relay.dispatch import Dispatcher
 from wisteriastair.relay.handler import RelayHandler
 from wisteriastair.relay.pool import ConnectionPool
+from wisteriastair.relay.pressure import RelayPressure
 from wisteriastair.relay.quota import QuotaClient
 from wisteriastair.relay.streams import StreamRelay
+from wisteriastair.scheduling.buffers import BufferLimits
 from wisteriastair.scheduling.fleet import Fleet, Server
 
 HOST = "127.0.0.1"
@@ -183,6 +185,7 @@
         self.fleet = fleet
         self.caller_conns: set[CallerConnection] = set()
         self.keepers = Keepers(3)
+        self.pressure: RelayPressure | None = None
 
     async def open(self) -> Caller:
         reader, writer = await asyncio.open_connection(HOST, self.port)
@@ -261,14 +264,19 @@
 
 
 @asynccontextmanager
-async def run_harness(*servers: ScriptedServer) -> AsyncIterator[RelayHarness]:
-    """Run a handler with some servers."""
+async def run_harness(
+    *servers: ScriptedServer, limits: BufferLimits | None = None
+) -> AsyncIterator[RelayHarness]:
+    """Run a handler with some servers; with `limits`, memory pressure is on."""
     loop = asyncio.get_running_loop()
     fleet = Fleet()
     for server in servers:
         await server.start()
         fleet.put(Server(server.id, "svc", server.address, "d", 8, False, 0.0))
-    pool = ConnectionPool(lambda server_id: None)
+    metrics = RelayMetrics()
+    pressure = RelayPressure("r1", limits, 0.0, metrics) if limits else None
+    meter = pressure.meter if pressure else None
+    pool = ConnectionPool(lambda server_id: None, meter)
     dispatcher = Dispatcher(fleet, pool, "d")
     keepers = Keepers(3)
     streams = StreamRelay(dispatcher, keepers.client, ChainCache(1_000_000))
@@ -277,15 +285,20 @@
     )
     keepers.quota = quota
     quota.start(cast(Transport[LedgerMessage], keepers))
-    handler = RelayHandler(dispatcher, streams, quota, lambda: True, RelayMetrics())
+    handler = RelayHandler(dispatcher, streams, quota, lambda: True, metrics, pressure)
     services = {"svc": Service("svc", 100, EngineSpec(8, 100_000, 25))}
     handler.table = RouteTable(1, ROUTES, services, CallerLimits())
     async with anyio.create_task_group() as group:
         keepers.client.start(cast(Transport[LedgerMessage], keepers), group)
         harness = RelayHarness(0, handler, fleet)
         harness.keepers = keepers
+        harness.pressure = pressure
+        if pressure is not None:
+            group.start_soon(pressure.run)
         listener = await loop.create_server(
-            lambda: CallerConnection(handler, group, harness.caller_conns), HOST, 0
+            lambda: CallerConnection(handler, group, harness.caller_conns, meter),
+            HOST,
+            0,
         )
         harness.port = listener.sockets[0].getsockname()[1]
         yield harness
@@ -296,10 +309,12 @@
 
 
 def run_scenario(
-    servers: list[ScriptedServer], scenario: Callable[[RelayHarness], Awaitable[None]]
+    servers: list[ScriptedServer],
+    scenario: Callable[[RelayHarness], Awaitable[None]],
+    limits: BufferLimits | None = None,
 ) -> None:
     async def main() -> None:
-        async with run_harness(*servers) as harness:
+        async with run_harness(*servers, limits=limits) as harness:
             with anyio.fail_after(10):
                 await scenario(harness)
 
--- a/wisteriastair/errors.py
+++ b/wisteriastair/errors.py
@@ -48,6 +48,7 @@
     TOO_LATE = "too_late"
     OVER_QUOTA = "over_quota"
     QUOTA_UNREACHABLE = "quota_away"
+    RELAY_OVERLOADED = "relay_overloaded"
 
 
 HTTP_STATUS: Final[dict[Code, int]] = {
@@ -79,6 +80,7 @@
     Code.TOO_LATE: 503,
     Code.OVER_QUOTA: 429,
     Code.QUOTA_UNREACHABLE: 503,
+    Code.RELAY_OVERLOADED: 503,
     Code.SERVER_LOST: 502,
 }
 
--- a/wisteriastair/http1/caller.py
+++ b/wisteriastair/http1/caller.py
@@ -23,6 +23,7 @@
 from anyio.abc import TaskGroup
 
 from ..core.routes import CallerLimits
+from ..scheduling.buffers import OVER_SHARE_TIMEOUT_S, Account
 from .messages import (
     LAST_CHUNK,
     BadRequest,
@@ -34,6 +35,7 @@
     encode_status_line,
     header,
 )
+from .metering import ConnectionMeter
 
 # Number of queued pipelined requests at which reading pauses.
 MAX_PIPELINED_REQUESTS: Final = 8
@@ -41,6 +43,11 @@
 # unread data would reset the connection, and the response could be lost.
 LINGER_TIMEOUT_S: Final = 1.0
 WRITE_BUFFER_BYTES: Final = 64 * 1024
+# Delay before a retry of a request that was refused for lack of memory.  Callers retry
+# on a new connection, which usually reaches another relay.
+OVERLOAD_RETRY_S: Final = 0.1
+# Interval at which a caller above its share is measured while its server waits.
+SHARE_POLL_S: Final = 0.02
 CONTINUE_RESPONSE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -78,16 +85,28 @@
         Runs the handler.
     caller_conns : set
         Set of open connections, to which this one is added while it is open.
+    meter : ConnectionMeter or None
+        Budget for the bytes held for this connection.  With it, data for a caller that
+        reads slowly is buffered within the caller's share, and the caller is
+        disconnected if it stays above it; without it, backpressure applies.
     """
 
     def __init__(
-        self, handler: Handler, group: TaskGroup, caller_conns: set[CallerConnection]
+        self,
+        handler: Handler,
+        group: TaskGroup,
+        caller_conns: set[CallerConnection],
+        meter: ConnectionMeter | None = None,
     ) -> None:
         self.closed = False
+        # Why the relay closed the connection to free memory; empty if it did not.
+        self.close_reason = ""
         self.busy = False
         self._handler = handler
         self._group = group
         self._caller_conns = caller_conns
+        self._meter = meter
+        self._account: Account | None = None
         self._loop = asyncio.get_running_loop()
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport
@@ -111,11 +130,18 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self._caller_conns.add(self)
+        if self._meter is not None:
+            self._account = self._meter.buffers.open(
+                is_caller=True,
+                measure=transport.get_write_buffer_size,
+                disconnect=self._disconnect,
+            )
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the current request and discard queued ones."""
         self.closed = True
         self._caller_conns.discard(self)
+        self._close_account()
         self._writable.set()
         self._queue.clear()
         if self._request_scope is not None:
@@ -135,6 +161,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse data from the caller."""
+        if self._meter is not None:
+            self._meter.traffic.received_bytes += len(data)
         if self._finishing:
             return
         if not self._head_complete:
@@ -221,6 +249,11 @@
             self._reject(431, f"headers over {limits.max_header_bytes} bytes")
         elif length and int(length) > limits.max_body_bytes:
             self._reject(413, f"body over {limits.max_body_bytes} bytes")
+        elif self._meter is not None and not self._meter.buffers.admits(
+            int(length or 0)
+        ):
+            # Nothing is read or reserved for the request, so another relay can run it.
+            self._reject(503, "buffers are full", OVERLOAD_RETRY_S)
         elif header(self._headers, b"expect").lower() == "100-continue":
             self._transport.write(CONTINUE_RESPONSE)
 
@@ -235,6 +268,8 @@
             )
             return
         self._body_parts.append(body)
+        if self._account is not None and self._meter is not None:
+            self._meter.buffers.keep(self._account, len(body))
 
     def on_message_complete(self) -> None:
         """Queue a complete request."""
@@ -254,12 +289,12 @@
             self._reading_paused = True
             self._transport.pause_reading()
 
-    def _reject(self, status: int, reason: str) -> None:
+    def _reject(self, status: int, reason: str, retry_after_s: float = 0.0) -> None:
         """Reject the request that is arriving; later data is discarded."""
         if not self._finishing:
             self._finishing = True
             self._phase_started_at = self._loop.time()
-            self._queue.append(BadRequest(status, reason))
+            self._queue.append(BadRequest(status, reason, retry_after_s))
 
     # Responses
 
@@ -278,6 +313,8 @@
                     self._close_write_side()
                     return
                 await self._serve_request(req)
+                if self._account is not None:
+                    await self._finish_metered_request(req)
                 self._resume_reading()
         finally:
             self.busy = False
@@ -327,7 +364,7 @@
         if self.closed:
             return
         all_headers = [*headers, (b"Content-Length", str(len(body)).encode())]
-        self._transport.write(
+        self._write(
             self._encode_response_head(ResponseHead(status, all_headers)) + body
         )
         self._response_complete = True
@@ -338,35 +375,83 @@
             return
         headers = [*head.headers, (b"Transfer-Encoding", b"chunked")]
         data = self._encode_response_head(ResponseHead(head.status, headers))
-        self._transport.write(
-            data + (encode_chunk(first_chunk) if first_chunk else b"")
-        )
+        self._write(data + (encode_chunk(first_chunk) if first_chunk else b""))
         self._streaming = True
 
     def send(self, data: bytes) -> None:
         """Send a chunk of the body after `begin`."""
         if data and not self.closed:
-            self._transport.write(encode_chunk(data))
+            self._write(encode_chunk(data))
 
     def end(self) -> None:
         """Send the last chunk of the body after `begin`."""
         if not self.closed:
-            self._transport.write(LAST_CHUNK)
+            self._write(LAST_CHUNK)
             self._response_complete = True
 
     def abort(self) -> None:
         """Reset the connection, so that the response is seen to be incomplete."""
         self.closed = True
+        self._close_account()
         self._transport.abort()
 
     @property
     def is_writable(self) -> bool:
-        """Whether the write buffer has capacity for more data."""
-        return self._writable.is_set()
+        """Whether the write buffer has capacity for more data.
+
+        With a budget, it has as long as the caller is within its share.
+        """
+        if self._account is None or self._meter is None:
+            return self._writable.is_set()
+        return self._meter.buffers.is_within_share(self._account)
 
     async def wait_writable(self) -> None:
-        """Wait until the write buffer has capacity for more data."""
-        await self._writable.wait()
+        """Wait until the write buffer has capacity for more data.
+
+        With a budget, the caller is disconnected if that takes too long: a server whose
+        response remains unread aborts it.
+        """
+        if self._account is None or self._meter is None:
+            await self._writable.wait()
+            return
+        buffers, account = self._meter.buffers, self._account
+        with anyio.move_on_after(OVER_SHARE_TIMEOUT_S):
+            while not buffers.is_within_share(account):
+                await anyio.sleep(SHARE_POLL_S)
+                buffers.measure(account)
+            return
+        buffers.disconnect_slow(account)
+
+    # Budget
+
+    def _write(self, data: bytes) -> None:
+        self._transport.write(data)
+        if self._account is None or self._meter is None:
+            return
+        self._meter.traffic.sent_bytes += len(data)
+        self._meter.buffers.record_written(
+            self._account, len(data), self._transport.get_write_buffer_size()
+        )
+
+    async def _finish_metered_request(self, req: Request) -> None:
+        """Return the bytes of a request, and wait for the caller to read.
+
+        A caller that reads nothing could otherwise collect the responses to any number
+        of requests in its send buffer.
+        """
+        if self._account is not None and self._meter is not None:
+            self._meter.buffers.free(self._account, len(req.body))
+        if self._queue and not self._writable.is_set():
+            await self._writable.wait()
+
+    def _disconnect(self, reason: str) -> None:
+        """Reset the connection to free what is held for it."""
+        self.close_reason = f"the caller reads too slowly: {reason}"
+        self.abort()
+
+    def _close_account(self) -> None:
+        if self._account is not None and self._meter is not None:
+            self._meter.buffers.close(self._account)
 
     def _encode_response_head(self, head: ResponseHead) -> bytes:
         headers = head.headers
--- a/wisteriastair/http1/messages.py
+++ b/wisteriastair/http1/messages.py
@@ -54,10 +54,17 @@
 
 
 class BadRequest(NamedTuple):
-    """A rejected request; the connection is closed after the response."""
+    """A rejected request; the connection is closed after the response.
+
+    Attributes
+    ----------
+    retry_after_s : float
+        Seconds to wait before a retry; 0 if a retry is of no use.
+    """
 
     status: int
     reason: str
+    retry_after_s: float = 0.0
 
 
 class ResponseHead(NamedTuple):
--- a/wisteriastair/http1/server.py
+++ b/wisteriastair/http1/server.py
@@ -16,7 +16,9 @@
 
 import httptools
 
+from ..scheduling.buffers import Account
 from .messages import Headers, ResponseHead, header
+from .metering import ConnectionMeter
 
 KEEP_ALIVE: Final = b"keep-alive"
 FIRST_FINAL_STATUS: Final = 200
@@ -42,13 +44,21 @@
 
 
 class Exchange:
-    """A request on a connection, and its response as it arrives."""
+    """A request on a connection, and its response as it arrives.
+
+    Attributes
+    ----------
+    on_buffered : callable or None
+        Called with the size of each part of the body that is held here until the
+        exchange ends.
+    """
 
     def __init__(self, request_id: str, method: str) -> None:
         self.request_id = request_id
         self.method = method
         self.head: ResponseHead | None = None
         self.end: ExchangeEnd | None = None
+        self.on_buffered: Callable[[int], None] | None = None
         self._buffer: deque[bytes] = deque()
         self._waiter: asyncio.Future[None] | None = None
         self._sink: BodySink | None = None
@@ -87,6 +97,8 @@
         """Receive a part of the body from the connection."""
         if self._sink is None:
             self._buffer.append(data)
+            if self.on_buffered is not None:
+                self.on_buffered(len(data))
         elif self._sink(data):
             return
         self._sink = None
@@ -111,15 +123,23 @@
     ----------
     on_unexpected_data : callable
         Called when data arrives that belongs to no request.
+    meter : ConnectionMeter or None
+        Budget for the request and the response that are held for this connection.
     """
 
-    def __init__(self, on_unexpected_data: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        on_unexpected_data: Callable[[], None],
+        meter: ConnectionMeter | None = None,
+    ) -> None:
         self.closed = False
         self.idle_since = 0.0
         # Seconds after which the server closes an idle connection; None if unknown.
         self.keep_alive_s: float | None = None
         self.request_count = 0
         self._on_unexpected_data = on_unexpected_data
+        self._meter = meter
+        self._account: Account | None = None
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport
         self._parser = httptools.HttpResponseParser(self)
@@ -131,10 +151,17 @@
         """Store the transport of the new connection."""
         assert isinstance(transport, asyncio.Transport), "servers are reached over TCP"
         self._transport = transport
+        if self._meter is not None:
+            self._account = self._meter.buffers.open(
+                is_caller=False,
+                measure=transport.get_write_buffer_size,
+                disconnect=self._disconnect,
+            )
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the current exchange, whose response is incomplete."""
         self.closed = True
+        self._close_account()
         if self._exchange is not None:
             reason = "channel closed" if exc is None else f"channel lost: {exc!r}"
             self._exchange.finish(ExchangeEnd(ExchangeOutcome.BROKEN, reason))
@@ -147,6 +174,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse data from the server."""
+        if self._meter is not None:
+            self._meter.traffic.received_bytes += len(data)
         exchange = self._exchange
         if exchange is None or exchange.end is not None:
             self._reject_unexpected_data()
@@ -166,6 +195,8 @@
         self._exchange = exchange
         self.request_count += 1
         self._transport.write(data)
+        if self._account is not None:
+            self._record_request(exchange, len(data))
 
     def release(self, now: float) -> bool:
         """End the exchange; return whether the connection can be reused.
@@ -176,6 +207,7 @@
         """
         exchange = self._exchange
         self._exchange = None
+        self._free_exchange()
         self.idle_since = now
         is_complete = (
             exchange is not None
@@ -202,8 +234,42 @@
         """Reset the connection; the server drops a request in progress."""
         if not self.closed:
             self.closed = True
+            self._close_account()
             self._transport.abort()
 
+    # Budget
+
+    def _record_request(self, exchange: Exchange, size: int) -> None:
+        """Account for a request: it stays in memory until its exchange ends."""
+        assert self._meter is not None and self._account is not None
+        exchange.on_buffered = self._keep
+        self._meter.traffic.sent_bytes += size
+        self._keep(size)
+        self._meter.buffers.record_written(
+            self._account, size, self._transport.get_write_buffer_size()
+        )
+
+    def _keep(self, size: int) -> None:
+        if self._meter is not None and self._account is not None:
+            self._meter.buffers.keep(self._account, size)
+
+    def _free_exchange(self) -> None:
+        if self._meter is not None and self._account is not None:
+            self._meter.buffers.free(self._account, self._account.kept_bytes)
+
+    def _disconnect(self, reason: str) -> None:
+        """Break off the exchange to free what is held for it."""
+        exchange = self._exchange
+        self.close()
+        if exchange is not None:
+            exchange.finish(
+                ExchangeEnd(ExchangeOutcome.BROKEN, "buffers of the relay are full")
+            )
+
+    def _close_account(self) -> None:
+        if self._meter is not None and self._account is not None:
+            self._meter.buffers.close(self._account)
+
     def _reject_unexpected_data(self) -> None:
         self._is_reusable = False
         self._on_unexpected_data()
--- a/wisteriastair/nodemetrics.py
+++ b/wisteriastair/nodemetrics.py
@@ -77,6 +77,18 @@
             buckets=LEDGER_BUCKETS,
             registry=self.registry,
         )
+        self.overload_refusals = Counter(
+            "wisteriastair_overload_refusals",
+            "Requests refused because the event loop or the link is overloaded",
+            ["kind"],
+            registry=self.registry,
+        )
+        self.buffer_disconnects = Gauge(
+            "wisteriastair_buffer_disconnects",
+            "Connections closed since start to free buffers, by reason",
+            ["reason"],
+            registry=self.registry,
+        )
         self._labelled_customers: set[str] = set()
         self.gauges = {
             name: Gauge(f"wisteriastair_{name}", text, registry=self.registry)
@@ -94,6 +106,12 @@
                 ("store_watched", "1 if this process watches the store itself"),
                 ("ledger_resent", "Ledger requests sent again since start"),
                 ("chain_bytes", "Bytes of cached chains"),
+                ("held_bytes", "Bytes held for callers and servers"),
+                ("held_bytes_peak", "Most bytes held at a time since start"),
+                ("held_bytes_limit", "Budget for held bytes; 0 for none"),
+                ("buffer_refusals", "Requests refused since start: buffers full"),
+                ("loop_lag_seconds", "Smoothed lag of the event loop"),
+                ("link_use", "Used part of the link in the busier direction"),
                 ("log_lines_dropped", "Log lines that were not taken in time"),
             )
         }
--- a/wisteriastair/relay/answers.py
+++ b/wisteriastair/relay/answers.py
@@ -26,6 +26,7 @@
     408: Code.SLOW_REQUEST,
     413: Code.TOO_LARGE,
     431: Code.HEADERS_TOO_LARGE,
+    503: Code.RELAY_OVERLOADED,
 }
 
 
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -52,6 +52,7 @@
 from .handler import ReadyHandler, RelayHandler
 from .ledger import LedgerClient
 from .pool import ConnectionPool
+from .pressure import make_relay_pressure
 from .quota import QuotaClient
 from .streams import StreamRelay
 
@@ -82,17 +83,25 @@
             self._on_listed,
             subscription=self._subscription,
         )
-        self._pool = ConnectionPool(self._on_unexpected_data)
         self._metrics = RelayMetrics()
+        cache_bytes = int(cfg.memory_bytes * CHAIN_CACHE_FRACTION)
+        self._pressure = make_relay_pressure(cfg, cache_bytes, self._metrics)
+        self._meter = self._pressure.meter if self._pressure else None
+        self._pool = ConnectionPool(self._on_unexpected_data, self._meter)
         self._ledger = LedgerClient(cfg.domain, cfg.max_failures)
         self._dispatcher = Dispatcher(self._fleet, self._pool, cfg.domain)
-        self._chains = ChainCache(int(cfg.memory_bytes * CHAIN_CACHE_FRACTION))
+        self._chains = ChainCache(cache_bytes)
         streams = StreamRelay(self._dispatcher, self._ledger, self._chains)
         self._quota = QuotaClient(
             cfg.quota, lambda: self._ledger.view, lambda: self._ledger.is_reachable
         )
         self._handler = RelayHandler(
-            self._dispatcher, streams, self._quota, self._is_ready, self._metrics
+            self._dispatcher,
+            streams,
+            self._quota,
+            self._is_ready,
+            self._metrics,
+            self._pressure,
         )
         self._ready = ReadyHandler(self._is_ready)
         self._caller_conns: set[CallerConnection] = set()
@@ -121,6 +130,8 @@
             group.start_soon(self._sweep, transport)
             group.start_soon(self._probe_ledger)
             group.start_soon(self._request_documents, transport)
+            if self._pressure is not None:
+                group.start_soon(self._pressure.run)
             await serve_metrics(self._cfg.ip_address, self._metrics.registry, group)
             group.start_soon(self._watch_signals)
             await self._serve(group)
@@ -132,7 +143,9 @@
         ready_conns: set[CallerConnection] = set()
         listeners = [
             await loop.create_server(
-                lambda: CallerConnection(self._handler, group, self._caller_conns),
+                lambda: CallerConnection(
+                    self._handler, group, self._caller_conns, self._meter
+                ),
                 *_host_and_port(self._cfg.caller_address),
                 backlog=LISTEN_BACKLOG,
             ),
@@ -169,6 +182,7 @@
             is_configured
             and self._ledger.is_reachable
             and self._handler.shutdown is None
+            and (self._pressure is None or self._pressure.is_ready)
         )
 
     # Documents of the store, received from keepers
--- a/wisteriastair/relay/handler.py
+++ b/wisteriastair/relay/handler.py
@@ -25,6 +25,7 @@
 from .job import Job
 from .permission import QuotaCheck
 from .plain import RETRY_AFTER_S, handle_plain_request
+from .pressure import RelayPressure
 from .quota import QuotaClient
 from .streams import StreamRelay
 
@@ -50,6 +51,8 @@
         Whether this process is ready for callers.
     metrics : RelayMetrics
         Counts requests by outcome.
+    pressure : RelayPressure or None
+        Load of this process; None if it limits nothing.
 
     Attributes
     ----------
@@ -72,6 +75,7 @@
         quota: QuotaClient,
         is_ready: Callable[[], bool],
         metrics: RelayMetrics,
+        pressure: RelayPressure | None = None,
     ) -> None:
         self.table: RouteTable | None = None
         self.is_config_current = True
@@ -83,6 +87,7 @@
         self._quota = quota
         self._is_ready = is_ready
         self._metrics = metrics
+        self._pressure = pressure
 
     def is_closing(self) -> bool:
         """Whether connections are closed after their next response.
@@ -112,7 +117,10 @@
     def refuse(self, bad: BadRequest, caller_conn: CallerConnection) -> None:
         """Answer a request that could not be read."""
         log.info("request refused", extra={"status": bad.status, "reason": bad.reason})
-        send_failure(caller_conn, "", Failure(code_for_status(bad.status), bad.reason))
+        failure = Failure(
+            code_for_status(bad.status), bad.reason, "no", bad.retry_after_s
+        )
+        send_failure(caller_conn, "", failure)
 
     async def handle(self, req: Request, caller_conn: CallerConnection) -> None:
         """Answer one request."""
@@ -152,6 +160,10 @@
             failure = Failure(Code.STOPPING, detail, "no", STOPPING_RETRY_S)
             self._reject(caller_conn, caller_req.id, failure)
             return
+        overload = self._pressure and self._pressure.refusal(route, caller_req)
+        if overload:
+            self._reject(caller_conn, caller_req.id, overload)
+            return
         pending_permit = None
         if customer is not None:
             may_start = route.kind is RequestKind.STREAM and not caller_req.previous_id
@@ -179,6 +191,7 @@
         finally:
             self.active_requests -= 1
             job.quota_check.cancel()
+            job.reason = job.reason or caller_conn.close_reason
             job.log()
             self._record_metrics(job)
 
--- a/wisteriastair/relay/pool.py
+++ b/wisteriastair/relay/pool.py
@@ -14,6 +14,7 @@
 
 import anyio
 
+from ..http1.metering import ConnectionMeter
 from ..http1.server import ServerConnection
 from ..scheduling.fleet import Server
 from ..sockets import set_options
@@ -33,16 +34,24 @@
     on_unexpected_data : callable
         Called with the id of a server that sends bytes outside of any response.
 
+    meter : ConnectionMeter or None
+        Budget for the bytes held for connections.
+
     Attributes
     ----------
     opened_count : int
         Connections opened since the start.
     """
 
-    def __init__(self, on_unexpected_data: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        on_unexpected_data: Callable[[str], None],
+        meter: ConnectionMeter | None = None,
+    ) -> None:
         self.opened_count = 0
         self._idle: dict[str, list[ServerConnection]] = {}
         self._on_unexpected_data = on_unexpected_data
+        self._meter = meter
 
     async def acquire(self, server: Server) -> ServerConnection | str:
         """Return a connection, or the reason why none could be opened."""
@@ -87,7 +96,7 @@
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 transport, server_conn = await loop.create_connection(
                     lambda: ServerConnection(
-                        lambda: self._on_unexpected_data(server.id)
+                        lambda: self._on_unexpected_data(server.id), self._meter
                     ),
                     host,
                     int(port),
