Soak: callers that read large responses slowly, relays with a budget

Cause: no soak had callers that leave responses unread, or the budget.

Change: six callers read responses of 3 MB at 0.1 to 2 MB/s; with an even seed relays have 60 MB and the contract pressure. All checks stay as they were; the failures of these callers are not recorded, since a relay may disconnect them.

--- a/tests/platform/settings_file.py
+++ b/tests/platform/settings_file.py
@@ -18,6 +18,8 @@
     seeds: tuple[str, ...] = (),
     front: str = "",
     ready: str = "",
+    memory_mb: int = 150,
+    contracts: tuple[str, ...] = (),
 ) -> Path:
     """Write a settings file and return its path.
 
@@ -27,6 +29,8 @@
         ``IP:PORT`` of instances with a disk.
     front, ready : str
         Addresses that a relay listens on; empty for a keeper.
+    contracts : tuple of str
+        Names of the platform's rules that are in force.
     """
     path.write_text(
         f"""
@@ -36,10 +40,11 @@
 internalPorts = [{internal_port}, {internal_port}]
 seeds = {json.dumps(list(seeds))}
 bootstrap = true
+contracts = {json.dumps(list(contracts))}
 dataDir = "{data_dir}"
 listen = {{ front = "{front}", ready = "{ready}" }}
 platform = {{ address = "{store}" }}
-limits = {{ memoryMb = 150 }}
+limits = {{ memoryMb = {memory_mb} }}
 tolerate = {{ machines = 1 }}
 
 [bounds]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -3,9 +3,10 @@
 Each seed starts three keepers and some relays as processes, with a store and servers
 that misbehave.  Callers run programs against the relays while faults are injected.
 With ``--stops`` the faults are planned stops, in series and overlapping, and callers
-reuse their connections.  At the end everything must be served again.  If a seed breaks
-a guarantee or is not served at the end, its violations are printed and its folder with
-the logs is retained.
+reuse their connections.  Some callers read large responses slowly; with an even seed,
+relays have a budget for what they hold and little memory.  At the end everything must
+be served again.  If a seed breaks a guarantee or is not served at the end, its
+violations are printed and its folder with the logs is retained.
 """
 
 from __future__ import annotations
@@ -33,6 +34,7 @@
 from tests.soak.faults import inject_faults
 from tests.soak.stops import inject_stops
 from tests.soak.witness import (
+    LARGE_PREFIX,
     MAX_TOKENS,
     NOT_EXECUTED_STATUSES,
     Failure,
@@ -76,6 +78,13 @@
 FLOODING_CALLER_COUNT: Final = 3
 FLOOD_PAUSE_S: Final = 0.03
 UNKNOWN_KEY_PAUSE_S: Final = 0.3
+# Callers that read large responses slowly, their rates in bytes per second, and the
+# time after which they give up.  At the lowest rate they never read all of a response.
+SLOW_READER_COUNT: Final = 6
+SLOW_READ_RATES: Final = (100_000, 2_000_000)
+SLOW_READ_INTERVAL_S: Final = 0.05
+SLOW_READ_TIMEOUT_S: Final = 4.0
+SLOW_RECEIVE_BUFFER: Final = 8 * 1024
 
 
 class Result(NamedTuple):
@@ -206,6 +215,43 @@
                 )
             await anyio.sleep(UNKNOWN_KEY_PAUSE_S)
 
+    async def read_slowly(self) -> None:
+        """Send requests with large responses and read them slowly, until stopped.
+
+        Their failures are not recorded: a relay may close the connection of a caller
+        that reads too slowly, and the caller may give up.  All other checks apply.
+        """
+        while not self.stopped:
+            request_id = self._next_id(LARGE_PREFIX)
+            self._checker.record_request(request_id, "unsafe")
+            headers = self._auth_header(request_id, assign_customer(request_id))
+            relay = self._rng.choice(self._deployment.relay_names)
+            rate = self._rng.uniform(*SLOW_READ_RATES)
+            caller = await self._deployment.open_connection(relay, SLOW_RECEIVE_BUFFER)
+            if caller is not None:
+                with anyio.move_on_after(SLOW_READ_TIMEOUT_S):
+                    await self._read_slowly(caller, request_id, headers, rate)
+                caller.writer.close()
+            await anyio.sleep(SLOW_READ_INTERVAL_S)
+
+    async def _read_slowly(
+        self, caller: Caller, request_id: str, headers: dict[str, str], rate: float
+    ) -> None:
+        try:
+            await caller.send("unsafe", request_id, **headers)
+            head = (await caller.reader.readuntil(b"\r\n\r\n")).decode()
+            length = int(head.lower().split("content-length: ")[1].split("\r\n")[0])
+            body = b""
+            while len(body) < length:
+                await anyio.sleep(SLOW_READ_INTERVAL_S)
+                size = min(int(rate * SLOW_READ_INTERVAL_S), length - len(body))
+                body += await caller.reader.readexactly(size)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            # The relay closed the connection: the outcome is unknown.
+            return
+        status = int(head.split(" ")[1])
+        self._checker.record_response(request_id, status, body, True)
+
     async def _send_call(self, kind: str, customer: str) -> None:
         request_id = self._next_id(kind[0])
         self._checker.record_request(request_id, kind)
@@ -300,7 +346,14 @@
     async with standin_store() as store:
         slow_factor = SLOW_FACTOR if stops else 1.0
         deployment = SoakDeployment(
-            folder, store, checker, rng, variant, relays, slow_factor
+            folder,
+            store,
+            checker,
+            rng,
+            variant,
+            relays,
+            slow_factor,
+            has_pressure=seed % 2 == 0,
         )
         await deployment.start_servers()
         for name in deployment.machines:
@@ -318,6 +371,8 @@
                 for _ in range(FLOODING_CALLER_COUNT):
                     group.start_soon(callers.flood_requests)
                 group.start_soon(callers.send_unknown_key)
+                for _ in range(SLOW_READER_COUNT):
+                    group.start_soon(callers.read_slowly)
                 if stops:
                     group.start_soon(deployment.watch_cpu_starvation)
                 for number in range(caller_count):
--- a/tests/soak/witness.py
+++ b/tests/soak/witness.py
@@ -35,8 +35,17 @@
 NOT_EXECUTED_STATUSES: Final = (402, 408, 421, 429, 503)
 
 
+# Ids of requests with large responses start with this.
+LARGE_PREFIX: Final = "w"
+# Above what the kernel buffers for a connection whose caller does not read.
+LARGE_RESPONSE_BYTES: Final = 3_000_000
+
+
 def plain_answer(request_id: str) -> str:
     """Return the response body of a plain service."""
+    if request_id.startswith(LARGE_PREFIX):
+        line = f"{request_id}\n"
+        return line * (LARGE_RESPONSE_BYTES // len(line))
     return f"answer to {request_id}"
 
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -8,6 +8,7 @@
 import random
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -74,6 +75,10 @@
 )
 
 
+# With this limit a relay has the least budget, little more than a large response.
+PRESSURE_MEMORY_MB: Final = 60
+
+
 class Machine(NamedTuple):
     """A machine of the soak, with one process."""
 
@@ -116,6 +121,8 @@
         Number of relays.
     slow_factor : float
         Factor by which the response times of servers are longer.
+    has_pressure : bool
+        Whether relays have a budget for the bytes that they hold, and little memory.
     """
 
     def __init__(
@@ -127,11 +134,13 @@
         variant: Variant | None = None,
         relays: int = 2,
         slow_factor: float = 1.0,
+        has_pressure: bool = False,
     ) -> None:
         self.store = store
         self.checker = checker
         self.relay_names = tuple(f"relay-{n}" for n in range(1, relays + 1))
         self._slow_factor = slow_factor
+        self._has_pressure = has_pressure
         self._config_version = 0
         self._folder = folder
         self._rng = rng
@@ -366,15 +375,30 @@
             seeds=tuple(f"{self.machines[name].ip}:1" for name in KEEPERS),
             front=f"{machine.ip}:{front}",
             ready=f"{machine.ip}:{ready}",
+            memory_mb=PRESSURE_MEMORY_MB if self._has_pressure else 150,
+            contracts=("pressure",) if self._has_pressure else (),
         )
 
-    async def open_connection(self, name: str) -> Caller | None:
-        """Open a connection to a relay; return None if it is not accepted."""
+    async def open_connection(
+        self, name: str, receive_buffer: int = 0
+    ) -> Caller | None:
+        """Open a connection to a relay; return None if it is not accepted.
+
+        Parameters
+        ----------
+        receive_buffer : int
+            Bytes that the kernel receives before the caller reads; 0 for the default.
+        """
+        sock = socket.socket()
+        sock.setblocking(False)
+        if receive_buffer:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
         try:
             with anyio.fail_after(0.5):
-                reader, writer = await asyncio.open_connection(
-                    self.machines[name].ip, self._ports[1]
-                )
+                address = (self.machines[name].ip, self._ports[1])
+                await asyncio.get_running_loop().sock_connect(sock, address)
+                reader, writer = await asyncio.open_connection(sock=sock)
         except (OSError, TimeoutError):
+            sock.close()
             return None
         return Caller(reader, writer)
