Operators' commands know the reasons of relays under pressure

Change: causes for overload, full buffers and callers that read too slowly. A refusal for full buffers echoes the request's id.

Result: tests/operators, tests/http1, tests/relay/test_pressure.py and tests/relay/test_relay.py pass.

--- a/tests/operators/test_endings.py
+++ b/tests/operators/test_endings.py
@@ -20,7 +20,8 @@
 )
 from wisteriastair.operators.trace import REQUEST_TEXTS, LogLine
 
-RELAY_PACKAGE = Path(endings.__file__).parent.parent / "relay"
+PACKAGE = Path(endings.__file__).parent.parent
+RELAY_SOURCES = (*PACKAGE.glob("relay/*.py"), *PACKAGE.glob("http1/*.py"))
 REFUSED, FAILED, BROKEN_OFF = Outcome.REFUSED, Outcome.FAILED, Outcome.BROKEN_OFF
 
 
@@ -161,6 +162,26 @@
             RequestRecord(status=503, reason="this process is stopping"),
             (REFUSED, Cause.RELAY_STOPPING),
         ),
+        (
+            RequestRecord(status=503, reason="this relay is overloaded: lag 50 ms"),
+            (REFUSED, Cause.RELAY_OVERLOADED),
+        ),
+        (
+            RequestRecord(status=503, reason="buffers are full"),
+            (REFUSED, Cause.RELAY_BUFFERS),
+        ),
+        (
+            sent_request(0, "the caller reads too slowly: share", left_ms=-3),
+            (BROKEN_OFF, Cause.CALLER_SLOW),
+        ),
+        (
+            sent_request(502, "buffers of the relay are full"),
+            (FAILED, Cause.RELAY_BUFFERS),
+        ),
+        (
+            sent_request(0, "buffers of the relay are full"),
+            (BROKEN_OFF, Cause.RELAY_BUFFERS),
+        ),
         (
             RequestRecord(status=400, reason="two lengths"),
             (REFUSED, Cause.OTHER_REJECTION),
@@ -223,7 +244,7 @@
 
 
 def test_relays_write_these_reasons() -> None:
-    sources = "".join(path.read_text("utf-8") for path in RELAY_PACKAGE.glob("*.py"))
+    sources = "".join(path.read_text("utf-8") for path in RELAY_SOURCES)
     for name in (
         "NO_CONFIGURATION",
         "STALE_ROUTES",
@@ -238,5 +259,9 @@
         "REJECTED_BY_SERVER",
         "RESPONSE_TIMEOUT",
         "NO_TIME_LEFT",
+        "RELAY_OVERLOADED",
+        "BUFFERS_FULL",
+        "SLOW_CALLER",
+        "BUDGET_EXCEEDED",
     ):
         assert getattr(endings, name) in sources, name
--- a/tests/relay/test_pressure.py
+++ b/tests/relay/test_pressure.py
@@ -160,6 +160,7 @@
         reply = await harness.request("unsafe", "q2")
         assert reply.status == 503
         assert "Retry-After: 0.1" in reply.head
+        assert "X-Request-Id: q2" in reply.head
         assert b'"ran":"no"' in reply.body
         may_read.set()
         assert (await caller.read()).status == 200
--- a/wisteriastair/http1/caller.py
+++ b/wisteriastair/http1/caller.py
@@ -46,6 +46,8 @@
 # Delay before a retry of a request that was refused for lack of memory.  Callers retry
 # on a new connection, which usually reaches another relay.
 OVERLOAD_RETRY_S: Final = 0.1
+BUFFERS_FULL: Final = "buffers are full"
+SLOW_CALLER: Final = "the caller reads too slowly"
 # Interval at which a caller above its share is measured while its server waits.
 SHARE_POLL_S: Final = 0.02
 CONTINUE_RESPONSE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -253,7 +255,7 @@
             int(length or 0)
         ):
             # Nothing is read or reserved for the request, so another relay can run it.
-            self._reject(503, "buffers are full", OVERLOAD_RETRY_S)
+            self._reject(503, BUFFERS_FULL, OVERLOAD_RETRY_S)
         elif header(self._headers, b"expect").lower() == "100-continue":
             self._transport.write(CONTINUE_RESPONSE)
 
@@ -294,7 +296,8 @@
         if not self._finishing:
             self._finishing = True
             self._phase_started_at = self._loop.time()
-            self._queue.append(BadRequest(status, reason, retry_after_s))
+            request_id = header(self._headers, b"x-request-id")
+            self._queue.append(BadRequest(status, reason, retry_after_s, request_id))
 
     # Responses
 
@@ -446,7 +449,7 @@
 
     def _disconnect(self, reason: str) -> None:
         """Reset the connection to free what is held for it."""
-        self.close_reason = f"the caller reads too slowly: {reason}"
+        self.close_reason = f"{SLOW_CALLER}: {reason}"
         self.abort()
 
     def _close_account(self) -> None:
--- a/wisteriastair/http1/messages.py
+++ b/wisteriastair/http1/messages.py
@@ -60,11 +60,14 @@
     ----------
     retry_after_s : float
         Seconds to wait before a retry; 0 if a retry is of no use.
+    request_id : str
+        Id that the caller sent, if it is known by then.
     """
 
     status: int
     reason: str
     retry_after_s: float = 0.0
+    request_id: str = ""
 
 
 class ResponseHead(NamedTuple):
--- a/wisteriastair/operators/endings.py
+++ b/wisteriastair/operators/endings.py
@@ -38,6 +38,10 @@
 REJECTED_BY_SERVER: Final = "status "
 RESPONSE_TIMEOUT: Final = "no answer in time"
 NO_TIME_LEFT: Final = "no time left"
+RELAY_OVERLOADED: Final = "this relay is overloaded"
+BUFFERS_FULL: Final = "buffers are full"
+SLOW_CALLER: Final = "the caller reads too slowly"
+BUDGET_EXCEEDED: Final = "buffers of the relay are full"
 # HTTP statuses of successful responses, and those that relays send themselves.
 SUCCESS_STATUSES: Final = range(200, 400)
 BAD_GATEWAY: Final = 502
@@ -79,6 +83,9 @@
     OVERRUN_BEFORE_FIRST_EVENT = "time over: first event"
     OVERRUN_AFTER_FIRST_EVENT = "time over: rest of the answer"
     RELAY_STOPPING = "relay stopping"
+    RELAY_OVERLOADED = "relay overloaded"
+    RELAY_BUFFERS = "relay's buffers full"
+    CALLER_SLOW = "caller reads too slowly"
     NOT_CONFIGURED = "not configured"
     UNKNOWN_ROUTE = "unknown route"
     BUDGET_EXHAUSTED = "budget spent"
@@ -189,6 +196,10 @@
         return Cause.UNKNOWN_ROUTE
     if reason == PROCESS_STOPPING:
         return Cause.RELAY_STOPPING
+    if reason.startswith(RELAY_OVERLOADED):
+        return Cause.RELAY_OVERLOADED
+    if reason == BUFFERS_FULL:
+        return Cause.RELAY_BUFFERS
     return Cause.OTHER_REJECTION
 
 
@@ -225,6 +236,8 @@
     if request.status == GATEWAY_TIMEOUT:
         is_timeout = request.reason == RESPONSE_TIMEOUT or request.left_ms <= 0
         return _longest_phase(request) if is_timeout else Cause.SERVER_RESPONSE
+    if request.reason == BUDGET_EXCEEDED:
+        return Cause.RELAY_BUFFERS
     if request.status == BAD_GATEWAY:
         return Cause.SERVER_DISCONNECTED
     # The reason belongs to a server tried before the one that responded.
@@ -234,6 +247,10 @@
 def _interruption_cause(request: RoutedRequestRecord, is_aborted: bool) -> Cause:
     if request.reason == TURN_NOT_STORED:
         return Cause.TURN_NOT_STORED
+    if request.reason.startswith(SLOW_CALLER):
+        return Cause.CALLER_SLOW
+    if request.reason == BUDGET_EXCEEDED:
+        return Cause.RELAY_BUFFERS
     if request.reason == RESPONSE_TIMEOUT or request.left_ms <= 0:
         return _longest_phase(request)
     if request.reason:
--- a/wisteriastair/relay/handler.py
+++ b/wisteriastair/relay/handler.py
@@ -116,11 +116,18 @@
 
     def refuse(self, bad: BadRequest, caller_conn: CallerConnection) -> None:
         """Answer a request that could not be read."""
-        log.info("request refused", extra={"status": bad.status, "reason": bad.reason})
+        log.info(
+            "request refused",
+            extra={
+                "request": bad.request_id,
+                "status": bad.status,
+                "reason": bad.reason,
+            },
+        )
         failure = Failure(
             code_for_status(bad.status), bad.reason, "no", bad.retry_after_s
         )
-        send_failure(caller_conn, "", failure)
+        send_failure(caller_conn, bad.request_id, failure)
 
     async def handle(self, req: Request, caller_conn: CallerConnection) -> None:
         """Answer one request."""
