--- a/tests/platform/settings_file.py
+++ b/tests/platform/settings_file.py
@@ -18,6 +18,7 @@
     seeds: tuple[str, ...] = (),
     front: str = "",
     ready: str = "",
+    memory_mb: int = 150,
     contracts: tuple[str, ...] = (),
 ) -> Path:
     """Write a settings file and return its path.
@@ -29,7 +30,7 @@
     front, ready : str
         Addresses that a relay listens on; empty for a keeper.
     contracts : tuple of str
-        Names of the contracts in force.
+        Names of the platform's rules that are in force.
     """
     path.write_text(
         f"""
@@ -38,12 +39,12 @@
 zone = "{zone}"
 internalPorts = [{internal_port}, {internal_port}]
 seeds = {json.dumps(list(seeds))}
-contracts = {json.dumps(list(contracts))}
 bootstrap = true
+contracts = {json.dumps(list(contracts))}
 dataDir = "{data_dir}"
 listen = {{ front = "{front}", ready = "{ready}" }}
 platform = {{ address = "{store}" }}
-limits = {{ memoryMb = 150 }}
+limits = {{ memoryMb = {memory_mb} }}
 tolerate = {{ machines = 1 }}
 
 [bounds]
--- a/wisteriastair/http1/messages.py
+++ b/wisteriastair/http1/messages.py
@@ -54,10 +54,20 @@
 
 
 class BadRequest(NamedTuple):
-    """A rejected request; the connection is closed after the response."""
+    """A rejected request; the connection is closed after the response.
+
+    Attributes
+    ----------
+    retry_after_s : float
+        Seconds to wait before a retry; 0 if a retry is of no use.
+    request_id : str
+        Id that the caller sent, if it is known by then.
+    """
 
     status: int
     reason: str
+    retry_after_s: float = 0.0
+    request_id: str = ""
 
 
 class ResponseHead(NamedTuple):
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -55,6 +55,7 @@
 from .ledger import LedgerClient
 from .picture import PictureClient
 from .pool import ConnectionPool
+from .pressure import make_relay_pressure
 from .quota import QuotaClient
 from .streams import StreamRelay
 
@@ -85,8 +86,11 @@
             self._on_listed,
             subscription=self._subscription,
         )
-        self._pool = ConnectionPool(self._on_unexpected_data)
         self._metrics = RelayMetrics()
+        cache_bytes = int(cfg.memory_bytes * CHAIN_CACHE_FRACTION)
+        self._pressure = make_relay_pressure(cfg, cache_bytes, self._metrics)
+        self._meter = self._pressure.meter if self._pressure else None
+        self._pool = ConnectionPool(self._on_unexpected_data, self._meter)
         self._ledger = LedgerClient(cfg.domain, cfg.max_failures)
         self._picture = PictureClient(
             self._fleet,
@@ -98,7 +102,7 @@
         self._dispatcher = Dispatcher(
             self._fleet, self._pool, cfg.domain, self._picture.picture
         )
-        self._chains = ChainCache(int(cfg.memory_bytes * CHAIN_CACHE_FRACTION))
+        self._chains = ChainCache(cache_bytes)
         order = EngineOrder(
             self._fleet,
             name=cfg.name,
@@ -111,7 +115,12 @@
             cfg.quota, lambda: self._ledger.view, lambda: self._ledger.is_reachable
         )
         self._handler = RelayHandler(
-            self._dispatcher, streams, self._quota, self._is_ready, self._metrics
+            self._dispatcher,
+            streams,
+            self._quota,
+            self._is_ready,
+            self._metrics,
+            self._pressure,
         )
         self._ready = ReadyHandler(self._is_ready)
         self._caller_conns: set[CallerConnection] = set()
@@ -141,6 +150,8 @@
             group.start_soon(self._probe_ledger)
             group.start_soon(self._picture.run, transport)
             group.start_soon(self._request_documents, transport)
+            if self._pressure is not None:
+                group.start_soon(self._pressure.run)
             await serve_metrics(self._cfg.ip_address, self._metrics.registry, group)
             group.start_soon(self._watch_signals)
             await self._serve(group)
@@ -152,7 +163,9 @@
         ready_conns: set[CallerConnection] = set()
         listeners = [
             await loop.create_server(
-                lambda: CallerConnection(self._handler, group, self._caller_conns),
+                lambda: CallerConnection(
+                    self._handler, group, self._caller_conns, self._meter
+                ),
                 *_host_and_port(self._cfg.caller_address),
                 backlog=LISTEN_BACKLOG,
             ),
@@ -189,6 +202,7 @@
             is_configured
             and self._ledger.is_reachable
             and self._handler.shutdown is None
+            and (self._pressure is None or self._pressure.is_ready)
         )
 
     # Documents of the store, received from keepers
--- a/wisteriastair/scheduling/engine_memory.py
+++ b/wisteriastair/scheduling/engine_memory.py
@@ -47,7 +47,7 @@
 # Seconds after which other relays have heard of a request: reports are sent each
 # quarter of a second, and travel over one keeper.
 REPORT_AGE_S: Final = 0.4
-# Fraction of an engine's memory above which free memory is not divided among the relays.
+# Fraction of an engine's memory above which free memory is not divided among relays.
 # A division at all times would send turns away from the engines that have their
 # conversations cached.
 AMPLE_FRACTION: Final = 0.3
