Relays decide whether a program may start

Cause: in a burst all programs are admitted, each turn waits, and all programs end after their time.

Change: a new program is refused while servers queue and its time cannot hold the predicted wait by a margin; fair shares of the starts; a retry budget for turns that full servers reject. On for services with a fourth load figure (the callable is False so far) and under memory pressure only.

--- a/wisteriastair/nodemetrics.py
+++ b/wisteriastair/nodemetrics.py
@@ -77,6 +77,12 @@
             buckets=LEDGER_BUCKETS,
             registry=self.registry,
         )
+        self.admissions = Counter(
+            "wisteriastair_admissions",
+            "Turns by the decision whether their program may start",
+            ["service", "verdict"],
+            registry=self.registry,
+        )
         self._labelled_customers: set[str] = set()
         self.gauges = {
             name: Gauge(f"wisteriastair_{name}", text, registry=self.registry)
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -46,6 +46,7 @@
 from ..platform.mirror import Mirror
 from ..platform.store import Store, StoreItem
 from ..scheduling.fleet import REREGISTRATION_S, Fleet
+from .admission import AdmissionGate
 from .chains import ChainCache
 from .dispatch import Dispatcher
 from .drain import Drain
@@ -91,8 +92,16 @@
         self._quota = QuotaClient(
             cfg.quota, lambda: self._ledger.view, lambda: self._ledger.is_reachable
         )
+        self._admission = AdmissionGate(
+            self._fleet, self._metrics, has_memory_pressure=cfg.has_memory_pressure
+        )
         self._handler = RelayHandler(
-            self._dispatcher, streams, self._quota, self._is_ready, self._metrics
+            self._dispatcher,
+            streams,
+            self._quota,
+            self._is_ready,
+            self._metrics,
+            self._admission,
         )
         self._ready = ReadyHandler(self._is_ready)
         self._caller_conns: set[CallerConnection] = set()
@@ -362,6 +371,7 @@
                 transport.send(address, message)
             self._pool.close_unused(self._fleet.remove_expired(now))
             self._update_gauges()
+            self._admission.log_recovered(now)
             await anyio.sleep(SWEEP_INTERVAL_S)
 
 
--- a/wisteriastair/relay/dispatch.py
+++ b/wisteriastair/relay/dispatch.py
@@ -27,14 +27,23 @@
 
 # A server that reports that it is full is avoided for this time.
 OVERLOAD_BACKOFF_S: Final = 0.15
+# Status of a server without room; a 421 means another process at the same address.
+FULL_STATUS: Final = 503
 BYTES_PER_KB: Final = 1000.0
 
 
 class NotRun(NamedTuple):
-    """The request has not run on this server and never will."""
+    """The request has not run on this server and never will.
+
+    Attributes
+    ----------
+    is_full : bool
+        Whether the server rejected the request because it is full.
+    """
 
     server: str
     reason: str
+    is_full: bool = False
 
 
 class ResponseStarted(NamedTuple):
@@ -172,7 +181,10 @@
             state.record_load(load, now)
         if was_not_executed(head):
             state.overloaded_until = now + OVERLOAD_BACKOFF_S
-            return NotRun(server_id, f"status {head.status}")
+            is_full = head.status == FULL_STATUS
+            if is_full:
+                state.full_at = now
+            return NotRun(server_id, f"status {head.status}", is_full)
         return ResponseStarted(state, exchange, server_conn, head)
 
     def record_failure(self, state: ServerState) -> None:
--- a/wisteriastair/relay/handler.py
+++ b/wisteriastair/relay/handler.py
@@ -20,6 +20,7 @@
 from ..http1.messages import BadRequest, Request
 from ..nodemetrics import RelayMetrics
 from ..platform.headers import READY_PATH, InvalidHeader, decode_request
+from .admission import AdmissionGate
 from .answers import code_for_status, send_failure
 from .dispatch import Dispatcher
 from .job import Job
@@ -50,6 +51,8 @@
         Whether this process is ready for callers.
     metrics : RelayMetrics
         Counts requests by outcome.
+    admission : AdmissionGate or None
+        Decides which programs may start; None to start all.
 
     Attributes
     ----------
@@ -72,6 +75,7 @@
         quota: QuotaClient,
         is_ready: Callable[[], bool],
         metrics: RelayMetrics,
+        admission: AdmissionGate | None = None,
     ) -> None:
         self.table: RouteTable | None = None
         self.is_config_current = True
@@ -83,6 +87,7 @@
         self._quota = quota
         self._is_ready = is_ready
         self._metrics = metrics
+        self._admission = admission or AdmissionGate(dispatcher.fleet, metrics)
 
     def is_closing(self) -> bool:
         """Whether connections are closed after their next response.
@@ -152,14 +157,6 @@
             failure = Failure(Code.STOPPING, detail, "no", STOPPING_RETRY_S)
             self._reject(caller_conn, caller_req.id, failure)
             return
-        pending_permit = None
-        if customer is not None:
-            may_start = route.kind is RequestKind.STREAM and not caller_req.previous_id
-            program_kind = route.name if may_start else ""
-            pending_permit = self._quota.request_permit(
-                customer, caller_req.program, program_kind
-            )
-        quota_check = QuotaCheck(self._quota, pending_permit)
         job = Job(
             req,
             caller_req,
@@ -168,10 +165,16 @@
             caller_conn,
             self.shutdown,
             customer,
-            quota_check,
+            QuotaCheck(self._quota, None),
         )
+        job.admission = self._admission.make_check(job, table)
         self.active_requests += 1
         try:
+            refusal = await job.admission.wait_for_start()
+            if refusal is not None:
+                job.refuse(refusal)
+                return
+            job.quota_check = self._make_quota_check(job)
             if route.kind is RequestKind.STREAM:
                 await self._streams.run(job)
             else:
@@ -179,9 +182,21 @@
         finally:
             self.active_requests -= 1
             job.quota_check.cancel()
+            job.admission.record_end()
             job.log()
             self._record_metrics(job)
 
+    def _make_quota_check(self, job: Job) -> QuotaCheck:
+        """Request the permit of the customer's quota, if there is one."""
+        if job.customer is None:
+            return QuotaCheck(self._quota, None)
+        is_stream = job.route.kind is RequestKind.STREAM
+        may_start = is_stream and not job.caller_req.previous_id
+        pending_permit = self._quota.request_permit(
+            job.customer, job.caller_req.program, job.route.name if may_start else ""
+        )
+        return QuotaCheck(self._quota, pending_permit)
+
     def _find_customer(
         self, table: RouteTable, route: Route, key: str
     ) -> Customer | None | Failure:
--- a/wisteriastair/relay/job.py
+++ b/wisteriastair/relay/job.py
@@ -16,6 +16,8 @@
 from ..http1.caller import CallerConnection
 from ..http1.messages import Request
 from ..platform.headers import CallerRequest
+from .admission import AdmissionCheck, NoAdmissionCheck
+from .answers import send_failure
 from .permission import QuotaCheck
 
 # For a request without a deadline on a route without a time limit.
@@ -42,6 +44,11 @@
         Ids of the servers that were tried, in order.
     was_sent : bool
         Whether a server may have received the request.
+    sent_at : float
+        Time on the loop's clock at which the request was last sent to a server; 0 if it
+        was not sent.
+    admission : AdmissionCheck
+        Admission of the request.
     customer_name : str or None
         Name that servers receive; empty on a route without keys, None if the
         configuration has no customers.
@@ -83,6 +90,8 @@
         self.tried: list[str] = []
         self.event_count = 0
         self.was_sent = False
+        self.sent_at = 0.0
+        self.admission: AdmissionCheck = NoAdmissionCheck()
         self.ledger_s = 0.0
         self.first_event_s = 0.0
         self.customer = customer
@@ -126,6 +135,12 @@
         """Time on the loop's clock."""
         return asyncio.get_running_loop().time()
 
+    def refuse(self, failure: Failure) -> None:
+        """Answer the request with a failure before anything was done for it."""
+        self.failure = failure
+        self.reason = failure.detail
+        self.status = send_failure(self.caller_conn, self.caller_req.id, failure)
+
     def log(self) -> None:
         """Log the end of the request."""
         stopping = {}
@@ -149,6 +164,8 @@
                 "events": self.event_count,
                 "ledger_ms": round(self.ledger_s * 1000, 1),
                 "permit_ms": round(self.quota_check.waited_s * 1000, 1),
+                "admission": self.admission.verdict,
+                "admission_ms": round(self.admission.waited_s * 1000, 1),
                 "first_ms": round(self.first_event_s * 1000, 1),
                 "took_ms": round(self.elapsed_s() * 1000, 1),
                 "left_ms": round(self.remaining_s() * 1000),
--- a/wisteriastair/relay/plain.py
+++ b/wisteriastair/relay/plain.py
@@ -69,7 +69,8 @@
             code = Code.SERVERS_FULL if excluded else Code.NO_SERVER
             if possible_runs:
                 return Failure(Code.SERVER_LOST, job.reason, "unknown")
-            return Failure(code, detail, "no", RETRY_AFTER_S)
+            delay_s = job.admission.retry_after_s() if excluded else RETRY_AFTER_S
+            return Failure(code, detail, "no", delay_s)
         server_id = state.server.id
         job.tried.append(server_id)
         headers = forwarded_headers(
--- a/wisteriastair/relay/streams.py
+++ b/wisteriastair/relay/streams.py
@@ -165,6 +165,7 @@
         excluded: set[str] = set()
         resume_count = 0
         resume_on: ServerState | None = None
+        may_retry = True
         while True:
             body = turn.history + job.req.body
             state = resume_on or self._dispatcher.choose_server(
@@ -175,12 +176,14 @@
                 body_bytes=len(body),
             )
             resume_on = None
-            if state is None or len(excluded) >= MAX_REFUSALS:
+            if state is None or len(excluded) >= MAX_REFUSALS or not may_retry:
                 if turn.response_started or resume_count:
                     return Failure(Code.SERVER_LOST, job.reason, "unknown")
                 detail = "no server has room" if excluded else "no server is there"
-                code = Code.SERVERS_FULL if excluded else Code.NO_SERVER
-                return Failure(code, detail, "no", RETRY_AFTER_S)
+                if excluded:
+                    delay_s = job.admission.retry_after_s()
+                    return Failure(Code.SERVERS_FULL, detail, "no", delay_s)
+                return Failure(Code.NO_SERVER, detail, "no", RETRY_AFTER_S)
             job.tried.append(state.server.id)
             headers = forwarded_headers(
                 job.req,
@@ -192,6 +195,7 @@
                 last_event_id=turn.events.last_id or None,
             )
             job.was_sent = True
+            job.sent_at = job.now()
             async with self._dispatcher.send(
                 state, job.req, job.caller_req.id, headers, body
             ) as outcome:
@@ -202,6 +206,10 @@
             if isinstance(error, NotRun):
                 excluded.add(error.server)
                 job.was_sent = turn.response_started or resume_count > 0
+                # A stream that has begun is not lost for the sake of the budget.
+                may_retry = (
+                    job.was_sent or not error.is_full or job.admission.take_retry()
+                )
                 continue
             if not _can_resume(turn) or resume_count >= MAX_RESUMES:
                 return Failure(Code.SERVER_LOST, error.reason, "unknown")
--- a/wisteriastair/scheduling/__init__.py
+++ b/wisteriastair/scheduling/__init__.py
@@ -16,6 +16,12 @@
     Selection of a server for a request.
 ``retries``
     Timeouts per attempt and the retry budget of plain services.
+``capacity``
+    How long turns wait for a slot of a service.
+``fair_shares``
+    Max-min fair shares of the programs that a service starts.
+``admission``
+    Whether a program may start, and the retry budget of streamed turns.
 ``reach``
     Reachability of a set of peers.
 """
--- a/wisteriastair/scheduling/fleet.py
+++ b/wisteriastair/scheduling/fleet.py
@@ -102,6 +102,8 @@
         self.ejection_s = EJECTION_S
         self.mean_response_s = 0.0
         self.overloaded_until = 0.0
+        # Time of the last response that rejected a request because the server is full.
+        self.full_at = float("-inf")
         self._load = Load(0, 0, server.slots)
         self._load_at = float("-inf")
         self._in_flight_at_report = 0
@@ -113,6 +115,21 @@
         self._load_at = now
         self._in_flight_at_report = self.in_flight
 
+    def load_age_s(self, now: float) -> float:
+        """Age of the last load report in seconds; infinite if there is none."""
+        return now - self._load_at
+
+    def reported_by_others(self, now: float) -> int | None:
+        """Return the requests of other processes in the last report, or None."""
+        if self.load_age_s(now) > MAX_LOAD_AGE_S:
+            return None
+        reported = self._load.running + self._load.waiting
+        return max(0, reported - self._in_flight_at_report)
+
+    def reports_waiting(self, now: float) -> bool:
+        """Return whether a recent report states that requests wait at the server."""
+        return self.load_age_s(now) <= MAX_LOAD_AGE_S and self._load.waiting > 0
+
     def load(self, now: float) -> float:
         """Estimate the number of requests at the server from all processes.
 
