Tests of admission: units, replays of bursts, losses, and a relay's refusals

Cause of three changes found by them: restarted relays admitted everything until their first turn ended; first exceptions of all relays came together; a single small customer was not told from a flood.

--- a/tests/scheduling/admission_world.py
+++ b/tests/scheduling/admission_world.py
@@ -16,6 +16,7 @@
 from typing import NamedTuple
 
 from wisteriastair.scheduling.admission import Admission, Party
+from wisteriastair.scheduling.capacity import NoSharedLoads, observe
 from wisteriastair.scheduling.choice import SelectionContext, select_server
 from wisteriastair.scheduling.fleet import Fleet, Load, Server, ServerState
 from wisteriastair.scheduling.need import Refuse, RequestNeed, Wait
@@ -173,6 +174,7 @@
         self.under_way: set[str] = set()
         self.max_under_way = 0
         self.refusals_with_free_slots = 0
+        self.blind_starts: list[float] = []
         self._numbers = itertools.count()
         if picture_lag_s:
             self.at(picture_lag_s, self._take_snapshot)
@@ -262,6 +264,11 @@
         program.is_admitted = True
         self.starts[program.kind.name] += 1
         self.start_times.append((self.now, program.kind.name))
+        relay = self.relays[program.relay]
+        states = relay.fleet.eligible_servers(SERVICE, self.now)
+        shared = Picture(self, program.relay) if self.picture_lag_s else NoSharedLoads()
+        if observe(states, shared, self.now) is None:
+            self.blind_starts.append(self.now)
         self.under_way.add(program.id)
         self.max_under_way = max(self.max_under_way, len(self.under_way))
         self._send(program)
--- a/tests/scheduling/test_fair_shares.py
+++ b/tests/scheduling/test_fair_shares.py
@@ -66,6 +66,18 @@
     assert not fair.is_over_share("b", 0.0)
 
 
+def test_a_party_with_all_that_it_asks_for_is_not_over_its_share() -> None:
+    """A large customer is not limited before anyone had to be refused."""
+    fair = FairShares()
+    for _ in range(50):
+        fair.record_demand("a", 1.0, 0.0)
+        fair.record_start("a", 0.0)
+    fair.record_demand("b", 1.0, 0.0)
+    assert fair.is_over_share("a", 0.0), "b waits"
+    fair.record_start("b", 0.0)
+    assert not fair.is_over_share("a", 0.0)
+
+
 def test_old_starts_are_forgotten() -> None:
     """A customer was large an hour ago; it must not pay for that now."""
     fair = FairShares()
--- a/tests/scheduling/test_retries.py
+++ b/tests/scheduling/test_retries.py
@@ -8,6 +8,7 @@
     RETRY_FRACTION,
     TIMEOUT_FACTOR,
     RetryPolicy,
+    TurnRetryBudget,
 )
 
 
@@ -38,3 +39,26 @@
             policy.record_retry()
             retries += 1
     assert retries <= 1_000 * RETRY_FRACTION + MAX_RETRY_BUDGET
+
+
+def test_rejected_turns_are_retried_only_within_their_budget() -> None:
+    """All servers of a service are full and reject each turn.
+
+    If each turn were sent to three servers, an overload would triple itself.
+    """
+    budget = TurnRetryBudget()
+    retries = 0
+    for _ in range(1_000):
+        budget.record_turn("svc")
+        retries += budget.take("svc", is_new_program=False)
+    assert retries <= 1_000 * RETRY_FRACTION + MAX_RETRY_BUDGET
+    budget.record_turn("other")
+    assert budget.take("other", is_new_program=True), "services are independent"
+
+
+def test_running_programs_have_retries_left_when_new_ones_have_none() -> None:
+    """The work done for a running program is lost if its turn finds no server."""
+    budget = TurnRetryBudget()
+    while budget.take("svc", is_new_program=True):
+        pass
+    assert budget.take("svc", is_new_program=False)
--- a/wisteriastair/scheduling/admission.py
+++ b/wisteriastair/scheduling/admission.py
@@ -24,6 +24,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from itertools import islice
 from typing import Final, NamedTuple
 
 from .capacity import (
@@ -45,11 +46,14 @@
 # that ends after twice its time has no value; the wait of later turns may be shorter
 # than the present one.
 MARGIN: Final = 1.1
-# Limits of the wait as fractions of the wait that a program's time can hold. Above the
-# lowest one servers are busy all the time, so ordering callers costs no throughput.
+# Limits of the wait as fractions of the longest one with which a program is predicted
+# to end within its time and the margin. With the lowest, the predicted end is the time
+# itself. Servers are always busy at each of them, so the order costs no throughput.
 RETURNING_LEVEL: Final = 1.0
 NEW_LEVEL: Final = 0.9
-OVER_SHARE_LEVEL: Final = 0.5
+OVER_SHARE_LEVEL: Final = 0.75
+# The limit of a kind as a fraction of that of a more urgent one that was refused.
+LESS_URGENT_LEVEL: Final = 0.9
 # Longest wait before a decision, as a fraction of the route's target latency. Waiting
 # uses up the time of the program, so only a short excess is waited for.
 WAIT_FRACTION: Final = 0.1
@@ -74,6 +78,10 @@
 # target of a program; and the maximum number of programs, a few megabytes.
 PROGRAM_MEMORY_S: Final = 30.0
 MAX_PROGRAMS: Final = 20_000
+# Turns that are assumed for a program of an unknown kind, and the shortest time of a
+# turn in seconds.
+ASSUMED_TURNS: Final = 4.0
+MIN_TURN_S: Final = 0.001
 SPREAD_STEPS: Final = 1_000
 
 
@@ -143,7 +151,7 @@
         self.fair_shares = FairShares()
         self.starts: deque[float] = deque(maxlen=MAX_PROGRAMS)
         self.rank_limits: dict[int, _RankLimit] = {}
-        self.last_exception_at = float("-inf")
+        self.last_exception_at: float | None = None
         self.last_refusal_at = float("-inf")
 
     def times_of(self, kind: str) -> TurnTimes:
@@ -213,8 +221,10 @@
             self.record_request(need, now)
             return None
         service = self._service(need.service)
-        if waited_s == 0.0 and need.program not in self._refused:
-            service.fair_shares.record_demand(party.name, party.weight, now)
+        is_repeated = waited_s > 0.0 or need.program in self._refused
+        service.fair_shares.record_demand(
+            party.name, party.weight, now, is_repeated=is_repeated
+        )
         verdict = self._decide_new(
             need, party, states, randbelow, now, max_wait_s - waited_s
         )
@@ -261,9 +271,9 @@
     ) -> Wait | Refuse | None:
         service = self._service(need.service)
         occupancy = observe(states, self._shared, now)
-        program = self._program_time(need, service)
-        if occupancy is None or program is None or not occupancy.is_queueing:
+        if occupancy is None or not occupancy.is_queueing:
             return None
+        program = self._program_time(need, service)
         starts = service.starts_within(max(MIN_AGE_S, occupancy.age_s), now)
         wait_s = _wait_s(occupancy, program.turn_s, starts)
         level = self._level(need, party, service, now)
@@ -288,14 +298,18 @@
         )
         return Refuse(reason, _retry_after_s(excess_s + line_s, need, randbelow))
 
-    def _program_time(
-        self, need: RequestNeed, service: _ServiceState
-    ) -> _ProgramTime | None:
-        """Predict what a program needs; None if the time of a turn is unknown."""
+    def _program_time(self, need: RequestNeed, service: _ServiceState) -> _ProgramTime:
+        """Predict what a program needs.
+
+        If the time of a turn is unknown, as after a restart, a program is assumed to
+        have a few turns. Both the wait and its limit are proportional to that time, so
+        it hardly changes the decision.
+        """
         times = service.times_of(need.kind)
         turn_s = times.turn_s
         if turn_s <= 0:
-            return None
+            turn_s = (need.finish_s or need.remaining_s) / ASSUMED_TURNS
+        turn_s = max(MIN_TURN_S, turn_s)
         if need.finish_s is None:
             # The time of the program is unknown; its first turn must be in time.
             return _ProgramTime(turn_s, 1.0, turn_s, need.remaining_s)
@@ -326,6 +340,10 @@
             return False
         if party.has_rank and _more_urgent_starves(service, need.rank, now):
             return False
+        if service.last_exception_at is None:
+            # All relays notice a queue at the same time. Their first exceptions would
+            # add up to more than the fraction.
+            service.last_exception_at = now
         interval_s = _start_interval_s(occupancy, program) / STARVED_FRACTION
         return now - service.last_exception_at >= interval_s
 
@@ -385,22 +403,25 @@
         finish_s = previous.finish_s if previous else need.finish_s or need.remaining_s
         due_at = now + refuse.retry_after_s
         self._refused[need.program] = _Refused(finish_s, now, due_at)
-        for program, refused in list(self._refused.items()):
-            is_old = now - refused.at > PROGRAM_MEMORY_S
-            if not is_old and len(self._refused) <= MAX_PROGRAMS:
+        for program, refused in list(islice(self._refused.items(), 2)):
+            if self._must_keep(now - refused.at, len(self._refused)):
                 return
             del self._refused[program]
 
     def _remember(self, program: str, now: float) -> None:
         self._programs.pop(program, None)
         self._programs[program] = now
-        for known, used_at in list(self._programs.items())[:2]:
-            is_old = now - used_at > PROGRAM_MEMORY_S
-            if not is_old and len(self._programs) <= MAX_PROGRAMS:
+        # The least recently used come first. Two per request suffice to shrink.
+        for known, used_at in list(islice(self._programs.items(), 2)):
+            if self._must_keep(now - used_at, len(self._programs)):
                 return
             del self._programs[known]
             self._turn_ends.pop(known, None)
 
+    @staticmethod
+    def _must_keep(age_s: float, count: int) -> bool:
+        return age_s <= PROGRAM_MEMORY_S and count <= MAX_PROGRAMS
+
 
 def _wait_s(occupancy: Occupancy, turn_s: float, starts: int) -> float:
     """Predict the wait of a turn for a slot in seconds.
@@ -422,9 +443,9 @@
 
 
 def _more_urgent_limit_s(service: _ServiceState, rank: int, now: float) -> float:
-    """Return the lowest limit by which a more urgent kind was refused recently."""
+    """Return the limit from the more urgent kinds that were refused recently."""
     limits = (
-        limit.limit_s
+        LESS_URGENT_LEVEL * limit.limit_s
         for other, limit in service.rank_limits.items()
         if other < rank and now - limit.at <= RANK_MEMORY_S
     )
--- a/wisteriastair/scheduling/capacity.py
+++ b/wisteriastair/scheduling/capacity.py
@@ -79,7 +79,8 @@
     age_s : float
         Mean age of the observations in seconds.
     is_queueing : bool
-        Whether a server reported waiting requests or rejected one as full.
+        Whether requests wait: a server reported it, rejected a request as full, or has
+        more requests of relays than slots.
     """
 
     slots: float
@@ -95,8 +96,11 @@
 
 
 class _ServerLoad(NamedTuple):
+    """Requests at one server; `is_exact` if all of them were counted by relays."""
+
     requests: float
     age_s: float
+    is_exact: bool = False
 
 
 def observe(
@@ -120,6 +124,7 @@
         age_s += load.age_s
         requests += load.requests
         is_queueing = is_queueing or is_full or state.reports_waiting(now)
+        is_queueing = is_queueing or (load.is_exact and load.requests > server_slots)
     if known == 0 or known < min(servers, MIN_KNOWN_SERVERS):
         return None
     total = max(float(own), requests * slots / known_slots)
@@ -133,7 +138,7 @@
     others = shared.others(state.incarnation, now)
     load: _ServerLoad | None = None
     if others is not None and _is_plausible(others):
-        load = _ServerLoad(own + others.in_flight, others.age_s)
+        load = _ServerLoad(own + others.in_flight, others.age_s, True)
     else:
         reported = state.reported_by_others(now)
         if reported is not None and 0 <= reported <= MAX_REQUESTS_PER_SERVER:
--- a/wisteriastair/scheduling/fair_shares.py
+++ b/wisteriastair/scheduling/fair_shares.py
@@ -14,8 +14,11 @@
 # Time constant in seconds of the counts of starts and demands. Bursts last 3 to 7 s; a
 # party that was quiet before has its full share within this time.
 MEMORY_S: Final = 2.0
-# Starts by which a party may exceed its share, as counts of a few starts are coarse.
-SLACK_STARTS: Final = 1.0
+# A party competes with others for this time in seconds after it asked for a start. It
+# covers a burst, since a small party asks a single relay only every few seconds.
+COMPETITOR_S: Final = 5.0
+# Starts by which a count may differ from a share, as counts of a few starts are coarse.
+SLACK_STARTS: Final = 0.25
 # Maximum number of parties. The least recently seen are dropped.
 MAX_PARTIES: Final = 512
 
@@ -46,14 +49,20 @@
 
 
 class _Counts(NamedTuple):
+    """Decaying counts of one party, as of a time."""
+
     demand: float
     starts: float
     weight: float
     at: float
+    asked_at: float = -math.inf
+    started_at: float = -math.inf
 
     def decayed(self, now: float) -> _Counts:
         factor = math.exp(-max(0.0, now - self.at) / MEMORY_S)
-        return _Counts(self.demand * factor, self.starts * factor, self.weight, now)
+        return self._replace(
+            demand=self.demand * factor, starts=self.starts * factor, at=now
+        )
 
 
 class FairShares:
@@ -62,16 +71,25 @@
     def __init__(self) -> None:
         self._counts: dict[str, _Counts] = {}
 
-    def record_demand(self, party: str, weight: float, now: float) -> None:
-        """Record that a party wants to start one more program."""
+    def record_demand(
+        self, party: str, weight: float, now: float, *, is_repeated: bool = False
+    ) -> None:
+        """Record that a party wants to start a program.
+
+        Parameters
+        ----------
+        is_repeated : bool
+            Whether it has asked for this program before.
+        """
         counts = self._take(party, now)
         weight = weight if math.isfinite(weight) and weight > 0 else 1.0
-        self._put(party, counts._replace(demand=counts.demand + 1, weight=weight))
+        demand = counts.demand + (0 if is_repeated else 1)
+        self._put(party, counts._replace(demand=demand, weight=weight, asked_at=now))
 
     def record_start(self, party: str, now: float) -> None:
         """Record that a program of a party has started."""
         counts = self._take(party, now)
-        self._put(party, counts._replace(starts=counts.starts + 1))
+        self._put(party, counts._replace(starts=counts.starts + 1, started_at=now))
 
     def _take(self, party: str, now: float) -> _Counts:
         counts = self._counts.pop(party, None)
@@ -83,18 +101,33 @@
             del self._counts[next(iter(self._counts))]
 
     def is_starved(self, party: str, now: float) -> bool:
-        """Return whether a party has had no start within the time constant."""
+        """Return whether no party has waited longer than this one for a start.
+
+        Only parties that asked within the time constant and have had no start in it
+        count.
+        """
         counts = self._counts.get(party)
-        return counts is None or counts.decayed(now).starts < math.exp(-1.0)
+        if counts is None or now - counts.started_at <= MEMORY_S:
+            return False
+        return not any(
+            other.started_at < counts.started_at and now - other.asked_at <= MEMORY_S
+            for other in self._counts.values()
+        )
+
+    def _has_competitor(self, party: str, now: float) -> bool:
+        return party in self._counts and any(
+            name != party and now - counts.asked_at <= COMPETITOR_S
+            for name, counts in self._counts.items()
+        )
 
     def is_over_share(self, party: str, now: float) -> bool:
-        """Return whether a party has more starts than its share while others wait.
+        """Return whether a party has its share of the starts and asks for more.
 
-        The capacity is the sum of recent starts. If a party has more than its share of
-        them, the others have less than theirs by the same number.
+        The capacity is the sum of recent starts. A party that asks for less than its
+        share is never over it, and neither is one that competes with no other.
         """
         counts = {name: known.decayed(now) for name, known in self._counts.items()}
-        if party not in counts or len(counts) < 2:
+        if not self._has_competitor(party, now):
             return False
         capacity = sum(known.starts for known in counts.values())
         demands = {
@@ -102,4 +135,6 @@
         }
         weights = {name: known.weight for name, known in counts.items()}
         shares = max_min_shares(demands, weights, capacity)
-        return counts[party].starts > shares[party] + SLACK_STARTS
+        if demands[party] <= shares[party] + SLACK_STARTS:
+            return False
+        return counts[party].starts >= shares[party] - SLACK_STARTS
