--- a/tests/scheduling/admission_world.py
+++ b/tests/scheduling/admission_world.py
@@ -147,6 +147,8 @@
         make_admission: Callable[[World, int], Admission] | None = None,
     ) -> None:
         self.rng = random.Random(seed)
+        # The same programs arrive whatever the relays decide.
+        self._arrivals_rng = random.Random(seed + 1)
         self.now = 0.0
         self.is_on = is_on
         self.report_loss = report_loss
@@ -205,13 +207,13 @@
         highest = max(rate(until * step / 200) for step in range(201))
 
         def next_arrival() -> None:
-            if self.rng.random() * highest < rate(self.now):
+            if self._arrivals_rng.random() * highest < rate(self.now):
                 self.submit(Program(next(self._numbers), kind, self.now))
-            delay_s = self.rng.expovariate(highest)
+            delay_s = self._arrivals_rng.expovariate(highest)
             if self.now + delay_s < until:
                 self.at(delay_s, next_arrival)
 
-        self.at(self.rng.expovariate(highest), next_arrival)
+        self.at(self._arrivals_rng.expovariate(highest), next_arrival)
 
     def _take_snapshot(self) -> None:
         counts = {name: Counter(by) for name, by in self.in_flight.items()}
--- a/wisteriastair/scheduling/capacity.py
+++ b/wisteriastair/scheduling/capacity.py
@@ -17,9 +17,11 @@
 
 from .fleet import MAX_LOAD_AGE_S, ServerState
 
-# Load is unknown with fewer known servers, unless the service has no more. A single
-# server may queue because it is slow or because a program's prompt is cached there.
+# Load is unknown with fewer known servers, or with a lower fraction of the servers,
+# unless the service has no more. A few servers may queue because they are slow or because
+# prompts are cached there, while others are idle.
 MIN_KNOWN_SERVERS: Final = 3
+MIN_KNOWN_FRACTION: Final = 0.25
 # A report that a server is full, or that requests wait there, is evidence of a queue
 # for as long as a load report is valid.
 EVIDENCE_S: Final = MAX_LOAD_AGE_S
@@ -125,7 +127,8 @@
         requests += load.requests
         is_queueing = is_queueing or is_full or state.reports_waiting(now)
         is_queueing = is_queueing or (load.is_exact and load.requests > server_slots)
-    if known == 0 or known < min(servers, MIN_KNOWN_SERVERS):
+    min_known = max(MIN_KNOWN_SERVERS, MIN_KNOWN_FRACTION * servers)
+    if known == 0 or known < min(servers, min_known):
         return None
     total = max(float(own), requests * slots / known_slots)
     return Occupancy(slots, total, own, age_s / known, is_queueing)
