--- a/wisteriastair/scheduling/capacity.py
+++ b/wisteriastair/scheduling/capacity.py
@@ -18,8 +18,8 @@
 from .fleet import MAX_LOAD_AGE_S, ServerState
 
 # Load is unknown with fewer known servers, or with a lower fraction of the servers,
-# unless the service has no more. A few servers may queue because they are slow or because
-# prompts are cached there, while others are idle.
+# unless the service has no more. A few servers may queue because they are slow or
+# because prompts are cached there, while others are idle.
 MIN_KNOWN_SERVERS: Final = 3
 MIN_KNOWN_FRACTION: Final = 0.25
 # A report that a server is full, or that requests wait there, is evidence of a queue
