Admission: a reported free slot outweighs the queues of other servers

Cause: the few load reports of a relay come from servers that queue more than the others, so programs were refused while slots were free elsewhere.

--- a/tests/scheduling/test_capacity.py
+++ b/tests/scheduling/test_capacity.py
@@ -66,6 +66,20 @@
     assert occupancy.is_queueing
 
 
+def test_reported_free_slots_count_more_than_the_sum() -> None:
+    """A relay knows a few servers, and most of these queue: others may be idle.
+
+    A report stops counting when this relay has sent enough requests to fill the slots.
+    """
+    states = make_states(4)
+    for state in states:
+        state.record_load(Load(SLOTS, 9, SLOTS), 0.0)
+    states[0].record_load(Load(SLOTS - 2, 0, SLOTS), 0.0)
+    assert not occupancy_of(states).is_queueing
+    states[0].in_flight = 2
+    assert occupancy_of(states).is_queueing
+
+
 def test_outdated_reports_are_ignored() -> None:
     states = make_states(3)
     for state in states:
--- a/wisteriastair/scheduling/capacity.py
+++ b/wisteriastair/scheduling/capacity.py
@@ -82,7 +82,8 @@
         Mean age of the observations in seconds.
     is_queueing : bool
         Whether requests wait: a server reported it, rejected a request as full, or has
-        more requests of relays than slots.
+        more requests of relays than slots; False if a server reported free slots and no
+        waiting request, as the few reports of a relay do not give the sum.
     """
 
     slots: float
@@ -111,7 +112,7 @@
     """Estimate the requests at the servers of a service; None if they are unknown."""
     slots = known_slots = requests = age_s = 0.0
     own = servers = known = 0
-    is_queueing = False
+    is_queueing = has_free_slots = False
     for state in states:
         server_slots = max(1, state.server.slots)
         servers += 1
@@ -126,11 +127,15 @@
         age_s += load.age_s
         requests += load.requests
         is_queueing = is_queueing or is_full or state.reports_waiting(now)
+        has_free_slots = has_free_slots or (
+            not is_full and not load.is_exact and state.reports_free_slots(now)
+        )
         is_queueing = is_queueing or (load.is_exact and load.requests > server_slots)
     min_known = max(MIN_KNOWN_SERVERS, MIN_KNOWN_FRACTION * servers)
     if known == 0 or known < min(servers, min_known):
         return None
     total = max(float(own), requests * slots / known_slots)
+    is_queueing = is_queueing and not has_free_slots
     return Occupancy(slots, total, own, age_s / known, is_queueing)
 
 
--- a/wisteriastair/scheduling/fleet.py
+++ b/wisteriastair/scheduling/fleet.py
@@ -130,6 +130,13 @@
         """Return whether a recent report states that requests wait at the server."""
         return self.load_age_s(now) <= MAX_LOAD_AGE_S and self._load.waiting > 0
 
+    def reports_free_slots(self, now: float) -> bool:
+        """Return whether a recent report leaves slots after the requests sent since."""
+        if self.load_age_s(now) > MAX_LOAD_AGE_S or self._load.waiting > 0:
+            return False
+        sent_since = max(0, self.in_flight - self._in_flight_at_report)
+        return self._load.running + sent_since < self.server.slots
+
     def load(self, now: float) -> float:
         """Estimate the number of requests at the server from all processes.
 
