--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -47,6 +47,7 @@
 from ..platform.mirror import Mirror
 from ..platform.store import Store, StoreItem
 from ..scheduling.fleet import REREGISTRATION_S, Fleet
+from .admission import AdmissionGate
 from .chains import ChainCache
 from .dispatch import Dispatcher
 from .drain import Drain
@@ -114,6 +115,13 @@
         self._quota = QuotaClient(
             cfg.quota, lambda: self._ledger.view, lambda: self._ledger.is_reachable
         )
+        self._admission = AdmissionGate(
+            self._fleet,
+            self._metrics,
+            is_paced=self._dispatcher.is_paced,
+            has_memory_pressure=cfg.has_memory_pressure,
+            shared=self._picture.picture,
+        )
         self._handler = RelayHandler(
             self._dispatcher,
             streams,
@@ -121,6 +129,7 @@
             self._is_ready,
             self._metrics,
             self._pressure,
+            self._admission,
         )
         self._ready = ReadyHandler(self._is_ready)
         self._caller_conns: set[CallerConnection] = set()
@@ -410,6 +419,7 @@
                 transport.send(address, message)
             self._pool.close_unused(self._fleet.remove_expired(now))
             self._update_gauges()
+            self._admission.log_recovered(now)
             await anyio.sleep(SWEEP_INTERVAL_S)
 
 
--- a/wisteriastair/scheduling/__init__.py
+++ b/wisteriastair/scheduling/__init__.py
@@ -34,6 +34,12 @@
     Priority of a turn at an engine.
 ``engine_memory``
     Servers that have memory left for a request.
+``occupancy``
+    How long turns wait for a slot of a service.
+``fair_shares``
+    Max-min fair shares of the programs that a service starts.
+``admission``
+    Whether a program may start, and the retry budget of streamed turns.
 ``reach``
     Reachability of a set of peers.
 """
--- a/wisteriastair/scheduling/fleet.py
+++ b/wisteriastair/scheduling/fleet.py
@@ -99,6 +99,27 @@
     pace: float | None = None
 
 
+class RecentLoad(NamedTuple):
+    """What a recent load report says of a server.
+
+    Attributes
+    ----------
+    age_s : float
+        Age of the report in seconds.
+    others : int
+        Requests of other processes.
+    waiting : int
+        Requests that wait.
+    has_free_slots : bool
+        Whether no request waited and the requests sent since leave slots free.
+    """
+
+    age_s: float
+    others: int
+    waiting: int
+    has_free_slots: bool
+
+
 class ServerState:
     """State of one server as observed by this process."""
 
@@ -139,9 +160,22 @@
         reported = self._load.running + self._load.waiting
         return max(0, reported - self._in_flight_at_report)
 
+    def recent_report(self, now: float) -> RecentLoad | None:
+        """Return what the last load report says of others; None if it is outdated."""
+        age_s = now - self._load_at
+        if age_s > MAX_LOAD_AGE_S:
+            return None
+        running, waiting = self._load.running, self._load.waiting
+        in_flight_before = self._in_flight_at_report
+        others = max(0, running + waiting - in_flight_before)
+        sent_since = max(0, self.in_flight - in_flight_before)
+        has_free_slots = waiting <= 0 and running + sent_since < self.server.slots
+        return RecentLoad(age_s, others, waiting, has_free_slots)
+
     def reports_waiting(self, now: float) -> bool:
         """Return whether a recent report states that requests wait at the server."""
-        return self.load_age_s(now) <= MAX_LOAD_AGE_S and self._load.waiting > 0
+        report = self.recent_report(now)
+        return report is not None and report.waiting > 0
 
     def load(self, now: float) -> float:
         """Estimate the number of requests at the server from all processes.
