Predicted finish: computing a prompt delays the requests that run there

Moving a program cost only the time of its own missing tokens, so a difference of one running request moved it. Change: missing tokens count twice, since they evict others, and once more for each request that they delay.

--- a/wisteriastair/scheduling/finish.py
+++ b/wisteriastair/scheduling/finish.py
@@ -35,9 +35,11 @@
 # A shared prefix that this process has not sent to a server is cached there with this
 # probability if the prefixes of the service all fit into the memory of each server.
 UNKNOWN_PREFIX_MISSING: Final = 0.5
-# The prefix computed on a server that is not one of its affinity servers evicts another
-# prefix, which is computed again later. Both count.
-NON_AFFINITY_MISSING: Final = 2.0
+# Tokens that are computed evict others, which are computed again later. Both count.
+EVICTION_FACTOR: Final = 2.0
+# Computing a prompt stops the decoding of the requests that run on the server. Each of
+# them is delayed by this fraction of the time.
+STALLED_FRACTION: Final = 1.0
 # Milliseconds added for a server that is silent or suspect. Callers give up after 2 s,
 # so any server with a shorter wait is better.
 SILENCE_MS: Final = 2_000.0
@@ -286,10 +288,10 @@
     shared_id, shared_tokens = segments[0] if segments else ("", 0)
     program_id = segments[FIRST_PRIVATE].id if len(segments) > FIRST_PRIVATE else ""
     # Prompt tokens are counted in generated tokens that take as long.
-    prompt_scale = service.prompt_token_ms / service.token_ms
+    prompt_scale = EVICTION_FACTOR * service.prompt_token_ms / service.token_ms
     known_missing = prompt_scale * (total - shared_tokens)
     other_missing = known_missing + prompt_scale * shared_tokens * (
-        NON_AFFINITY_MISSING if affinity_servers else UNKNOWN_PREFIX_MISSING
+        1.0 if affinity_servers else UNKNOWN_PREFIX_MISSING
     )
     transfer_ms = CROSS_DOMAIN_MS + CROSS_DOMAIN_MS_PER_KB * context.size_kb
     tokens = output_tokens or service.output_tokens
@@ -312,13 +314,14 @@
             work += (waiting + spread) ** 2 / (4.0 * spread * slots) * duration
         if program_id in known:
             has_sent_program = True
-            work += prompt_scale * (total - cached_tokens(known, segments))
+            missing = prompt_scale * (total - cached_tokens(known, segments))
         elif server_id in affinity_servers:
-            work += known_missing
+            missing = known_missing
         elif affinity_servers or shared_id not in known:
-            work += other_missing
+            missing = other_missing
         else:
-            work += known_missing
+            missing = known_missing
+        work += missing * (1.0 + STALLED_FRACTION * in_flight)
         finish_ms = pace.token_ms * work * (1.0 + weight * pace.figure_excess)
         if is_remote:
             finish_ms += transfer_ms
@@ -333,6 +336,8 @@
         # Another relay has probably sent the program there.
         for position, row in enumerate(rows):
             if row[3] == context.rendezvous_id:
-                predictions[position] -= known_missing * row[1].token_ms
+                in_flight = row[0].in_flight + row[1].usual_others
+                work = known_missing * (1.0 + STALLED_FRACTION * in_flight)
+                predictions[position] -= work * row[1].token_ms
                 break
     return predictions
