Engine memory: drop sent requests that others have heard of

The times and tokens of own requests at a server were dropped only while its free memory was divided among relays, or once the server had no own request. They are now also dropped when memory is reserved.

--- a/tests/scheduling/test_engine_memory.py
+++ b/tests/scheduling/test_engine_memory.py
@@ -10,6 +10,7 @@
 from wisteriastair.scheduling.engine_memory import (
     MAX_WAIT_FRACTION,
     MAX_WAIT_S,
+    REPORT_AGE_S,
     EngineMemory,
     MemoryNeed,
 )
@@ -121,6 +122,17 @@
     assert memory.own_tokens(state.incarnation) == 0
 
 
+def test_a_server_that_is_never_idle_uses_bounded_state() -> None:
+    """Requests overlap for hours, and the memory is always ample."""
+    memory, state = EngineMemory(), make_state()
+    held = [memory.reserve(state, make_need(10), 0.0)]
+    for number in range(1, 2_000):
+        now = number * 0.1
+        held.append(memory.reserve(state, make_need(10), now))
+        memory.release(held.pop(0))
+    assert len(memory._recent[state.incarnation]) <= REPORT_AGE_S / 0.1 + 1
+
+
 def test_a_restarted_server_has_free_memory() -> None:
     """A server has crashed and is back; its old requests end one by one."""
     memory, old = EngineMemory(), make_state()
--- a/wisteriastair/scheduling/engine_memory.py
+++ b/wisteriastair/scheduling/engine_memory.py
@@ -329,6 +329,7 @@
         self._record_mean(service, need.private_tokens)
         use = self._uses.setdefault(state.incarnation, _ServerUse())
         recent = self._recent.setdefault(state.incarnation, deque())
+        _drop_reported(recent, now)
         recent.append((now, use.missing_tokens(need)))
         use.requests += 1
         use.tokens += need.unsegmented_tokens
@@ -373,8 +374,7 @@
         sent = self._recent.get(incarnation)
         if sent is None:
             return 0
-        while sent and now - sent[0][0] > REPORT_AGE_S:
-            sent.popleft()
+        _drop_reported(sent, now)
         return sum(tokens for _, tokens in sent)
 
     def _share(self, service: str) -> float:
@@ -408,3 +408,9 @@
         requests = state.reported_by_others(now) or 0
         mean = self._mean_tokens.get(state.server.service, 0.0)
         return _OthersLoad(requests, requests * mean)
+
+
+def _drop_reported(sent: deque[tuple[float, int]], now: float) -> None:
+    """Drop the requests that other relays have heard of."""
+    while sent and now - sent[0][0] > REPORT_AGE_S:
+        sent.popleft()
