Admission: bound the wait by the request's time, and three smaller faults

It now waits for at most a tenth of the time that it has left. The wait is counted by the clock, not as planned. - A program whose target time was over was refused without Retry-After, as a third of nothing is nothing. The time of the request is used instead, or the shortest delay. - A tool call ended the pause between two turns, and its length was recorded for the kind of the tool call. Turns thus had no pause, which made programs look longer than they are. A tool call now only makes its program known.

--- a/tests/scheduling/test_admission.py
+++ b/tests/scheduling/test_admission.py
@@ -148,6 +148,20 @@
     setting = Setting(100)
     setting.admission.record_request(need("p", is_new_program=False), 0.0)
     assert setting.decide(need("p")) is None
+    setting.admission.record_tool_call(need("q", is_new_program=False), 0.0)
+    assert setting.decide(need("q")) is None
+
+
+def test_the_pause_between_turns_includes_tool_calls() -> None:
+    """A pause that ended at the tool call would make programs look longer."""
+    admission = Admission()
+    admission.record_request(need(), 0.0)
+    admission.record_turn(need(), TURN_S, False, 0.0)
+    tool_call = need(service="tools", kind="tool", is_new_program=False)
+    admission.record_tool_call(tool_call, 0.1)
+    admission.record_request(need(), 0.5)
+    assert admission._services["svc"].times_of("turn").pause_s > 0
+    assert "tools" not in admission._services
 
 
 def test_a_request_without_a_stated_end_needs_time_for_one_turn() -> None:
@@ -177,6 +191,15 @@
         assert 0 < delay_s <= min(finish_s, 8.0) * MAX_RETRY_FRACTION
 
 
+@pytest.mark.parametrize("remaining_s", [8.0, 0.0])
+def test_a_late_program_is_told_when_to_retry(remaining_s: float) -> None:
+    """Its target time is over, so a third of that is nothing."""
+    setting = Setting(50 * SLOTS)
+    request = need(finish_s=0.0, remaining_s=remaining_s)
+    delay_s = refused(setting.decide(request)).retry_after_s
+    assert MIN_RETRY_S <= delay_s <= max(MIN_RETRY_S, 8.0 * MAX_RETRY_FRACTION)
+
+
 def test_retry_after_grows_with_the_queue_and_is_spread() -> None:
     """Callers that were refused together must not come back together."""
     short = refused(Setting(SLOTS).decide(need())).retry_after_s
@@ -196,6 +219,12 @@
     refused(setting.decide(need(), max_wait_s=1.0, waited_s=0.9))
 
 
+def test_a_wait_leaves_the_request_most_of_its_time() -> None:
+    """The caller waits 0.1 s for this request, the route allows a wait of 1 s."""
+    setting = Setting(2 * SLOTS)
+    refused(setting.decide(need(remaining_s=0.1), max_wait_s=1.0))
+
+
 def test_a_flooding_customer_leaves_others_their_share() -> None:
     """A customer with a small weight floods; one within its share asks too.
 
--- a/wisteriastair/relay/admission.py
+++ b/wisteriastair/relay/admission.py
@@ -176,7 +176,7 @@
     async def wait_for_start(self) -> Failure | None:
         gate, job = self._gate, self._job
         if job.route.kind is not RequestKind.STREAM:
-            gate.decisions.record_request(self._need(), job.now())
+            gate.decisions.record_tool_call(self._need(), job.now())
             self.verdict = "running"
             return None
         gate.turn_retries.record_turn(job.service)
@@ -195,8 +195,9 @@
             if not isinstance(verdict, Wait):
                 break
             delay_s = max(MIN_WAIT_S, verdict.seconds)
+            started_at = job.now()
             await asyncio.sleep(delay_s)
-            self.waited_s += delay_s
+            self.waited_s += job.now() - started_at
         self.verdict = "running" if is_known else "started"
         if isinstance(verdict, Refuse):
             self.verdict = "refused"
--- a/wisteriastair/scheduling/admission.py
+++ b/wisteriastair/scheduling/admission.py
@@ -55,8 +55,9 @@
 OVER_SHARE_LEVEL: Final = 0.75
 # The limit of a kind as a fraction of that of a more urgent one that was refused.
 LESS_URGENT_LEVEL: Final = 0.9
-# Longest wait before a decision, as a fraction of the route's target latency. Waiting
-# uses up the time of the program, so only a short excess is waited for.
+# Longest wait before a decision, as a fraction of the route's target latency and of the
+# time that the request has left. Waiting uses up the time of the program, so only a
+# short excess is waited for.
 WAIT_FRACTION: Final = 0.1
 # Fraction of a relay's part of the capacity that parties without a recent start get in
 # spite of a long wait, so that none starves.
@@ -218,7 +219,7 @@
         waited_s : float
             Seconds for which this request has waited already.
         max_wait_s : float
-            Longest wait in seconds.
+            Longest wait in seconds. A request with little time left waits less.
 
         Returns
         -------
@@ -233,9 +234,8 @@
         service.fair_shares.record_demand(
             party.name, party.weight, now, is_repeated=is_repeated
         )
-        verdict = self._decide_new(
-            need, party, states, randbelow, now, max_wait_s - waited_s
-        )
+        wait_left_s = min(max_wait_s - waited_s, WAIT_FRACTION * need.remaining_s)
+        verdict = self._decide_new(need, party, states, randbelow, now, wait_left_s)
         if verdict is None:
             self._record_start(need, party, now)
         elif isinstance(verdict, Refuse):
@@ -358,7 +358,7 @@
     # Records
 
     def record_request(self, need: RequestNeed, now: float) -> None:
-        """Record a request of a running program."""
+        """Record a turn of a running program."""
         if not need.program:
             return
         ended_at = self._turn_ends.pop(need.program, None)
@@ -367,6 +367,11 @@
             times.record_pause(now - ended_at)
         self._remember(need.program, now)
 
+    def record_tool_call(self, need: RequestNeed, now: float) -> None:
+        """Record a tool call, which belongs to the pause between two turns."""
+        if need.program:
+            self._remember(need.program, now)
+
     def record_turn(
         self, need: RequestNeed, seconds: float, is_queued: bool, now: float
     ) -> None:
@@ -466,12 +471,18 @@
 def _retry_after_s(
     seconds: float, need: RequestNeed, randbelow: Callable[[int], int]
 ) -> float:
-    """Spread a Retry-After at random and bound it by the caller's time."""
+    """Spread a Retry-After at random and bound it by the caller's time.
+
+    A program whose time is over still has the time of its request. Without any time
+    left, the shortest delay is returned, since a refusal states one in any case.
+    """
     spread = 2.0 * randbelow(SPREAD_STEPS) / SPREAD_STEPS - 1.0
     left_s = need.remaining_s
-    if need.finish_s is not None:
+    if need.finish_s:
         left_s = min(left_s, need.finish_s)
-    longest_s = MAX_RETRY_FRACTION * max(0.0, left_s)
+    if left_s <= 0:
+        return MIN_RETRY_S
+    longest_s = MAX_RETRY_FRACTION * left_s
     # The bound is spread too, so that long delays do not end at the same time.
     spread_longest_s = longest_s * (1.0 + RETRY_SPREAD * (spread - 1.0))
     seconds = max(MIN_RETRY_S, seconds * (1.0 + RETRY_SPREAD * spread))
