Admission: its wait no longer uses up the time for keepers

The limits for a reservation and for a quota permit (0.6 s each) began at the arrival of the request, though both are requested after the admission wait. After a wait of 0.7 s no keeper had time to answer, and the relay answered 503 and suspected keepers that were alive. The limits now begin at the end of the admission wait. Without admission, nothing changes. The test got 503 before and gets 200 now.

--- a/tests/relay/test_admission.py
+++ b/tests/relay/test_admission.py
@@ -17,8 +17,15 @@
 )
 from tests.relay.test_customers import bearer, configure, customers
 from wisteriastair.core.customers import Quota
-from wisteriastair.relay.admission import AdmissionGate
+from wisteriastair.core.routes import RouteTable
+from wisteriastair.errors import Failure
+from wisteriastair.relay.admission import (
+    AdmissionCheck,
+    AdmissionGate,
+    NoAdmissionCheck,
+)
 from wisteriastair.relay.handler import RelayHandler
+from wisteriastair.relay.job import Job
 from wisteriastair.scheduling.fleet import Load
 from wisteriastair.scheduling.retries import MAX_RETRY_BUDGET
 
@@ -133,6 +140,37 @@
     run_admission(servers, scenario)
 
 
+class SlowCheck(NoAdmissionCheck):
+    """Starts every request after a wait."""
+
+    async def wait_for_start(self) -> Failure | None:
+        await asyncio.sleep(0.7)
+        self.waited_s = 0.7
+        return None
+
+
+class SlowGate(AdmissionGate):
+    def make_check(self, job: Job, table: RouteTable) -> AdmissionCheck:
+        return SlowCheck()
+
+
+def test_a_wait_for_admission_leaves_time_for_keepers() -> None:
+    """Admission takes longer than the limits for a permit and for a reservation.
+
+    Both are requested only after it, and no keeper could answer in no time.
+    """
+    servers = make_servers()
+
+    async def scenario(harness: RelayHarness) -> None:
+        harness.handler._admission = SlowGate(harness.fleet, harness.handler._metrics)
+        configure(harness, customers(Quota(50.0, 50.0)))
+        more = bearer("one", **turn("p"))
+        reply = await harness.request("long", "a", **more)
+        assert reply.status == 200, reply.body
+
+    run_scenario(servers, scenario)
+
+
 def test_turns_of_running_programs_are_served_in_an_overload() -> None:
     """A program has begun here; a refusal would waste the work done for it."""
     servers = make_servers()
--- a/wisteriastair/relay/job.py
+++ b/wisteriastair/relay/job.py
@@ -131,6 +131,11 @@
         """Id of this turn, unique among all customers."""
         return self.scoped_id(self.caller_req.id)
 
+    @property
+    def admitted_at(self) -> float:
+        """Time on the loop's clock at which keepers could be asked first."""
+        return self.req.received_at + self.admission.waited_s
+
     def scoped_id(self, name: str) -> str:
         """Return the id of a program or turn, made unique among all customers."""
         return scoped_name(self.customer_name or "", name)
--- a/wisteriastair/relay/permission.py
+++ b/wisteriastair/relay/permission.py
@@ -34,13 +34,13 @@
         self._quota = quota
         self._pending = pending
 
-    async def wait_for_permit(self, received_at: float) -> Failure | None:
+    async def wait_for_permit(self, admitted_at: float) -> Failure | None:
         """Wait for the permit; to be called just before the first server is chosen.
 
         Parameters
         ----------
-        received_at : float
-            Time on the loop's clock at which the request arrived.
+        admitted_at : float
+            Time on the loop's clock at which the permit was requested.
 
         Returns
         -------
@@ -52,7 +52,7 @@
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         outcome = await self._quota.wait_for_permit(
-            self._pending, max(started_at, received_at + PERMIT_TIMEOUT_S)
+            self._pending, max(started_at, admitted_at + PERMIT_TIMEOUT_S)
         )
         self.waited_s = loop.time() - started_at
         match outcome:
--- a/wisteriastair/relay/plain.py
+++ b/wisteriastair/relay/plain.py
@@ -48,7 +48,7 @@
         Code.TIMED_OUT, "no answer in time", "unknown"
     )
     with anyio.move_on_after(max(0.0, job.remaining_s())):
-        refusal = await job.quota_check.wait_for_permit(job.req.received_at)
+        refusal = await job.quota_check.wait_for_permit(job.admitted_at)
         result = refusal or await _get_response(job, dispatcher)
     if isinstance(result, Failure):
         if result.code is Code.TIMED_OUT and not job.was_sent:
--- a/wisteriastair/relay/streams.py
+++ b/wisteriastair/relay/streams.py
@@ -109,9 +109,7 @@
     async def _run(self, turn: _TurnState) -> Failure | None:
         failure = await self._reserve(turn)
         if failure is None:
-            failure = await turn.job.quota_check.wait_for_permit(
-                turn.job.req.received_at
-            )
+            failure = await turn.job.quota_check.wait_for_permit(turn.job.admitted_at)
         if failure is not None:
             return failure
         return await self._serve(turn)
@@ -126,7 +124,7 @@
         if cached is not None:
             reservation = reservation._replace(previous_id="")
         turn.reserved = True
-        deadline = min(job.deadline, job.req.received_at + RESERVE_TIMEOUT_S)
+        deadline = min(job.deadline, job.admitted_at + RESERVE_TIMEOUT_S)
         outcome = await self._ledger.reserve(reservation, deadline)
         job.ledger_s = job.elapsed_s()
         match outcome:
