Relay pressure: an overloaded relay serves sub-agents of known programs

The first turn of a sub-agent names no previous turn. An overloaded relay took it for a new program and answered 503, although the relay was serving its program. Programs that admission knows are now running ones. The test got 503 before and gets 200 now.

--- a/tests/relay/test_pressure.py
+++ b/tests/relay/test_pressure.py
@@ -21,6 +21,7 @@
     run_scenario,
 )
 from wisteriastair.core.routes import CallerLimits
+from wisteriastair.relay.admission import AdmissionGate
 from wisteriastair.relay.pressure import RelayPressure
 from wisteriastair.scheduling.buffers import BufferLimits
 
@@ -361,3 +362,28 @@
         assert (reply.status, reply.whole) == (200, True)
 
     run_scenario([ScriptedServer("s1", script)], scenario)
+
+
+def test_an_overloaded_relay_serves_sub_agents_of_programs_that_it_knows() -> None:
+    """The first turn of a sub-agent names no previous turn, like a new program's.
+
+    A refusal would waste the work that was done for its program.
+    """
+
+    async def script(exchange: Exchange) -> None:
+        await exchange.stream("id: 1\ndata: one\n\n")
+
+    async def scenario(harness: RelayHarness) -> None:
+        handler = harness.handler
+        handler._admission = AdmissionGate(
+            harness.fleet, handler._metrics, has_memory_pressure=True
+        )
+        assert (await harness.request("turn", "t1", **TURN)).status == 200
+        load = pressure_of(harness).load
+        load.lag_s = 1.0
+        load.is_overloaded = True
+        assert (await harness.request("turn", "t2", **TURN)).status == 200
+        refused = await harness.request("turn", "n1", **(TURN | {"X_Program_Id": "n"}))
+        assert refused.status == 503
+
+    run_scenario([ScriptedServer("s1", script)], scenario, LIMITS)
--- a/wisteriastair/relay/handler.py
+++ b/wisteriastair/relay/handler.py
@@ -12,14 +12,14 @@
 from collections.abc import Callable
 from typing import Final
 
-from ..core.customers import Customer
+from ..core.customers import Customer, scoped_name
 from ..core.routes import CallerLimits, RequestKind, Route, RouteTable
 from ..core.stopping import Shutdown
 from ..errors import Code, Failure
 from ..http1.caller import CallerConnection, Handler
 from ..http1.messages import BadRequest, Request
 from ..nodemetrics import RelayMetrics
-from ..platform.headers import READY_PATH, InvalidHeader, decode_request
+from ..platform.headers import READY_PATH, CallerRequest, InvalidHeader, decode_request
 from .admission import AdmissionGate
 from .answers import code_for_status, send_failure
 from .dispatch import Dispatcher
@@ -172,8 +172,8 @@
             failure = Failure(Code.STOPPING, detail, "no", STOPPING_RETRY_S)
             self._reject(caller_conn, caller_req.id, failure)
             return
-        overload = self._pressure and self._pressure.refusal(route, caller_req)
-        if overload:
+        overload = self._find_overload(route, caller_req, customer)
+        if overload is not None:
             self._reject(caller_conn, caller_req.id, overload)
             return
         job = Job(
@@ -206,6 +206,16 @@
             job.log()
             self._record_metrics(job)
 
+    def _find_overload(
+        self, route: Route, caller_req: CallerRequest, customer: Customer | None
+    ) -> Failure | None:
+        """Return why this process is too loaded for a request; None if it is not."""
+        if self._pressure is None:
+            return None
+        program = scoped_name(customer.name if customer else "", caller_req.program)
+        is_running = self._admission.decisions.knows_program(program)
+        return self._pressure.refusal(route, caller_req, is_running=is_running)
+
     def _make_quota_check(self, job: Job) -> QuotaCheck:
         """Request the permit of the customer's quota, if there is one."""
         if job.customer is None:
--- a/wisteriastair/relay/pressure.py
+++ b/wisteriastair/relay/pressure.py
@@ -104,12 +104,21 @@
         if now - self._logged_at >= LOG_INTERVAL_S:
             self._log_changes(now)
 
-    def refusal(self, route: Route, caller_req: CallerRequest) -> Failure | None:
+    def refusal(
+        self, route: Route, caller_req: CallerRequest, *, is_running: bool = False
+    ) -> Failure | None:
         """Return why a request is refused; None if it is accepted.
 
-        A relay without its event loop or link to spare refuses new programs.
+        A relay that is late, or whose link is full, refuses new programs.
+
+        Parameters
+        ----------
+        is_running : bool
+            Whether the program of the request is known to run.
         """
-        if not self.load.is_overloaded or not _starts_program(route, caller_req):
+        if not self.load.is_overloaded or is_running:
+            return None
+        if not _starts_program(route, caller_req):
             return None
         self._metrics.overload_refusals.labels("new_program").inc()
         detail = (
@@ -176,9 +185,10 @@
 
 
 def _starts_program(route: Route, caller_req: CallerRequest) -> bool:
-    """Whether a request is certainly the first of its program.
+    """Whether a request looks like the first of its program.
 
-    Without a stored history, the turns of a program cannot be told from its first.
+    Without a stored history, later turns look like it too and are not refused. With a
+    history, only the first turn of a sub-agent does.
     """
     if route.kind is not RequestKind.STREAM or caller_req.previous_id:
         return False
--- a/wisteriastair/scheduling/admission.py
+++ b/wisteriastair/scheduling/admission.py
@@ -246,6 +246,10 @@
         """Return whether a request belongs to a running program."""
         return not self._is_new(need)
 
+    def knows_program(self, program: str) -> bool:
+        """Return whether this relay has served requests of a program lately."""
+        return program in self._programs
+
     def is_refusing(self, service: str, now: float) -> bool:
         """Return whether programs of a service were refused recently."""
         state = self._services.get(service)
