Admission: serve turns that cannot be told from a first one

On a route without stored history, the turns of a program without prompt segments all look like its first. At a relay that did not know the program, such a turn of a running program was refused with 503 in the test. None of them is taken for a first turn now; first turns with segments are still refused.

--- a/tests/relay/test_admission.py
+++ b/tests/relay/test_admission.py
@@ -187,6 +187,27 @@
     run_admission(servers, scenario)
 
 
+def test_a_turn_that_may_continue_a_program_is_served() -> None:
+    """The program runs through another relay, on a route without stored history.
+
+    Its turns name no previous turn. Without prompt segments, its later turns look like
+    its first.
+    """
+    servers = make_servers()
+    later = {"X_Prompt_Prefix": "shared:9,own:9,conversation:9"}
+    first = {"X_Prompt_Prefix": "shared:9,own:9"}
+
+    async def scenario(harness: RelayHarness) -> None:
+        fill_servers(harness)
+        assert (await harness.request("talk", "a", **turn("p", **later))).status == 200
+        fill_servers(harness)
+        assert (await harness.request("talk", "b", **turn("q"))).status == 200
+        fill_servers(harness)
+        assert (await harness.request("talk", "c", **turn("r", **first))).status == 503
+
+    run_admission(servers, scenario)
+
+
 def test_tool_call_makes_its_program_known() -> None:
     """A program's tool call came through this relay, its turns through another."""
     servers = make_servers()
--- a/wisteriastair/relay/admission.py
+++ b/wisteriastair/relay/admission.py
@@ -252,11 +252,15 @@
     """Return whether a request may be the first turn of its program.
 
     On routes without stored history, later turns name no previous turn.  Their prompts
-    have a segment for the conversation so far.
+    have a segment for the conversation so far.  If a program states no segments there,
+    its turns cannot be told from each other, and none is taken for the first.
     """
-    if job.route.kind is not RequestKind.STREAM or job.caller_req.previous_id:
+    req = job.caller_req
+    if job.route.kind is not RequestKind.STREAM or req.previous_id:
         return False
-    return len(job.caller_req.parts) <= FIRST_PRIVATE + 1
+    if req.program and not req.parts and not job.route.retains_history:
+        return False
+    return len(req.parts) <= FIRST_PRIVATE + 1
 
 
 def _mean_rate(customers: Customers) -> float:
