--- a/tests/relay/test_engine_order.py
+++ b/tests/relay/test_engine_order.py
@@ -186,11 +186,11 @@
         waiting = await harness.open()
         await waiting.send("talk", "waits", **LARGE)
         await anyio.sleep(0.05)
-        assert order.memory._lines
+        assert order.memory._queues
         caller.writer.close()
         waiting.writer.close()
         await anyio.sleep(0.3)
-        assert not order.memory._uses and not order.memory._lines
+        assert not order.memory._uses and not order.memory._queues
         assert not order._turns
         assert (await harness.request("talk", "next", **LARGE)).status == 200
 
--- a/wisteriastair/core/quotaplan.py
+++ b/wisteriastair/core/quotaplan.py
@@ -19,9 +19,8 @@
 # Factor by which programs may take longer than on their own. Programs have 1.3 to 1.6
 # times their time on idle servers, and servers need a part of that.
 MAX_STRETCH: Final = 1.2
-# Factor by which a program may need more requests than its kind does on average. In a
-# replay of programs of 6 to 12 requests, 7% of those admitted under a tenth of the
-# usual limit failed with it, and 12% without it.
+# Factor by which a program may need more requests than its kind does on average.
+# Without it, programs longer than the average would fail near their end.
 REQUEST_MARGIN: Final = 1.25
 
 
--- a/wisteriastair/relay/engine_order.py
+++ b/wisteriastair/relay/engine_order.py
@@ -73,14 +73,14 @@
         self._needs = ProgramNeeds()
         self._turns: dict[Job, _Turn] = {}
 
-    def _orders(self, service: str) -> bool:
+    def _is_on(self, service: str) -> bool:
         return self._has_memory_pressure or self._is_paced(service)
 
     # Priority
 
     def priority(self, job: Job) -> int:
         """Return the priority of a turn that is about to be sent."""
-        if not self._orders(job.service):
+        if not self._is_on(job.service):
             job.engine_priority = min(PRIORITIES - 1, job.priority)
             return job.engine_priority
         now = job.now()
@@ -131,7 +131,7 @@
             is_next = self.memory.is_next(job.service, job.priority, turn.ticket)
             if is_next and self.memory.has_room(state, need, memory_tokens, now):
                 turn.reservation = self.memory.reserve(state, need, now)
-                self._leave_line(job, turn)
+                self._leave_queue(job, turn)
                 return frozenset()
             verdict = self.memory.decide(
                 candidates,
@@ -143,7 +143,7 @@
                 remaining_s=job.remaining_s(),
             )
             if isinstance(verdict, Refuse):
-                self._leave_line(job, turn)
+                self._leave_queue(job, turn)
                 return Failure(
                     Code.SERVERS_FULL, verdict.reason, "no", verdict.retry_after_s
                 )
@@ -160,7 +160,7 @@
         if turn is None:
             return
         self._release(turn)
-        self._leave_line(job, turn)
+        self._leave_queue(job, turn)
         if turn.sent_at and 200 <= job.status < 300:
             req = job.caller_req
             now = job.now()
@@ -183,7 +183,7 @@
             self.memory.release(turn.reservation)
             turn.reservation = None
 
-    def _leave_line(self, job: Job, turn: _Turn) -> None:
+    def _leave_queue(self, job: Job, turn: _Turn) -> None:
         if turn.ticket is not None:
             self.memory.leave(job.service, turn.ticket)
             turn.ticket = None
--- a/wisteriastair/scheduling/admission.py
+++ b/wisteriastair/scheduling/admission.py
@@ -303,12 +303,12 @@
         excess_s = wait_s - max(0.0, limit_s)
         if level > OVER_SHARE_LEVEL and excess_s <= wait_left_s:
             return Wait(excess_s)
-        line_s = service.count_due(now) * _start_interval_s(occupancy, program)
+        earlier_s = service.count_due(now) * _start_interval_s(occupancy, program)
         reason = (
             f"turns wait {wait_s:.2f} s for a server, "
             f"{max(0.0, limit_s):.2f} s would be in time"
         )
-        return Refuse(reason, _retry_after_s(excess_s + line_s, need, randbelow))
+        return Refuse(reason, _retry_after_s(excess_s + earlier_s, need, randbelow))
 
     def _program_time(self, need: RequestNeed, service: _ServiceState) -> _ProgramTime:
         """Predict what a program needs.
--- a/wisteriastair/scheduling/buffers.py
+++ b/wisteriastair/scheduling/buffers.py
@@ -29,7 +29,7 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-# A relay without load was measured at 35 to 48 MB.
+# Memory of a relay without load: 35 to 48 MB.
 RESTING_BYTES: Final = 48 * 1024 * 1024
 # Part of the rest that buffers may use.  A body exists in up to two copies while it is
 # sent, and freed blocks are not returned to the operating system at once.
--- a/wisteriastair/scheduling/engine_memory.py
+++ b/wisteriastair/scheduling/engine_memory.py
@@ -25,9 +25,8 @@
 from .need import Refuse, Wait
 from .reuse import PromptSegment
 
-# Mean requests for which room is left: shares are right on average, and relays may use
-# them at the same time. In a replay with 24 relays, engines crashed 21 times with one
-# and 10 times with two (190 times without a count of memory).
+# Mean requests for which room is left: shares are right on average, and several relays
+# may use theirs at the same time.
 RESERVED_REQUESTS: Final = 2
 # Longest wait in seconds. A turn of a busy service ends on one of its servers within a
 # few hundredths of a second, and callers expect the first event within 0.3 to 0.5 s.
@@ -188,7 +187,7 @@
         self._shared = shared or NoSharedLoad()
         self._uses: dict[str, _ServerUse] = {}
         # Waiting requests of each service, in the order in which they get room.
-        self._lines: dict[str, list[Ticket]] = {}
+        self._queues: dict[str, list[Ticket]] = {}
         self._numbers = count()
         self._examined = 0
         # Mean private tokens of a request, by service.
@@ -205,22 +204,22 @@
     def enter(self, service: str, rank: int) -> Ticket:
         """Add a request to the waiting ones; `leave` must be called in any case."""
         ticket = Ticket(rank, next(self._numbers))
-        insort(self._lines.setdefault(service, []), ticket)
+        insort(self._queues.setdefault(service, []), ticket)
         return ticket
 
     def leave(self, service: str, ticket: Ticket) -> None:
         """Remove a request that was sent or refused, or whose caller has left."""
-        line = self._lines[service]
-        line.remove(ticket)
-        if not line:
-            del self._lines[service]
+        queue = self._queues[service]
+        queue.remove(ticket)
+        if not queue:
+            del self._queues[service]
 
     def is_next(self, service: str, rank: int, ticket: Ticket | None) -> bool:
         """Return whether no waiting request goes before this one."""
-        line = self._lines.get(service)
-        if line is None:
+        queue = self._queues.get(service)
+        if queue is None:
             return True
-        return line[0] == ticket if ticket is not None else line[0].rank > rank
+        return queue[0] == ticket if ticket is not None else queue[0].rank > rank
 
     # Decisions
 
