Engine memory: renew a quota permit that became old during the wait

A turn waits up to 0.25 s for memory after its permit was granted. Holders assume that a request reaches its server 0.3 s after the permit at the latest; later ones can exceed the quota of a window. A permit older than the limit is now requested again after such a wait. Without a wait, nothing changes. In the test the turn arrived 0.3 s after its only permit; now a second one is asked, and without an answer the turn is refused as not run.

--- a/tests/relay/test_engine_order.py
+++ b/tests/relay/test_engine_order.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 
 import anyio
 import pytest
@@ -16,9 +16,16 @@
     route,
     run_harness,
 )
-from wisteriastair.core.customers import Customer, Customers
+from tests.relay.test_customers import bearer, configure, customers
+from wisteriastair.core.customers import Customer, Customers, Quota
+from wisteriastair.core.membership import Member
+from wisteriastair.core.quota import PERMIT_LIFETIME_S
 from wisteriastair.core.routes import CallerLimits, RequestKind, RouteTable, Service
+from wisteriastair.errors import Failure
 from wisteriastair.relay.engine_order import EngineOrder
+from wisteriastair.relay.job import Job
+from wisteriastair.relay.quota import PendingPermit
+from wisteriastair.scheduling.fleet import ServerState
 
 EVENTS = ("id: 1\ndata: one\n\n", "id: 2\ndata: two\n\n")
 # The engine of the harness has memory for 100,000 tokens.
@@ -195,3 +202,54 @@
         assert (await harness.request("talk", "next", **LARGE)).status == 200
 
     run([server], scenario, has_memory_pressure=True)
+
+
+class SlowOrder(EngineOrder):
+    """Every turn waits for memory."""
+
+    async def take_room(
+        self, job: Job, state: ServerState, excluded: Collection[str]
+    ) -> frozenset[str] | Failure:
+        await asyncio.sleep(PERMIT_LIFETIME_S)
+        job.memory_wait_s += PERMIT_LIFETIME_S
+        return frozenset()
+
+
+@pytest.mark.parametrize("is_lost", [False, True])
+def test_a_permit_that_became_old_during_the_wait_is_requested_again(
+    is_lost: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The wait for memory takes longer than the lifetime of a permit.
+
+    Turns with old permits would exceed the quota of their customer in some window. No
+    keeper answers the second time in one case, and the turn has not run.
+    """
+    permits_at: list[float] = []
+    arrivals: list[float] = []
+
+    async def stream(exchange: Exchange) -> None:
+        arrivals.append(asyncio.get_running_loop().time())
+        await exchange.stream(*EVENTS)
+
+    async def scenario(harness: RelayHarness) -> None:
+        configure(harness, customers(Quota(1.0, 10.0)))
+        harness.handler._streams._order = SlowOrder(harness.fleet)
+        quota = harness.handler._quota
+        send = quota._send
+
+        def record_and_send(pending: PendingPermit, member: Member) -> None:
+            if permits_at and is_lost:
+                harness.keepers.unreachable = set(harness.keepers.cores)
+            permits_at.append(asyncio.get_running_loop().time())
+            send(pending, member)
+
+        monkeypatch.setattr(quota, "_send", record_and_send)
+        reply = await harness.request("turn", "a", **bearer("one", X_Program_Id="p"))
+        if is_lost:
+            assert reply.status == 503 and not arrivals
+            assert b'"ran":"no"' in reply.body
+        else:
+            assert reply.status == 200
+            assert arrivals[0] - permits_at[-1] < PERMIT_LIFETIME_S
+
+    run([ScriptedServer("s1", stream)], scenario)
--- a/wisteriastair/relay/permission.py
+++ b/wisteriastair/relay/permission.py
@@ -54,7 +54,7 @@
         outcome = await self._quota.wait_for_permit(
             self._pending, max(started_at, admitted_at + PERMIT_TIMEOUT_S)
         )
-        self.waited_s = loop.time() - started_at
+        self.waited_s += loop.time() - started_at
         match outcome:
             case None:
                 return None
@@ -65,6 +65,18 @@
                 detail = f"none of {count} holders of the quota answered in view {view}"
                 return Failure(Code.QUOTA_UNREACHABLE, detail, "no", HOLDERS_RETRY_S)
 
+    async def renew_permit(self) -> Failure | None:
+        """Request a permit again if the last one is too old by now.
+
+        Returns
+        -------
+        Failure or None
+            Why there is no permit; None if the request may run.
+        """
+        if self._pending is None or not self._quota.is_stale(self._pending):
+            return None
+        return await self.wait_for_permit(asyncio.get_running_loop().time())
+
     def cancel(self) -> None:
         """Stop waiting for the permit; a late reply is ignored."""
         if self._pending is not None:
--- a/wisteriastair/relay/quota.py
+++ b/wisteriastair/relay/quota.py
@@ -150,6 +150,11 @@
             pending.permit = reply.permit
             pending.replied.set()
 
+    def is_stale(self, pending: PendingPermit) -> bool:
+        """Return whether a valid permit is too old for its request to be sent."""
+        wait_s = pending.permit.wait_s if pending.permit else 0.0
+        return boot_clock() - pending.sent_at - wait_s > MAX_PERMIT_AGE_S
+
     def cancel(self, pending: PendingPermit) -> None:
         """Stop waiting for the reply to a permit request."""
         self._pending.pop(pending.op, None)
--- a/wisteriastair/relay/streams.py
+++ b/wisteriastair/relay/streams.py
@@ -205,6 +205,11 @@
             full = room
             if full:
                 continue
+            if job.memory_wait_s and not resume_count:
+                # The permit may have become too old during the wait.
+                refusal = await job.quota_check.renew_permit()
+                if refusal is not None:
+                    return refusal
             job.tried.append(state.server.id)
             job.predicted_ms = state.pace.predicted_ms
             headers = forwarded_headers(
