Quota client: forget keepers that are gone

The time until which a silent keeper is asked last was kept for each address for ever: 100 entries after 100 replaced keepers, at most 2 now.

--- a/tests/relay/test_customers.py
+++ b/tests/relay/test_customers.py
@@ -19,7 +19,9 @@
     run_scenario,
 )
 from wisteriastair.core.customers import Customer, Customers, Quota, digest_key
+from wisteriastair.core.membership import Member
 from wisteriastair.core.routes import CallerLimits, RequestKind, RouteTable, Service
+from wisteriastair.relay.quota import SUSPECT_DURATION_S
 
 KEYS = {"one": "key-of-one", "two": "key-of-two"}
 EVENTS = ("id: 1\ndata: one\n\n", "id: 2\ndata: two\n\n")
@@ -263,3 +265,16 @@
     lines = [str(vars(record)) for record in caplog.records]
     assert any("no customer holds the key" in line for line in lines)
     assert not any("key-of" in line or "secret" in line for line in lines)
+
+
+def test_holders_that_are_gone_are_forgotten() -> None:
+    """Keepers are replaced again and again, each time under another address."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        quota = harness.handler._quota
+        for number in range(100):
+            member = Member(f"k{number}", f"disk{number}", f"k{number}:1", "d")
+            quota._suspect(member, number * SUSPECT_DURATION_S)
+        assert len(quota._suspects) <= 2
+
+    run_scenario([], scenario)
--- a/wisteriastair/relay/quota.py
+++ b/wisteriastair/relay/quota.py
@@ -245,7 +245,8 @@
     def _suspect(self, member: Member, now: float) -> None:
         if self._suspects.get(member.address, 0.0) <= now:
             log.info("quota holder does not answer", extra={"keeper": member.name})
-        self._suspects[member.address] = now + SUSPECT_DURATION_S
+        current = {a: until for a, until in self._suspects.items() if until > now}
+        self._suspects = current | {member.address: now + SUSPECT_DURATION_S}
 
     def _query_order(self, pending: PendingPermit) -> list[Member]:
         quota = pending.customer.quota
