Admission: withdraw the starts of programs that did not run

A program that its quota, its budget or the memory of the servers refused after admission counted as a start and as running. It is now a program that was refused before.

--- a/tests/relay/test_admission.py
+++ b/tests/relay/test_admission.py
@@ -140,6 +140,31 @@
     run_admission(servers, scenario)
 
 
+def test_a_program_that_its_quota_refuses_is_no_start() -> None:
+    """A customer far above its quota asks for many programs, and few of them run.
+
+    Counted as starts, the others would make the wait for a server look longer, so that
+    programs of other customers would be refused.
+    """
+
+    async def scenario(harness: RelayHarness) -> None:
+        gate = switch_on(harness.handler, harness)
+        configure(harness, customers(Quota(0.01, 1.0)))
+        statuses = []
+        for number in range(80):
+            more = bearer("one", **turn(f"p{number}"))
+            reply = await harness.request("turn", f"r{number}", **more)
+            statuses.append(reply.status)
+        started = statuses.count(200)
+        assert started + statuses.count(429) == 80 and started < 40
+        service = gate.decisions._service("svc")
+        assert len(service.starts) == started
+        assert service.fair_shares._counts["one"].starts <= started
+        assert len(gate.decisions._programs) == started
+
+    run_scenario(make_servers(), scenario)
+
+
 class SlowCheck(NoAdmissionCheck):
     """Starts every request after a wait."""
 
--- a/tests/scheduling/test_admission.py
+++ b/tests/scheduling/test_admission.py
@@ -181,6 +181,18 @@
     assert setting.decide(need("returning")) is None
 
 
+def test_a_program_that_did_not_run_goes_before_new_programs() -> None:
+    """It was allowed to start, but no server had memory for it."""
+    setting = Setting(0)
+    assert setting.decide(need("returning")) is None
+    setting.admission.withdraw_start(need("returning"), PARTY, 0.0)
+    setting.report_each(4, 4, 4, 3)
+    refused(setting.decide(need("new")))
+    assert setting.decide(need("returning")) is None
+    setting.report(100)
+    assert setting.decide(need("returning")) is None, "it runs now"
+
+
 def test_retry_after_is_at_most_a_third_of_the_remaining_time() -> None:
     """Callers honour no longer delay, and come back at a time of their own."""
     setting = Setting(50 * SLOTS)
--- a/wisteriastair/relay/admission.py
+++ b/wisteriastair/relay/admission.py
@@ -219,6 +219,10 @@
 
     def record_end(self) -> None:
         job = self._job
+        if self.verdict == "started" and job.sent_at == 0:
+            gate = self._gate
+            gate.decisions.withdraw_start(self._need(), self._party, job.now())
+            return
         is_complete_turn = 200 <= job.status < 300 and job.sent_at > 0
         if job.route.kind is not RequestKind.STREAM or not is_complete_turn:
             return
--- a/wisteriastair/scheduling/admission.py
+++ b/wisteriastair/scheduling/admission.py
@@ -161,6 +161,11 @@
         """Return the times of a kind of request."""
         return self.times.setdefault(kind, TurnTimes())
 
+    def withdraw_start(self) -> None:
+        """Remove a recent start; the latest one stands for it."""
+        if self.starts:
+            self.starts.pop()
+
     def count_due(self, now: float) -> int:
         """Return the number of refused callers that are still to come back."""
         while self.due_times and self.due_times[0] <= now:
@@ -371,6 +376,19 @@
             times.record_pause(now - ended_at)
         self._remember(need.program, now)
 
+    def withdraw_start(self, need: RequestNeed, party: Party, now: float) -> None:
+        """Record that a program did not run although it was allowed to start.
+
+        Its quota or its budget may have refused it, or its caller may have left. If it
+        comes back, it has been refused before.
+        """
+        service = self._service(need.service)
+        service.withdraw_start()
+        service.fair_shares.withdraw_start(party.name, now)
+        self._programs.pop(need.program, None)
+        self._turn_ends.pop(need.program, None)
+        self._remember_refused(need, now)
+
     def record_tool_call(self, need: RequestNeed, now: float) -> None:
         """Record a tool call, which belongs to the pause between two turns."""
         if need.program:
@@ -411,6 +429,9 @@
         service = self._service(need.service)
         service.last_refusal_at = now
         heappush(service.due_times, now + refuse.retry_after_s)
+        self._remember_refused(need, now)
+
+    def _remember_refused(self, need: RequestNeed, now: float) -> None:
         if not need.program:
             return
         previous = self._refused.pop(need.program, None)
--- a/wisteriastair/scheduling/fair_shares.py
+++ b/wisteriastair/scheduling/fair_shares.py
@@ -91,6 +91,11 @@
         counts = self._take(party, now)
         self._put(party, counts._replace(starts=counts.starts + 1, started_at=now))
 
+    def withdraw_start(self, party: str, now: float) -> None:
+        """Record that a program did not run although it was allowed to start."""
+        counts = self._take(party, now)
+        self._put(party, counts._replace(starts=max(0.0, counts.starts - 1)))
+
     def _take(self, party: str, now: float) -> _Counts:
         counts = self._counts.pop(party, None)
         return counts.decayed(now) if counts else _Counts(0.0, 0.0, 1.0, now)
