Relay pressure: freeing buffers is no failure of a server

When the budget of a relay closed the connection to a server, the request counted as a failure of that server. One failure ejects a server of a large service, and the shared picture carries it to other relays. Such an end is now marked as the relay's own.

--- a/tests/relay/test_pressure.py
+++ b/tests/relay/test_pressure.py
@@ -387,3 +387,37 @@
         assert refused.status == 503
 
     run_scenario([ScriptedServer("s1", script)], scenario, LIMITS)
+
+
+@pytest.mark.parametrize("name", ["turn", "unsafe"])
+@pytest.mark.parametrize("has_head", [False, True])
+def test_a_connection_closed_to_free_buffers_is_no_failure_of_its_server(
+    name: str, has_head: bool
+) -> None:
+    """One failure ejects a server of a large service, and other relays hear of it."""
+    arrived = asyncio.Event()
+
+    async def script(exchange: Exchange) -> None:
+        if has_head:
+            await exchange.write_text(
+                "HTTP/1.1 200 OK\nX-Server-Stamp: s1\nContent-Length: 9\n\nd"
+            )
+        arrived.set()
+        await anyio.sleep(5)
+
+    async def scenario(harness: RelayHarness) -> None:
+        state = harness.fleet.get("s1")
+        assert state is not None
+        caller = await harness.open()
+        await caller.send(name, "q1", **TURN)
+        await arrived.wait()
+        await anyio.sleep(0.05)
+        buffers = pressure_of(harness).buffers
+        (account,) = (a for a in buffers._accounts if not a.is_caller)
+        buffers._disconnect(account, "budget")
+        assert (await caller.read()).status not in (200, 429, 503), "it may have run"
+        now = asyncio.get_running_loop().time()
+        assert state.failures == 0
+        assert state.observations.failures(now) == 0
+
+    run_scenario([ScriptedServer("s1", script)], scenario, LIMITS)
--- a/wisteriastair/http1/server.py
+++ b/wisteriastair/http1/server.py
@@ -34,6 +34,8 @@
     COMPLETE = "whole"
     # The connection closed, or the data was not HTTP, before the response was complete.
     BROKEN = "broken"
+    # This process closed the connection to free memory, whatever the server did.
+    DROPPED = "dropped"
 
 
 class ExchangeEnd(NamedTuple):
@@ -272,7 +274,7 @@
         self.close()
         if exchange is not None:
             exchange.finish(
-                ExchangeEnd(ExchangeOutcome.BROKEN, "buffers of the relay are full")
+                ExchangeEnd(ExchangeOutcome.DROPPED, "buffers of the relay are full")
             )
 
     def _close_account(self) -> None:
--- a/wisteriastair/relay/dispatch.py
+++ b/wisteriastair/relay/dispatch.py
@@ -72,10 +72,17 @@
 
 
 class OutcomeUnknown(NamedTuple):
-    """The request was sent and no usable response arrived; it may have run."""
+    """The request was sent and no usable response arrived; it may have run.
+
+    Attributes
+    ----------
+    is_server_fault : bool
+        False if this process broke off the response.
+    """
 
     server: str
     reason: str
+    is_server_fault: bool = True
 
 
 class Dispatcher:
@@ -312,8 +319,10 @@
         if head is None:
             assert exchange.end is not None, "an exchange has a head or has ended"
             state.pace.record_progress(timer, now)
-            self.record_failure(state)
-            return OutcomeUnknown(server_id, exchange.end.reason)
+            is_server_fault = exchange.end.outcome is not ExchangeOutcome.DROPPED
+            if is_server_fault:
+                self.record_failure(state)
+            return OutcomeUnknown(server_id, exchange.end.reason, is_server_fault)
         timer.last_at = now
         self._record_load(state, head, timer, now)
         if head.status not in SUCCESS_STATUSES:
@@ -382,8 +391,13 @@
 
 
 def _has_succeeded(exchange: Exchange) -> bool | None:
-    """Whether an ended exchange succeeded; None if the server was only full."""
+    """Whether an ended exchange succeeded; None if that says nothing of the server.
+
+    The server was full, or this process broke off the response.
+    """
     head = exchange.head
+    if exchange.end is not None and exchange.end.outcome is ExchangeOutcome.DROPPED:
+        return None
     if head is None or exchange.end is None:
         return False
     if was_not_executed(head):
--- a/wisteriastair/relay/plain.py
+++ b/wisteriastair/relay/plain.py
@@ -12,6 +12,7 @@
 
 from ..errors import Code, Failure
 from ..http1.messages import ResponseHead
+from ..http1.server import ExchangeOutcome
 from ..platform.headers import forwarded_headers, has_server_stamp, response_headers
 from .answers import is_server_error, send_failure
 from .dispatch import (
@@ -119,7 +120,8 @@
         possible_runs += 1
         job.reason = result.reason
         excluded.add(result.server)
-        dispatcher.record_failure(state)
+        if result.is_server_fault:
+            dispatcher.record_failure(state)
         if not job.route.repeatable or possible_runs >= job.route.max_servers:
             return Failure(Code.SERVER_LOST, result.reason, "unknown")
         retry_policy.record_retry()
@@ -147,7 +149,9 @@
     server_id = outcome.state.server.id
     body = await read_body(outcome.exchange, MAX_RESPONSE_BYTES)
     if isinstance(body, str):
-        return OutcomeUnknown(server_id, body)
+        end = outcome.exchange.end
+        is_dropped = end is not None and end.outcome is ExchangeOutcome.DROPPED
+        return OutcomeUnknown(server_id, body, is_server_fault=not is_dropped)
     head = outcome.head
     if head.status in SUCCESS_STATUSES and not has_server_stamp(head):
         return OutcomeUnknown(server_id, "a success without the server's stamp")
