--- a/tests/relay/test_admission.py
+++ b/tests/relay/test_admission.py
@@ -17,8 +17,15 @@
 )
 from tests.relay.test_customers import bearer, configure, customers
 from wisteriastair.core.customers import Quota
-from wisteriastair.relay.admission import AdmissionGate
+from wisteriastair.core.routes import RouteTable
+from wisteriastair.errors import Failure
+from wisteriastair.relay.admission import (
+    AdmissionCheck,
+    AdmissionGate,
+    NoAdmissionCheck,
+)
 from wisteriastair.relay.handler import RelayHandler
+from wisteriastair.relay.job import Job
 from wisteriastair.scheduling.fleet import Load
 from wisteriastair.scheduling.retries import MAX_RETRY_BUDGET
 
@@ -133,6 +140,62 @@
     run_admission(servers, scenario)
 
 
+def test_a_program_that_its_quota_refuses_is_no_start() -> None:
+    """A customer far above its quota asks for many programs, and few of them run.
+
+    Counted as starts, the others would make the wait for a server look longer, so that
+    programs of other customers would be refused.
+    """
+
+    async def scenario(harness: RelayHarness) -> None:
+        gate = switch_on(harness.handler, harness)
+        configure(harness, customers(Quota(0.01, 1.0)))
+        statuses = []
+        for number in range(80):
+            more = bearer("one", **turn(f"p{number}"))
+            reply = await harness.request("turn", f"r{number}", **more)
+            statuses.append(reply.status)
+        started = statuses.count(200)
+        assert started + statuses.count(429) == 80 and started < 40
+        service = gate.decisions._service("svc")
+        assert len(service.starts) == started
+        assert service.fair_shares._counts["one"].starts <= started
+        assert len(gate.decisions._programs) == started
+
+    run_scenario(make_servers(), scenario)
+
+
+class SlowCheck(NoAdmissionCheck):
+    """Starts every request after a wait."""
+
+    async def wait_for_start(self) -> Failure | None:
+        await asyncio.sleep(0.7)
+        self.waited_s = 0.7
+        return None
+
+
+class SlowGate(AdmissionGate):
+    def make_check(self, job: Job, table: RouteTable) -> AdmissionCheck:
+        return SlowCheck()
+
+
+def test_a_wait_for_admission_leaves_time_for_keepers() -> None:
+    """Admission takes longer than the limits for a permit and for a reservation.
+
+    Both are requested only after it, and no keeper could answer in no time.
+    """
+    servers = make_servers()
+
+    async def scenario(harness: RelayHarness) -> None:
+        harness.handler._admission = SlowGate(harness.fleet, harness.handler._metrics)
+        configure(harness, customers(Quota(50.0, 50.0)))
+        more = bearer("one", **turn("p"))
+        reply = await harness.request("long", "a", **more)
+        assert reply.status == 200, reply.body
+
+    run_scenario(servers, scenario)
+
+
 def test_turns_of_running_programs_are_served_in_an_overload() -> None:
     """A program has begun here; a refusal would waste the work done for it."""
     servers = make_servers()
@@ -149,6 +212,27 @@
     run_admission(servers, scenario)
 
 
+def test_a_turn_that_may_continue_a_program_is_served() -> None:
+    """The program runs through another relay, on a route without stored history.
+
+    Its turns name no previous turn. Without prompt segments, its later turns look like
+    its first.
+    """
+    servers = make_servers()
+    later = {"X_Prompt_Prefix": "shared:9,own:9,conversation:9"}
+    first = {"X_Prompt_Prefix": "shared:9,own:9"}
+
+    async def scenario(harness: RelayHarness) -> None:
+        fill_servers(harness)
+        assert (await harness.request("talk", "a", **turn("p", **later))).status == 200
+        fill_servers(harness)
+        assert (await harness.request("talk", "b", **turn("q"))).status == 200
+        fill_servers(harness)
+        assert (await harness.request("talk", "c", **turn("r", **first))).status == 503
+
+    run_admission(servers, scenario)
+
+
 def test_tool_call_makes_its_program_known() -> None:
     """A program's tool call came through this relay, its turns through another."""
     servers = make_servers()
--- a/wisteriastair/relay/admission.py
+++ b/wisteriastair/relay/admission.py
@@ -176,7 +176,7 @@
     async def wait_for_start(self) -> Failure | None:
         gate, job = self._gate, self._job
         if job.route.kind is not RequestKind.STREAM:
-            gate.decisions.record_request(self._need(), job.now())
+            gate.decisions.record_tool_call(self._need(), job.now())
             self.verdict = "running"
             return None
         gate.turn_retries.record_turn(job.service)
@@ -195,8 +195,9 @@
             if not isinstance(verdict, Wait):
                 break
             delay_s = max(MIN_WAIT_S, verdict.seconds)
+            started_at = job.now()
             await asyncio.sleep(delay_s)
-            self.waited_s += delay_s
+            self.waited_s += job.now() - started_at
         self.verdict = "running" if is_known else "started"
         if isinstance(verdict, Refuse):
             self.verdict = "refused"
@@ -218,6 +219,10 @@
 
     def record_end(self) -> None:
         job = self._job
+        if self.verdict == "started" and job.sent_at == 0:
+            gate = self._gate
+            gate.decisions.withdraw_start(self._need(), self._party, job.now())
+            return
         is_complete_turn = 200 <= job.status < 300 and job.sent_at > 0
         if job.route.kind is not RequestKind.STREAM or not is_complete_turn:
             return
@@ -251,11 +256,15 @@
     """Return whether a request may be the first turn of its program.
 
     On routes without stored history, later turns name no previous turn.  Their prompts
-    have a segment for the conversation so far.
+    have a segment for the conversation so far.  If a program states no segments there,
+    its turns cannot be told from each other, and none is taken for the first.
     """
-    if job.route.kind is not RequestKind.STREAM or job.caller_req.previous_id:
+    req = job.caller_req
+    if job.route.kind is not RequestKind.STREAM or req.previous_id:
+        return False
+    if req.program and not req.parts and not job.route.retains_history:
         return False
-    return len(job.caller_req.parts) <= FIRST_PRIVATE + 1
+    return len(req.parts) <= FIRST_PRIVATE + 1
 
 
 def _mean_rate(customers: Customers) -> float:
--- a/wisteriastair/scheduling/admission.py
+++ b/wisteriastair/scheduling/admission.py
@@ -55,8 +55,9 @@
 OVER_SHARE_LEVEL: Final = 0.75
 # The limit of a kind as a fraction of that of a more urgent one that was refused.
 LESS_URGENT_LEVEL: Final = 0.9
-# Longest wait before a decision, as a fraction of the route's target latency. Waiting
-# uses up the time of the program, so only a short excess is waited for.
+# Longest wait before a decision, as a fraction of the route's target latency and of the
+# time that the request has left. Waiting uses up the time of the program, so only a
+# short excess is waited for.
 WAIT_FRACTION: Final = 0.1
 # Fraction of a relay's part of the capacity that parties without a recent start get in
 # spite of a long wait, so that none starves.
@@ -160,6 +161,11 @@
         """Return the times of a kind of request."""
         return self.times.setdefault(kind, TurnTimes())
 
+    def withdraw_start(self) -> None:
+        """Remove a recent start; the latest one stands for it."""
+        if self.starts:
+            self.starts.pop()
+
     def count_due(self, now: float) -> int:
         """Return the number of refused callers that are still to come back."""
         while self.due_times and self.due_times[0] <= now:
@@ -218,7 +224,7 @@
         waited_s : float
             Seconds for which this request has waited already.
         max_wait_s : float
-            Longest wait in seconds.
+            Longest wait in seconds. A request with little time left waits less.
 
         Returns
         -------
@@ -233,9 +239,8 @@
         service.fair_shares.record_demand(
             party.name, party.weight, now, is_repeated=is_repeated
         )
-        verdict = self._decide_new(
-            need, party, states, randbelow, now, max_wait_s - waited_s
-        )
+        wait_left_s = min(max_wait_s - waited_s, WAIT_FRACTION * need.remaining_s)
+        verdict = self._decide_new(need, party, states, randbelow, now, wait_left_s)
         if verdict is None:
             self._record_start(need, party, now)
         elif isinstance(verdict, Refuse):
@@ -246,6 +251,10 @@
         """Return whether a request belongs to a running program."""
         return not self._is_new(need)
 
+    def knows_program(self, program: str) -> bool:
+        """Return whether this relay has served requests of a program lately."""
+        return program in self._programs
+
     def is_refusing(self, service: str, now: float) -> bool:
         """Return whether programs of a service were refused recently."""
         state = self._services.get(service)
@@ -299,12 +308,12 @@
         excess_s = wait_s - max(0.0, limit_s)
         if level > OVER_SHARE_LEVEL and excess_s <= wait_left_s:
             return Wait(excess_s)
-        line_s = service.count_due(now) * _start_interval_s(occupancy, program)
+        earlier_s = service.count_due(now) * _start_interval_s(occupancy, program)
         reason = (
             f"turns wait {wait_s:.2f} s for a server, "
             f"{max(0.0, limit_s):.2f} s would be in time"
         )
-        return Refuse(reason, _retry_after_s(excess_s + line_s, need, randbelow))
+        return Refuse(reason, _retry_after_s(excess_s + earlier_s, need, randbelow))
 
     def _program_time(self, need: RequestNeed, service: _ServiceState) -> _ProgramTime:
         """Predict what a program needs.
@@ -358,7 +367,7 @@
     # Records
 
     def record_request(self, need: RequestNeed, now: float) -> None:
-        """Record a request of a running program."""
+        """Record a turn of a running program."""
         if not need.program:
             return
         ended_at = self._turn_ends.pop(need.program, None)
@@ -367,6 +376,24 @@
             times.record_pause(now - ended_at)
         self._remember(need.program, now)
 
+    def withdraw_start(self, need: RequestNeed, party: Party, now: float) -> None:
+        """Record that a program did not run although it was allowed to start.
+
+        Its quota or its budget may have refused it, or its caller may have left. If it
+        comes back, it has been refused before.
+        """
+        service = self._service(need.service)
+        service.withdraw_start()
+        service.fair_shares.withdraw_start(party.name, now)
+        self._programs.pop(need.program, None)
+        self._turn_ends.pop(need.program, None)
+        self._remember_refused(need, now)
+
+    def record_tool_call(self, need: RequestNeed, now: float) -> None:
+        """Record a tool call, which belongs to the pause between two turns."""
+        if need.program:
+            self._remember(need.program, now)
+
     def record_turn(
         self, need: RequestNeed, seconds: float, is_queued: bool, now: float
     ) -> None:
@@ -402,6 +429,9 @@
         service = self._service(need.service)
         service.last_refusal_at = now
         heappush(service.due_times, now + refuse.retry_after_s)
+        self._remember_refused(need, now)
+
+    def _remember_refused(self, need: RequestNeed, now: float) -> None:
         if not need.program:
             return
         previous = self._refused.pop(need.program, None)
@@ -466,12 +496,18 @@
 def _retry_after_s(
     seconds: float, need: RequestNeed, randbelow: Callable[[int], int]
 ) -> float:
-    """Spread a Retry-After at random and bound it by the caller's time."""
+    """Spread a Retry-After at random and bound it by the caller's time.
+
+    A program whose time is over still has the time of its request. Without any time
+    left, the shortest delay is returned, since a refusal states one in any case.
+    """
     spread = 2.0 * randbelow(SPREAD_STEPS) / SPREAD_STEPS - 1.0
     left_s = need.remaining_s
-    if need.finish_s is not None:
+    if need.finish_s:
         left_s = min(left_s, need.finish_s)
-    longest_s = MAX_RETRY_FRACTION * max(0.0, left_s)
+    if left_s <= 0:
+        return MIN_RETRY_S
+    longest_s = MAX_RETRY_FRACTION * left_s
     # The bound is spread too, so that long delays do not end at the same time.
     spread_longest_s = longest_s * (1.0 + RETRY_SPREAD * (spread - 1.0))
     seconds = max(MIN_RETRY_S, seconds * (1.0 + RETRY_SPREAD * spread))
--- a/wisteriastair/scheduling/engine_memory.py
+++ b/wisteriastair/scheduling/engine_memory.py
@@ -25,9 +25,8 @@
 from .need import Refuse, Wait
 from .reuse import PromptSegment
 
-# Mean requests for which room is left: shares are right on average, and relays may use
-# them at the same time. In a replay with 24 relays, engines crashed 21 times with one
-# and 10 times with two (190 times without a count of memory).
+# Mean requests for which room is left: shares are right on average, and several relays
+# may use theirs at the same time.
 RESERVED_REQUESTS: Final = 2
 # Longest wait in seconds. A turn of a busy service ends on one of its servers within a
 # few hundredths of a second, and callers expect the first event within 0.3 to 0.5 s.
@@ -188,7 +187,7 @@
         self._shared = shared or NoSharedLoad()
         self._uses: dict[str, _ServerUse] = {}
         # Waiting requests of each service, in the order in which they get room.
-        self._lines: dict[str, list[Ticket]] = {}
+        self._queues: dict[str, list[Ticket]] = {}
         self._numbers = count()
         self._examined = 0
         # Mean private tokens of a request, by service.
@@ -205,22 +204,22 @@
     def enter(self, service: str, rank: int) -> Ticket:
         """Add a request to the waiting ones; `leave` must be called in any case."""
         ticket = Ticket(rank, next(self._numbers))
-        insort(self._lines.setdefault(service, []), ticket)
+        insort(self._queues.setdefault(service, []), ticket)
         return ticket
 
     def leave(self, service: str, ticket: Ticket) -> None:
         """Remove a request that was sent or refused, or whose caller has left."""
-        line = self._lines[service]
-        line.remove(ticket)
-        if not line:
-            del self._lines[service]
+        queue = self._queues[service]
+        queue.remove(ticket)
+        if not queue:
+            del self._queues[service]
 
     def is_next(self, service: str, rank: int, ticket: Ticket | None) -> bool:
         """Return whether no waiting request goes before this one."""
-        line = self._lines.get(service)
-        if line is None:
+        queue = self._queues.get(service)
+        if queue is None:
             return True
-        return line[0] == ticket if ticket is not None else line[0].rank > rank
+        return queue[0] == ticket if ticket is not None else queue[0].rank > rank
 
     # Decisions
 
@@ -329,6 +328,7 @@
         self._record_mean(service, need.private_tokens)
         use = self._uses.setdefault(state.incarnation, _ServerUse())
         recent = self._recent.setdefault(state.incarnation, deque())
+        _drop_reported(recent, now)
         recent.append((now, use.missing_tokens(need)))
         use.requests += 1
         use.tokens += need.unsegmented_tokens
@@ -373,8 +373,7 @@
         sent = self._recent.get(incarnation)
         if sent is None:
             return 0
-        while sent and now - sent[0][0] > REPORT_AGE_S:
-            sent.popleft()
+        _drop_reported(sent, now)
         return sum(tokens for _, tokens in sent)
 
     def _share(self, service: str) -> float:
@@ -408,3 +407,9 @@
         requests = state.reported_by_others(now) or 0
         mean = self._mean_tokens.get(state.server.service, 0.0)
         return _OthersLoad(requests, requests * mean)
+
+
+def _drop_reported(sent: deque[tuple[float, int]], now: float) -> None:
+    """Drop the requests that other relays have heard of."""
+    while sent and now - sent[0][0] > REPORT_AGE_S:
+        sent.popleft()
