scheduling: split merge by job

merge.py held parts of sums, reports of relays, sums of other keepers, the decision on weights and the messages. The behaviour is unchanged; Merger.take_step_changes replaces the reset of a list by the caller. tests/keeper/test_picture.py and tests/relay/test_picture.py pass with changed imports only.

--- a/tests/keeper/test_picture.py
+++ b/tests/keeper/test_picture.py
@@ -13,7 +13,8 @@
 from wisteriastair.keeper.picture import MAX_LOGGED, PictureKeeper
 from wisteriastair.scheduling.capacity import CONFIRMATIONS, DECISION_INTERVAL_S
 from wisteriastair.scheduling.digest import server_key
-from wisteriastair.scheduling.merge import MAX_RELAYS, PEER_TTL_S, WARMUP_S
+from wisteriastair.scheduling.sums import MAX_RELAYS, PEER_TTL_S
+from wisteriastair.scheduling.weight_decision import WARMUP_S
 
 ME = "k0:1"
 
--- a/tests/relay/test_picture.py
+++ b/tests/relay/test_picture.py
@@ -37,12 +37,10 @@
 )
 from wisteriastair.scheduling.digest import server_key
 from wisteriastair.scheduling.fleet import Fleet
-from wisteriastair.scheduling.merge import (
-    CONTRIBUTION_TTL_S,
-    HEARD_TTL_S,
-    WARMUP_S,
-)
+from wisteriastair.scheduling.peer_sums import HEARD_TTL_S
 from wisteriastair.scheduling.picture import MAX_AGE_S
+from wisteriastair.scheduling.sums import CONTRIBUTION_TTL_S
+from wisteriastair.scheduling.weight_decision import WARMUP_S
 
 SETTLE_S = 3.0
 # Time until a changed pace has changed a weight everywhere.
--- a/wisteriastair/keeper/picture.py
+++ b/wisteriastair/keeper/picture.py
@@ -102,8 +102,7 @@
         )
 
     def _log_steps(self) -> None:
-        changes = self.merger.step_changes
-        self.merger.step_changes = []
+        changes = self.merger.take_step_changes()
         for change in changes[:MAX_LOGGED]:
             log.info(
                 "weight of a server decided",
--- a/wisteriastair/scheduling/__init__.py
+++ b/wisteriastair/scheduling/__init__.py
@@ -26,6 +26,16 @@
     What a relay reports of each server to the keepers.
 ``capacity``
     Capacity steps of servers.
+``blocks``
+    What is sent of the sums, within a bound of bytes.
+``sums``
+    Parts of sums, how they are added, and when they expire.
+``relay_reports``
+    What a keeper holds of the relays that report to it.
+``peer_sums``
+    What a keeper holds of the other keepers.
+``weight_decision``
+    Which keeper decides the weights of servers, and what it decides.
 ``merge``
     What a keeper merges from the reports of relays and sends to them.
 ``picture``
