picture: drop keepers that have left without an answer

A keeper that exchanges sums got an entry when it was chosen. If it never answered, or its entry was created again after it had died, the entry stayed when it was no longer chosen: a message a second was sent to its address forever, and 64 such entries kept out other keepers. Entries without an answer are now kept only for chosen keepers.

The test changes the choice 65 times: before, it sent to more than the last keeper and failed; now it passes.

--- a/wisteriastair/scheduling/merge.py
+++ b/wisteriastair/scheduling/merge.py
@@ -130,7 +130,7 @@
             self.counters.outdated += 1
         if self._picture.is_due(now) or self._sums.is_due(now):
             self._reports.expire(now)
-            self._peers.expire(now)
+            self._peers.expire(now, self._order)
             self._decision.decide(now)
         # A report of unknown age gets a reply too, whose stamp makes the age of the
         # next one known.
--- a/wisteriastair/scheduling/peer_sums.py
+++ b/wisteriastair/scheduling/peer_sums.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Collection
 from typing import Final
 
 from ..core.hashing import address_of
@@ -132,10 +133,18 @@
             for server, health in peer.healths.items():
                 healths[server] = add_healths(healths.get(server), health)
 
-    def expire(self, now: float) -> None:
-        """Remove what is too old to count."""
+    def expire(self, now: float, configured: Collection[str]) -> None:
+        """Remove what is too old to count.
+
+        Parameters
+        ----------
+        configured : collection of str
+            Addresses of the keepers that exchange sums. Those are kept without an
+            answer, with the time of the last message to them.
+        """
         for address, peer in list(self.peers.items()):
-            if now - peer.heard_at > PEER_TTL_S and peer.member:
+            is_unanswered = not peer.member and address in configured
+            if now - peer.heard_at > PEER_TTL_S and not is_unanswered:
                 # Another incarnation may have its address by now.
                 del self.peers[address]
                 continue
