picture: remove old sums at a keeper without reports

Sums of other keepers expired only when a relay reported. A keeper to which no relay reports, and whose peer states an age for its messages, kept one entry per server incarnation forever. Between keepers of this build the age becomes unknown after 3 s, so the growth needs a peer that behaves otherwise. While no reports arrive, sums now remove what is too old.

--- a/tests/scheduling/test_peer_sums.py
+++ b/tests/scheduling/test_peer_sums.py
@@ -5,13 +5,18 @@
 from wisteriastair.core.ledgerwire import (
     DomainSums,
     LinkTiming,
+    PictureBlock,
     RelayDigest,
+    ServerLoad,
+    ServerPace,
+    pack_loads,
 )
 from wisteriastair.scheduling.merge import Merger, make_merger
 from wisteriastair.scheduling.peer_sums import MAX_PEERS
-from wisteriastair.scheduling.sums import PEER_TTL_S
+from wisteriastair.scheduling.sums import MAX_AGE_S, PACE_TTL_S, PEER_TTL_S
 
 ME = "k0:1"
+SUMS_PER_S = 2
 
 
 def timing(now: float) -> LinkTiming:
@@ -38,3 +43,18 @@
     assert receivers == {f"gone{MAX_PEERS}:1"}
     merger.on_sums("new:1#a", DomainSums(timing(now), 1), now)
     assert merger.counters.clipped == 0
+
+
+def test_failure_a_keeper_without_relays_forgets_old_sums() -> None:
+    """Without reports nothing expired, and each restart of a server left an entry."""
+    merger = make_merger(ME, 0.0)
+    now = 0.0
+    for server in range(1000):
+        now += 1 / SUMS_PER_S
+        block = PictureBlock(pack_loads([ServerLoad(server, 1, 1)]), [])
+        paces = [ServerPace(server, 100, 1)]
+        sums = DomainSums(timing(now), 1, [0], [block], paces)
+        merger.on_sums("k1:1#a", sums, now)
+    peer = merger._peers.peers["k1:1"]
+    assert 1 <= len(peer.loads) <= MAX_AGE_S * SUMS_PER_S + 1
+    assert 1 <= len(peer.paces) <= PACE_TTL_S * SUMS_PER_S + 1
--- a/wisteriastair/scheduling/merge.py
+++ b/wisteriastair/scheduling/merge.py
@@ -147,6 +147,9 @@
 
         There is no reply: a keeper sends its own sums while relays report to it.
         """
+        if now - self._active_at > PEER_TTL_S:
+            # Reports of relays, which otherwise remove old sums, do not arrive.
+            self._peers.expire(now, self._order)
         peer = self._peers.find(sender)
         if peer is None:
             return
