picture: decide no weights without the list of servers

A keeper that could not read the store for its first three seconds decided that no server has a step. Relays then gave all servers equal weights, until the list was read and the paces had been confirmed again, so programs moved twice. Such a keeper now keeps the weights that it has adopted, and sends none if it has none.

The test failed with an empty list of steps in a reply and now passes.

--- a/tests/keeper/test_picture.py
+++ b/tests/keeper/test_picture.py
@@ -7,7 +7,12 @@
 
 import pytest
 
-from wisteriastair.core.ledgerwire import LinkTiming, RelayDigest, ServerObservation
+from wisteriastair.core.ledgerwire import (
+    LinkTiming,
+    PictureUpdate,
+    RelayDigest,
+    ServerObservation,
+)
 from wisteriastair.core.membership import Member, View
 from wisteriastair.core.watchers import digest_keepers, digest_receivers, watchers_of
 from wisteriastair.keeper.picture import MAX_LOGGED, PictureKeeper
@@ -110,3 +115,14 @@
     lines = [r for r in caplog.records if r.message == "weight of a server decided"]
     assert len(lines) == MAX_LOGGED
     assert len(picture.merger.weights) == 14
+
+
+def test_failure_a_keeper_that_has_not_read_the_store_decides_no_weights() -> None:
+    """It would reset the weights at all relays, and programs would move twice."""
+    picture = keeper(servers=0)
+    now = 0.0
+    while now < WARMUP_S + 2 * DECISION_INTERVAL_S:
+        now += 0.25
+        replies = picture.receive("r:1#a", digest(now), now)
+        updates = [m for _, m in replies if isinstance(m, PictureUpdate)]
+        assert [update.weights.steps for update in updates] == [None]
--- a/wisteriastair/scheduling/weight_decision.py
+++ b/wisteriastair/scheduling/weight_decision.py
@@ -108,6 +108,9 @@
         is_warm = now - self.active_since >= WARMUP_S
         if not is_warm or now - self._decided_at < DECISION_INTERVAL_S:
             return
+        if not self._servers.services:
+            # Without the list of servers all would return to equal weights.
+            return
         if self.best_rank(now) < self.rank(self._me):
             return
         self._decided_at = now
