picture: drop own reports of servers that are gone

A relay kept up to 16 of its reports for each incarnation of a server that it had ever reported, until it turned to another keeper. Each restart of a server added an entry. Reports are now dropped after 4 s, when no sum that is still used includes them. OwnReports.record takes the time, which the tests pass.

The test records 1,000 servers, one a second: 1,000 were kept before, the last 4 now.

--- a/tests/scheduling/test_picture.py
+++ b/tests/scheduling/test_picture.py
@@ -18,6 +18,7 @@
 from wisteriastair.scheduling.fleet import Fleet, Server
 from wisteriastair.scheduling.picture import (
     MAX_AGE_S,
+    REPORT_TTL_S,
     SERVERS_PER_SUSPECT,
     SUSPECT_HOLD_S,
     OthersLoad,
@@ -153,17 +154,26 @@
     """Subtracting a newer report than the sum includes would hide others' requests."""
     own = OwnReports()
     first, second = ServerObservation(1, 4, 0), ServerObservation(1, 6, 0)
-    own.record(10, [first])
-    own.record(20, [second])
+    own.record(10, [first], NOW)
+    own.record(20, [second], NOW)
     assert own.find(1, 9, NOW) is None
     assert own.find(1, 19, NOW) == first
     assert own.find(1, 20, NOW) == second
 
 
+def test_own_reports_of_servers_that_are_gone_are_dropped() -> None:
+    """Each restart of a server would leave up to 16 reports at the relay forever."""
+    own = OwnReports()
+    for server in range(1000):
+        own.record(server, [ServerObservation(server, 1, 0)], NOW + server)
+    kept = [s for s in range(1000) if own.find(s, 1000, NOW + 999) is not None]
+    assert kept == list(range(1000 - int(REPORT_TTL_S), 1000))
+
+
 def test_reports_to_the_previous_keeper_are_subtracted_until_they_expire() -> None:
     """The sums still contain them, and would otherwise appear as load of others."""
     own = OwnReports()
-    own.record(10, [ServerObservation(1, 4, 0)])
+    own.record(10, [ServerObservation(1, 4, 0)], NOW)
     own.start_link(NOW)
     assert own.find(1, 0, NOW + 1.0) == ServerObservation(1, 4, 0)
     assert own.find(1, 0, NOW + MAX_AGE_S) is None
--- a/wisteriastair/relay/picture.py
+++ b/wisteriastair/relay/picture.py
@@ -222,7 +222,7 @@
         )
         if observations:
             self._reported_at = now
-            self._own.record(digest.timing.stamp, observations)
+            self._own.record(digest.timing.stamp, observations, now)
         return [self._address(receiver, digest, now)]
 
     def _greet(self, receiver: _Receiver, now: float) -> list[tuple[str, RelayDigest]]:
--- a/wisteriastair/scheduling/picture.py
+++ b/wisteriastair/scheduling/picture.py
@@ -51,6 +51,9 @@
 MAX_SUM: Final = 1 << 20
 # Own reports that are kept per server: those of the oldest block that may arrive.
 MAX_OWN_REPORTS: Final = 16
+# Seconds after which an own report is in no sum: the keeper counts it for 1 s, expires
+# it up to 0.25 s later, and blocks that are older than `MAX_AGE_S` are not used.
+REPORT_TTL_S: Final = 4.0
 
 
 class OthersLoad(NamedTuple):
@@ -102,6 +105,7 @@
 class _OwnReport(NamedTuple):
     stamp: int
     seen: ServerObservation
+    at: float
 
 
 class _Evidence(NamedTuple):
@@ -113,6 +117,7 @@
     """What this relay has reported, to subtract it from the sums of all relays."""
 
     def __init__(self) -> None:
+        # By server, the one that was reported last at the end.
         self._reports: dict[int, deque[_OwnReport]] = {}
         # The last reports to the previous keeper, and until when sums include them.
         self._previous: dict[int, ServerObservation] = {}
@@ -129,13 +134,19 @@
         self._previous_until = now + MAX_AGE_S
         self._reports.clear()
 
-    def record(self, stamp: int, seen: Iterable[ServerObservation]) -> None:
-        """Record the contents of a report."""
+    def record(self, stamp: int, seen: Iterable[ServerObservation], now: float) -> None:
+        """Record the contents of a report, and drop servers without recent ones."""
         for observation in seen:
-            reports = self._reports.setdefault(
-                observation.server, deque(maxlen=MAX_OWN_REPORTS)
-            )
-            reports.append(_OwnReport(stamp, observation))
+            server = observation.server
+            reports = self._reports.pop(server, None)
+            if reports is None:
+                reports = deque(maxlen=MAX_OWN_REPORTS)
+            reports.append(_OwnReport(stamp, observation, now))
+            self._reports[server] = reports
+        for server, reports in list(self._reports.items()):
+            if now - reports[-1].at < REPORT_TTL_S:
+                return
+            del self._reports[server]
 
     def find(self, server: int, stamp: int, now: float) -> ServerObservation | None:
         """Return the last report of a server up to a stamp."""
