pace: a configuration without tokens per event breaks no stream

With tokensPerEvent 0, which the configuration accepts, the end of each stream with two events raised ZeroDivisionError before the turn was settled, on all services, paced or not. The pace now learns nothing from such a stream. The test raised the exception before and passes now.

--- a/tests/scheduling/test_pace.py
+++ b/tests/scheduling/test_pace.py
@@ -239,3 +239,15 @@
     pace.end(pace.start(0.0, 1), 2.0)
     assert pace.is_avoided(2.0 + SILENCE_BACKOFF_S / 2)
     assert not pace.is_avoided(2.0 + SILENCE_BACKOFF_S)
+
+
+def test_failure_a_configuration_without_tokens_per_event() -> None:
+    """The end of each stream would raise an exception, and its turn would fail."""
+    pace, service = ServerPace(), make_service()
+    timer = pace.start(0.0, 1)
+    for number in range(1, 4):
+        pace.record_events(timer, 1, number * 0.05)
+    pace.record_stream(timer, service, 0.15, tokens_per_event=0, missing_tokens=0.0)
+    pace.end(timer, 0.15)
+    assert pace.sampled_ms == 0.0
+    assert service.output_tokens > 0.0
--- a/wisteriastair/scheduling/pace.py
+++ b/wisteriastair/scheduling/pace.py
@@ -389,11 +389,14 @@
         Parameters
         ----------
         tokens_per_event : int
-            Tokens in one event of the stream.
+            Tokens in one event of the stream. Nothing is learned if the
+            configuration states no positive number.
         missing_tokens : float
             Prompt tokens that this process had not sent to the server before.
         """
         self.record_progress(timer, now)
+        if tokens_per_event <= 0:
+            return
         duration_ms = (now - timer.started_at) * MS_PER_S
         service.record_response(
             timer.first_event_ms, duration_ms, timer.event_count * tokens_per_event
