fleet: the list of eligible servers stays the same object during an ejection

eligible_servers returned a new list at each call while a server was ejected or removed. FinishChooser and the cached weights compare the list by identity, so they computed their tables again for each request. In a service of this size one failure ejects a server. The last list is now returned while its members are the same, and dropped when an entry changes; which servers it contains is as before.

The test failed on the second list and now passes.

--- a/tests/scheduling/test_fleet.py
+++ b/tests/scheduling/test_fleet.py
@@ -161,3 +161,18 @@
     state.in_flight = 5
     assert state.load(10.1) == 5 * OWN_REQUEST_WEIGHT + others
     assert state.load(12.0) == 5 * OWN_REQUEST_WEIGHT
+
+
+def test_the_list_of_servers_is_the_same_object_while_one_is_ejected() -> None:
+    """Callers would compute for each request what they derive from the list."""
+    under_test = fleet("a", "b", "c")
+    ejected = under_test.get("b")
+    assert ejected is not None
+    ejected.ejected_until = 20.0
+    listed = under_test.eligible_servers("svc", 10.0)
+    assert [state.server.id for state in listed] == ["a", "c"]
+    assert under_test.eligible_servers("svc", 10.1) is listed
+    assert eligible_servers(under_test, 20.0) == {"a", "b", "c"}
+    ejected.ejected_until = 30.0
+    under_test.put(server("a")._replace(slots=4))
+    assert under_test.eligible_servers("svc", 21.0) is not listed
--- a/wisteriastair/scheduling/fleet.py
+++ b/wisteriastair/scheduling/fleet.py
@@ -261,6 +261,8 @@
         # Cached partition of the servers of each service. With 1,500 servers, checking
         # each server per request cost more than the request itself.
         self._partitions: dict[str, _Partition] = {}
+        # Last result of `eligible_servers` for each service.
+        self._eligible: dict[str, list[ServerState]] = {}
 
     def __len__(self) -> int:
         return len(self._servers)
@@ -293,7 +295,7 @@
         if state is not None and _is_same_incarnation(state.server, server):
             state.server = server
             state.removed_at = None
-            self._partitions.pop(server.service, None)
+            self._forget_lists(server.service)
             return None
         replaced = None if state is None else state.server
         if state is not None:
@@ -302,7 +304,7 @@
         state.observations.on_open = partial(self._active.add, state)
         self._servers[server.id] = state
         self._by_service.setdefault(server.service, []).append(state)
-        self._partitions.pop(server.service, None)
+        self._forget_lists(server.service)
         return replaced
 
     def remove(
@@ -321,7 +323,7 @@
         if state is not None and state.removed_at is None:
             state.removed_at = now
             state.is_lease_expired = is_lease_expired
-            self._partitions.pop(state.server.service, None)
+            self._forget_lists(state.server.service)
 
     def retain_only(self, present: set[str], now: float) -> None:
         """Remove all servers that a full listing does not contain."""
@@ -365,9 +367,13 @@
         if removed:
             available = self._add_removed(available, removed, now)
         not_ejected = [state for state in available if state.ejected_until <= now]
-        if len(not_ejected) == len(available):
-            return available
-        return not_ejected or available
+        if len(not_ejected) < len(available):
+            available = not_ejected or available
+        last = self._eligible.get(service)
+        if last is not None and last == available:
+            return last
+        self._eligible[service] = available
+        return available
 
     def _partition(self, service: str) -> _Partition:
         partition = self._partitions.get(service)
@@ -407,11 +413,16 @@
         has_expired = self.store_unstable and state.is_lease_expired
         return has_expired and state.removed_within(REREGISTRATION_S, now)
 
+    def _forget_lists(self, service: str) -> None:
+        """Drop the cached lists of a service, after a change of an entry."""
+        self._partitions.pop(service, None)
+        self._eligible.pop(service, None)
+
     def _discard(self, state: ServerState) -> None:
         del self._servers[state.server.id]
         self._active.discard(state)
         self._by_service[state.server.service].remove(state)
-        self._partitions.pop(state.server.service, None)
+        self._forget_lists(state.server.service)
 
 
 def _is_same_incarnation(known: Server, received: Server) -> bool:
