--- a/tests/relay/test_picture.py
+++ b/tests/relay/test_picture.py
@@ -411,7 +411,7 @@
     assert process.picture.merger.counters.invalid_times > 0
 
 
-def test_old_news_is_never_used_as_new() -> None:
+def test_old_messages_are_never_used_as_new() -> None:
     """Messages wait for seconds in the queue of a suspended process."""
     world = busy_world()
     world.run(SETTLE_S)
--- a/wisteriastair/core/watchers.py
+++ b/wisteriastair/core/watchers.py
@@ -1,8 +1,8 @@
 """Watching the platform's store on behalf of all processes.
 
 The store counts every call and every waiting watch. If each process watched by itself,
-one change would cost as many calls as there are processes: 7,093 calls on a calm day
-with 84 processes. Therefore only a few keepers watch. All processes choose the same
+one change would cost as many calls as there are processes. Therefore only a few
+keepers watch. All processes choose the same
 ones from the member list: one more than the number of failures to tolerate, in
 different failure domains. The watchers send the changes to all subscribers.
 
--- a/wisteriastair/relay/picture.py
+++ b/wisteriastair/relay/picture.py
@@ -2,8 +2,8 @@
 
 A relay reports to one keeper, which replies with the merged picture.  If the keeper
 does not answer, the relay turns to the next one.  The first keeper may still count the
-last reports meanwhile, so the relay tells the next one nothing until they have expired.
-Otherwise its requests would be counted twice.
+last reports meanwhile, so the relay reports nothing to the next one until they have
+expired.  Otherwise its requests would be counted twice.
 
 Nothing is sent unless a server reports its pace or memory pressure is configured.
 """
@@ -35,9 +35,9 @@
 from ..scheduling.fleet import Fleet
 from ..scheduling.picture import MAX_AGE_S, OwnReports, SharedPicture, SuspectChange
 
-# Interval of reports in seconds, if there is something to tell.
+# Interval of reports in seconds, if there is something to report.
 REPORT_INTERVAL_S: Final = 0.25
-# A relay with nothing to tell asks for the picture this often, in seconds.
+# A relay with nothing to report asks for the picture this often, in seconds.
 RENEWAL_INTERVAL_S: Final = 1.0
 # Seconds without an answer after which the next keeper is asked: four reports.  Each
 # change of keepers hides the requests of this relay from the others for up to 1.5 s.
@@ -165,7 +165,7 @@
             return []
         digests = self._report(receiver, now)
         if self._preferred is not None and self._preferred is not receiver:
-            digests += self._greet(self._preferred, now)
+            digests += self._probe(self._preferred, now)
         return digests
 
     def _check_enabled(self) -> bool:
@@ -225,7 +225,7 @@
             self._own.record(digest.timing.stamp, observations, now)
         return [self._address(receiver, digest, now)]
 
-    def _greet(self, receiver: _Receiver, now: float) -> list[tuple[str, RelayDigest]]:
+    def _probe(self, receiver: _Receiver, now: float) -> list[tuple[str, RelayDigest]]:
         """Ask the preferred keeper once whether it is back."""
         if receiver.unanswered_since is not None:
             return []
--- a/wisteriastair/scheduling/digest.py
+++ b/wisteriastair/scheduling/digest.py
@@ -3,8 +3,8 @@
 Load pattern: each of many relays sees a small part of a server's requests. A relay
 reports a server while it has requests there or has outcomes of the last second, a few
 times a second. The receiver forgets a report after a second, so each report is complete
-in itself: a lost, doubled or reordered one does not matter, and a relay that ends needs
-no farewell.
+in itself: a lost, doubled or reordered one does not matter, and a relay that ends sends
+no last message.
 """
 
 from __future__ import annotations
@@ -38,8 +38,8 @@
 # Servers in a report of a relay, at about 12 bytes each. With four reports a second
 # this is below 2 kB/s; a relay of the target size has requests at about ten.
 MAX_REPORTED: Final = 40
-# Seconds after which an unchanged server is reported again: in each report. With
-# every second report, sums from other domains were often older than 1.5 s.
+# Seconds after which an unchanged server is reported again: in each report. If only
+# every second report had it, sums from other domains would often be older than 1.5 s.
 REFRESH_S: Final = 0.2
 # Seconds after which an unchanged pace is reported again.
 PACE_REFRESH_S: Final = 2.0
--- a/wisteriastair/scheduling/finish.py
+++ b/wisteriastair/scheduling/finish.py
@@ -48,8 +48,7 @@
 WAIT_SPREAD: Final = 0.5
 # A request also delays the others: those that run, by slower decoding, and those that
 # arrive while it runs, by their wait. Without these costs the relays fill the fast
-# servers to their last slot. In the replay with 75 programs per second fewer requests
-# were in time than with `select_server`.
+# servers to their last slot.
 LOAD_COST: Final = 2.0
 WAIT_COST: Final = 5.0
 # Predictions within the larger of these margins count as equal: a fraction of the least
@@ -59,9 +58,7 @@
 # Interval in seconds at which the estimates of all servers are computed again.
 REFRESH_INTERVAL_S: Final = 0.25
 # Servers that are drawn for a choice, and affinity servers drawn besides. If all were
-# compared, all relays that have the same reports would choose the same server: in the
-# replay with 75 programs per second and loads that 24 relays share after 0.2 s, 0.53 to
-# 0.57 of the turns were in time, and 0.60 to 0.67 with four or six of 25 drawn. Eight
+# compared, all relays that have the same reports would choose the same server. Eight
 # servers of many all belong to the slow quarter in 1 of 65,000 draws.
 MAX_SAMPLES: Final = 8
 # Draws with repetition, which give 8.4 of 25 servers on average.
@@ -122,8 +119,8 @@
 
 # A server with the properties that every prediction reads: its state and pace, the
 # tokens of its cached segments, its id and incarnation, whether it is in another
-# domain, and its slots. A plain tuple, as unpacking named tuples took a tenth of a
-# choice.
+# domain, and its slots. A plain tuple, as it is unpacked faster than a
+# named one.
 _Row = tuple[ServerState, ServerPace, dict[str, int], str, str, bool, int]
 
 
--- a/wisteriastair/scheduling/merge.py
+++ b/wisteriastair/scheduling/merge.py
@@ -1,14 +1,14 @@
 """What a keeper merges from the reports of relays and sends to them.
 
 Load pattern: each of many relays sees a small part of a server's requests, and none
-sees that a server is full or has stopped to answer. Relays report to a keeper in their
+sees that a server is full or has stopped answering. Relays report to a keeper in their
 own failure domain. Keepers that get reports exchange sums over their own relays, which
 is the only traffic between domains, and reply to each report with the picture of all
 domains.
 
 A report counts for a second. Sums of another keeper are complete in themselves as well.
 A sum of another keeper contains only what its own relays report, so nothing is counted
-twice on any path. What a keeper forgets at its end, it learns again within a second.
+twice on any path. A keeper that has restarted learns all of it again within a second.
 """
 
 from __future__ import annotations
--- a/wisteriastair/scheduling/observations.py
+++ b/wisteriastair/scheduling/observations.py
@@ -1,6 +1,6 @@
 """What this process observes of its own requests at one server.
 
-Load pattern: a server stops to answer, or fails each request at once, while the
+Load pattern: a server stops answering, or fails each request at once, while the
 response times that it had before still look good. The failures and successes of the
 last second, and the requests that have been silent for longer than usual, show this
 within a second, and other processes can use them as well.
--- a/wisteriastair/scheduling/pace.py
+++ b/wisteriastair/scheduling/pace.py
@@ -33,8 +33,8 @@
 # requests a server that was slow is tried again.
 SAMPLE_HALF_LIFE_S: Final = 60.0
 # Age in seconds at which a report has half of its weight. The number of running
-# requests changes within a turn, some 300 ms. In the replay, half of the weight
-# after 300 ms put fewer requests in time, as several relays followed one report.
+# requests changes within a turn, some 300 ms, and if the weight lasts as long, several
+# relays follow one report.
 REPORT_HALF_WEIGHT_S: Final = 0.05
 # Bounds of the correction by a reported figure, relative to the server's usual figure.
 # Disturbances slow a machine by 2.5; a machine is not much faster than usual.
@@ -46,15 +46,15 @@
 OTHERS_WEIGHT: Final = 0.2
 # Bound of the capacity of a server, and of its inverse, as other relays state it.
 MAX_WEIGHT: Final = 20.0
-# Relative slowdown of decoding per further running request, as in the engine stand-in.
+# Relative slowdown of decoding per further request that runs at the same server.
 BATCH_SLOWDOWN: Final = 0.05
 # Assumed slowdown of a server that is still warming up.
 COLD_FACTOR: Final = 2.0
-# Milliseconds per token and until the first event while no stream has been measured.
+# Milliseconds per token and until the first event before the first complete stream.
 DEFAULT_TOKEN_MS: Final = 1.0
 DEFAULT_PROMPT_TOKEN_MS: Final = 1 / 300
 DEFAULT_FIRST_EVENT_MS: Final = 100.0
-# Bounds of the measured milliseconds per prompt token.
+# Bounds of the milliseconds per prompt token of one sample.
 MIN_PROMPT_TOKEN_MS: Final = 0.0005
 MAX_PROMPT_TOKEN_MS: Final = 0.05
 # Streams with fewer missing prompt tokens say nothing about the time per prompt token.
@@ -133,7 +133,7 @@
     def resume(self, now: float) -> None:
         """Record that the caller reads again.
 
-        The gap until the next event is not measured: the event may have been ready.
+        The gap until the next event does not count: the event may have been ready.
         """
         self.is_paused = False
         self._skips_gap = True
--- a/wisteriastair/scheduling/picture.py
+++ b/wisteriastair/scheduling/picture.py
@@ -1,8 +1,8 @@
 """What a relay knows of servers from the merged reports of all relays.
 
-Load pattern: a relay sees one of many parts of a server's requests. It has to tell a
-server that is full of the requests of others from an idle one, and a server that fails
-for all from one that fails by chance.
+Load pattern: a relay sees one of many parts of a server's requests. It has to
+distinguish a server that is full of the requests of others from an idle one, and a
+server that fails for all from one that fails by chance.
 
 The picture is advice: each entry has an age and expires. Without a picture, relays work
 from what they observe themselves. Capacity steps alone are kept until they change,
@@ -126,7 +126,7 @@
     def start_link(self, now: float) -> None:
         """Begin a link to another keeper, with new reports.
 
-        What the previous keeper was told stays in the sums until it expires.
+        The reports to the previous keeper stay in the sums until they expire.
         """
         if not self._reports:
             return
--- a/wisteriastair/scheduling/relay_reports.py
+++ b/wisteriastair/scheduling/relay_reports.py
@@ -63,7 +63,7 @@
         self.heard_at = now
         self.contributions: dict[int, _Contribution] = {}
         self.paces: dict[int, PaceSum] = {}
-        # The last usable reports, from which a block's contents are told.
+        # The last usable reports; a block contains those that arrived before it.
         self.received: deque[Received] = deque(maxlen=MAX_RECEIVED)
         self.last_block = 0
 
--- a/wisteriastair/scheduling/weight_decision.py
+++ b/wisteriastair/scheduling/weight_decision.py
@@ -77,12 +77,12 @@
         return self._order.index(address) if address in self._order else NO_RANK
 
     def heard_rank(self, now: float) -> int:
-        """Return the lowest rank among this keeper and those that it hears."""
+        """Return the lowest rank among this keeper and those with recent messages."""
         heard = [address_of(peer.member) for peer in self._peers.alive(now)]
         return min(self.rank(address) for address in (self._me, *heard))
 
     def best_rank(self, now: float) -> int:
-        """Return the lowest rank that this keeper or a keeper that it hears hears.
+        """Return the lowest rank known directly or through one other keeper.
 
         Without the second hop, two keepers whose link is cut would both decide.
         """
