headers: reject numbers of tokens that no float can hold

X-Token-Usage and X-Prompt-Prefix accepted integers of any length. The report of a relay divides the reserved tokens, so one request with 400 digits raised OverflowError in the task of the reports, which belongs to the task group of the process; sums over prompt prefixes in use have the same limit for other requests. Numbers above 10**12 are now answered as an invalid header.

Shown: digest.observe raised OverflowError for 10**400 reserved tokens. Three new cases of test_invalid_numbers_are_rejected were accepted before and are rejected now. A whole relay was not run.

--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -6,6 +6,7 @@
 
 from wisteriastair.http1.messages import Headers, Request
 from wisteriastair.platform.headers import (
+    MAX_TOKEN_COUNT,
     CallerRequest,
     InvalidHeader,
     decode_request,
@@ -47,6 +48,10 @@
         ("X_Token_Budget", "1e400"),
         ("X_Token_Usage", "10,-200"),
         ("X_Token_Usage", "many,1"),
+        # Larger than any float: sums of tokens would raise in other requests too.
+        ("X_Token_Usage", "1" + 400 * "0" + ",1"),
+        ("X_Token_Usage", f"1,{MAX_TOKEN_COUNT + 1}"),
+        ("X_Prompt_Prefix", "5c:1" + 400 * "0"),
         ("X_Prompt_Prefix", "5c:-1"),
         ("X_Prompt_Prefix", "5c"),
     ],
--- a/wisteriastair/platform/headers.py
+++ b/wisteriastair/platform/headers.py
@@ -21,6 +21,9 @@
 # states a machine that is a hundred times slower than usual.
 MAX_LOAD_COUNT: Final = 100_000
 MAX_PACE: Final = 10_000.0
+# Largest number of tokens in a header of a caller. Sums of them fit into a float
+# and into 64 bits of a message.
+MAX_TOKEN_COUNT: Final = 10**12
 
 # Headers that only the system may set.  A caller that set them could lease memory of an
 # engine, continue from another caller's cache, or raise its own priority.
@@ -148,15 +151,16 @@
     """Decode a number of tokens.
 
     Reserving a negative number would raise the program's remaining budget above its
-    limit.
+    limit. A number that exceeds a float would raise in sums over all requests, and end
+    the report of servers and with it the process.
 
     Raises
     ------
     ValueError
-        If the value is not a number or is negative.
+        If the value is not a number, negative or too large.
     """
     count = int(value)
-    if count < 0:
+    if not 0 <= count <= MAX_TOKEN_COUNT:
         raise ValueError(value)
     return count
 
