Quota: strict admission only after a limit was lowered

Cause: a holder owns a third of a quota, so few permits at one holder say little. Change: running programs are planned again because of late permits, and new ones need the unreserved permits for their end, only for 20 s after a limit was lowered or programs were refused, or when the holder has just started. Tests of quotas pass unchanged.

--- a/wisteriastair/core/quota.py
+++ b/wisteriastair/core/quota.py
@@ -15,12 +15,14 @@
 A program needs many requests, and a request rejected near its end wastes all work done
 before. Requests of running programs therefore have precedence: a new program is
 admitted only while the quota covers the requests that recent programs have needed.
-When the limit falls, or running programs get no permits in time, the holder plans
-again which of them it carries to their end, and refuses the others (`quotaplan`).
+When the limit falls, and for a while after that when running programs get no permits in
+time, the holder plans again which of them it carries to their end, and refuses the
+others (`quotaplan`).
 """
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from enum import IntEnum
 from functools import lru_cache
@@ -62,6 +64,10 @@
 # Shortest interval in seconds between two plans of a customer. Callers that are refused
 # come back after a longer time, so more frequent plans would see the same programs.
 PLAN_INTERVAL_S: Final = 0.5
+# Seconds for which a lowered limit is treated as one that the running programs may
+# exceed, and again after each plan that refused programs. Programs that were admitted
+# under the old limit have ended by then.
+LOWERED_S: Final = 20.0
 # Longest wait in seconds for which a refused new program holds a place before newer
 # ones. Callers return only if the wait is at most a third of the time that they have
 # left, so a place for a longer wait would mostly be held in vain.
@@ -304,6 +310,10 @@
         Permits that are not reserved for running programs.
     is_over_limit : bool
         Whether the quota does not cover all that was promised to running programs.
+    lowered_until : float
+        Time until which the limit counts as lowered. Otherwise a holder that has few
+        permits left says little: it owns only a part of the quota, and relays get
+        permits from the others.
     """
 
     def __init__(self, bucket: HolderQuota, term_start: float, now: float) -> None:
@@ -313,6 +323,7 @@
         self.permits = _Bucket(min(bucket.depth, bucket.rate_per_s * term_s), now)
         self.admissions = _Bucket(self.permits.level, now)
         self.is_over_limit = False
+        self.lowered_until = -math.inf
         self.planned_at = -PLAN_INTERVAL_S
         # Ordered by last request, most recent last.
         self.programs: OrderedDict[str, _ProgramUsage] = OrderedDict()
@@ -360,13 +371,19 @@
         that it is expected to need.
         """
         self._drop_lapsed_places(now)
-        required = required_level(*expected, bucket.rate_per_s, bucket.depth)
+        is_lowered = now < self.lowered_until
+        required = 0.0
+        if is_lowered:
+            required = required_level(*expected, bucket.rate_per_s, bucket.depth)
         level = self.admissions.level
         holds_place = program in self.places
         if not (is_known or holds_place) and level < bucket.depth:
             required += self.place_requests
         if level > 0 and level >= required:
             return 0.0
+        if is_lowered:
+            # As long as programs are refused, demand exceeds the lowered limit.
+            self.lowered_until = now + LOWERED_S
         wait_s = max(required - level, 0.0) / bucket.rate_per_s
         if not (is_known or holds_place) and wait_s <= MAX_PLACE_WAIT_S:
             lapses_at = now + PLACE_WAIT_FACTOR * wait_s + PLACE_GRACE_S
@@ -554,13 +571,17 @@
             return
         account.refill(bucket, now)
         account.expire_programs(self._estimates, now)
+        account.lowered_until = now + LOWERED_S
         self._plan(account, bucket, now)
 
     def _plan(self, account: _CustomerAccount, bucket: HolderQuota, now: float) -> None:
         running_count = account.running_count()
         account.plan(bucket, self._estimates, now)
+        refused_count = running_count - account.running_count()
+        if refused_count:
+            account.lowered_until = now + LOWERED_S
         self.plans += 1
-        self.programs_refused += running_count - account.running_count()
+        self.programs_refused += refused_count
 
     def update_members(self, members: tuple[Member, ...], now: float) -> None:
         """Apply a newer member list."""
@@ -673,7 +694,9 @@
             return permit
         account.record_denial(program, now)
         is_late = permit.wait_s > MAX_ADVANCE_S
-        if not is_late or now - account.planned_at < PLAN_INTERVAL_S:
+        # A holder that has just started may have missed that the limit was lowered.
+        may_plan = now < account.lowered_until or not account.knows_programs(now)
+        if not may_plan or not is_late or now - account.planned_at < PLAN_INTERVAL_S:
             return permit
         self._plan(account, bucket, now)
         usage = account.programs.get(program)
