--- a/wisteriastair/scheduling/__init__.py
+++ b/wisteriastair/scheduling/__init__.py
@@ -8,6 +8,8 @@
 
 ``reuse``
     Prompt segments that servers have cached.
+``need``
+    What a request needs, and the verdicts about it.
 ``observations``
     Own requests at a server and their outcomes.
 ``pace``
@@ -50,6 +52,10 @@
     Max-min fair shares of the programs that a service starts.
 ``admission``
     Whether a program may start, and the retry budget of streamed turns.
+``buffers``
+    One byte budget for what a relay holds for callers and servers.
+``relay_load``
+    Overload of a relay: lag of its event loop, and use of its link.
 ``reach``
     Reachability of a set of peers.
 """
