Quota holders: a customer that comes back gets no second burst

A holder forgot its permits when a configuration lacked the customer for a moment, and granted a full bucket again: 21 permits in the test, which now asserts at most 4. The new term begins at the removal.

--- a/tests/core/test_quota.py
+++ b/tests/core/test_quota.py
@@ -218,6 +218,19 @@
     assert granted_count <= holder_quota(Quota(3.0, 0.0), BOUNDS).depth
 
 
+def test_a_customer_that_is_removed_and_comes_back_gets_no_second_burst() -> None:
+    """A wrong configuration without the customer is in force for a moment."""
+    holder = make_holder(QUOTA)
+    while is_granted(holder, 20.0, "p", is_first=False):
+        pass
+    holder.configure({}, 20.1)
+    holder.configure({NAME: Customer(NAME, None, QUOTA)}, 20.2)
+    granted_count = sum(
+        is_granted(holder, 20.3, f"q{n}", is_first=False) for n in range(100)
+    )
+    assert granted_count <= holder_quota(QUOTA, BOUNDS).rate_per_s * 0.3
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_the_sum_over_all_relays_stays_within_the_quota(seed: int) -> None:
     """Relays flood, while keepers are killed, wiped, partitioned and frozen.
--- a/wisteriastair/core/quota.py
+++ b/wisteriastair/core/quota.py
@@ -524,9 +524,9 @@
         # first one took effect, any previous process of this member had already ended.
         self._member_lists = [(members, now)]
         self._list_number = 0
-        # Time until which a changed number of a customer's holders delays this holder's
-        # term.
-        self._handover_until: dict[str, float] = {}
+        # Earliest start of this holder's term by customer, set when the number of
+        # holders changes or the customer is removed.
+        self._earliest_terms: dict[str, float] = {}
 
     def configure(self, customers: dict[str, Customer], now: float) -> None:
         """Apply the customers of a newer configuration."""
@@ -539,13 +539,15 @@
             buckets = [holder_quota(c.quota, self._bounds) for c in (before, customer)]
             if buckets[0].holders != buckets[1].holders:
                 # An added holder must not grant again the permits that others granted.
-                self._handover_until[name] = now + HANDOVER_S
+                self._earliest_terms[name] = now + HANDOVER_S
                 self._list_number += 1
             if buckets[1].rate_per_s < buckets[0].rate_per_s:
                 self._plan_lowered(name, buckets[1], now)
         self._customers = customers
         for name in self._accounts.keys() - customers.keys():
             del self._accounts[name]
+            # If the customer comes back, it gets only what has flowed in since.
+            self._earliest_terms[name] = max(now, self._earliest_terms.get(name, now))
 
     def _plan_lowered(self, customer: str, bucket: HolderQuota, now: float) -> None:
         """Plan the running programs of a customer whose limit falls."""
@@ -719,7 +721,7 @@
                 break
         if term_start is None:
             return None
-        return max(term_start, self._handover_until.get(customer, term_start))
+        return max(term_start, self._earliest_terms.get(customer, term_start))
 
 
 def _take(
