--- a/tests/core/quota_programs.py
+++ b/tests/core/quota_programs.py
@@ -19,7 +19,6 @@
 from wisteriastair.core.membership import Member
 from wisteriastair.core.quota import (
     MAX_ADVANCE_S,
-    HolderQuota,
     Permit,
     PermitStatus,
     QuotaBounds,
@@ -28,6 +27,7 @@
     query_order,
     quota_holders,
 )
+from wisteriastair.core.quotaaccount import PROGRAM_IDLE_S, HolderQuota
 
 MEMBERS = tuple(Member(f"k{n}", f"disk{n}", f"k{n}:1", f"d{n}") for n in range(3))
 BOUNDS = QuotaBounds(window_s=5.0, excess_fraction=0.1, slack_requests=20.0)
@@ -272,7 +272,7 @@
             return Permit(PermitStatus.NOT_HOLDER)
         account.refill(bucket, now)
         account.expire_programs(self._estimates, now)
-        knows_programs = now - account.term_start > quota_module.PROGRAM_IDLE_S
+        knows_programs = now - account.term_start > PROGRAM_IDLE_S
         is_new = knows_programs and bool(kind) and program not in account.programs
         unreserved = account.admissions.level
         if is_new and unreserved <= 0:
--- a/tests/core/test_quota.py
+++ b/tests/core/test_quota.py
@@ -11,7 +11,6 @@
 from wisteriastair.core.quota import (
     HANDOVER_S,
     MAX_MEMBER_LISTS,
-    HolderQuota,
     PermitStatus,
     QuotaBounds,
     QuotaHolder,
@@ -19,6 +18,7 @@
     query_order,
     quota_holders,
 )
+from wisteriastair.core.quotaaccount import CustomerAccount, HolderQuota
 
 MEMBERS = tuple(Member(f"k{n}", f"disk{n}", f"k{n}:1", f"d{n}") for n in range(3))
 SIMULATION_S = 60.0
@@ -252,13 +252,13 @@
 ) -> None:
     """Buckets are full after a restart, or new holders start at once with full ones."""
 
-    class FullBucketAccount(quota_module._CustomerAccount):
+    class FullBucketAccount(CustomerAccount):
         def __init__(self, bucket: HolderQuota, term_start: float, now: float) -> None:
             super().__init__(bucket, term_start, now)
             if broken == "forgets" or term_start > 0.0:
                 self.permits.level = bucket.depth
 
-    monkeypatch.setattr(quota_module, "_CustomerAccount", FullBucketAccount)
+    monkeypatch.setattr(quota_module, "CustomerAccount", FullBucketAccount)
     if broken == "no wait":
         monkeypatch.setattr(quota_module, "HANDOVER_S", 0.0)
 
--- a/tests/core/test_quota_programs.py
+++ b/tests/core/test_quota_programs.py
@@ -17,15 +17,15 @@
     UnplannedHolder,
 )
 from tests.windows import max_in_a_window
-from wisteriastair.core import quota as quota_module
+from wisteriastair.core import quotaaccount as account_module
 from wisteriastair.core.customers import Customer, Quota
 from wisteriastair.core.quota import (
-    PROGRAM_IDLE_S,
     Permit,
     PermitStatus,
     QuotaHolder,
     holder_quota,
 )
+from wisteriastair.core.quotaaccount import PROGRAM_IDLE_S
 from wisteriastair.core.quotaplan import (
     MAX_DELAY_S,
     MAX_STRETCH,
@@ -333,7 +333,7 @@
         return admitted / returned
 
     with_places = admitted_returning()
-    monkeypatch.setattr(quota_module, "MAX_PLACE_WAIT_S", -1.0)
+    monkeypatch.setattr(account_module, "MAX_PLACE_WAIT_S", -1.0)
     without = admitted_returning()
     assert with_places > without + 0.05
 
@@ -344,7 +344,7 @@
     start_programs(holder, [1, 1, 1, 1, 1, 1])
     for number in range(20):
         ask(holder, STARTED_AT, f"gone{number}", "talk")
-    later = STARTED_AT + 1.7 * quota_module.MAX_PLACE_WAIT_S
+    later = STARTED_AT + 1.7 * account_module.MAX_PLACE_WAIT_S
     admitted = 0
     for step in range(20):
         permit = ask(holder, later + 0.2 * step, f"new{step}", "talk")
@@ -386,7 +386,8 @@
         ask(holder, STARTED_AT, name)
     ask(holder, STARTED_AT + 1.0 + PROGRAM_IDLE_S, "later", "talk")
     assert (
-        holder._estimates.estimate("talk").requests >= quota_module.INITIAL_ESTIMATE - 2
+        holder._estimates.estimate("talk").requests
+        >= account_module.INITIAL_ESTIMATE - 2
     )
 
 
--- a/wisteriastair/core/quota.py
+++ b/wisteriastair/core/quota.py
@@ -22,8 +22,6 @@
 
 from __future__ import annotations
 
-import math
-from collections import OrderedDict
 from enum import IntEnum
 from functools import lru_cache
 from typing import Final, NamedTuple
@@ -31,12 +29,16 @@
 from .customers import Customer, Quota
 from .hashing import hash64
 from .membership import Member, spread_over_domains
-from .quotaplan import (
-    MAX_DELAY_S,
-    ProgramNeed,
-    carried_programs,
-    required_level,
+from .quotaaccount import (
+    LOWERED_S,
+    PLAN_INTERVAL_S,
+    CustomerAccount,
+    Estimate,
+    HolderQuota,
+    RequestEstimates,
+    remaining_need,
 )
+from .quotaplan import MAX_DELAY_S
 
 # Maximum number of holders per customer. With one of three lost, two thirds of the
 # quota remain.
@@ -59,37 +61,6 @@
 # Maximum number of stored member lists, from which the start of a holder's term is
 # found.
 MAX_MEMBER_LISTS: Final = 16
-# Seconds without a request after which a program counts as ended.
-PROGRAM_IDLE_S: Final = 6.0
-# Shortest interval in seconds between two plans of a customer. Callers that are refused
-# come back after a longer time, so more frequent plans would see the same programs.
-PLAN_INTERVAL_S: Final = 0.5
-# Seconds for which a lowered limit is treated as one that the running programs may
-# exceed, and again after each plan that refused programs. Programs that were admitted
-# under the old limit have ended by then.
-LOWERED_S: Final = 20.0
-# Longest wait in seconds for which a refused new program holds a place before newer
-# ones. Callers return only if the wait is at most a third of the time that they have
-# left, so a place for a longer wait would mostly be held in vain.
-MAX_PLACE_WAIT_S: Final = 1.0
-# A place lapses if its program has not returned by its time, multiplied by this (the
-# relays' random factor), plus the time of a new connection in seconds.
-PLACE_WAIT_FACTOR: Final = 1.5
-PLACE_GRACE_S: Final = 0.1
-# Requests that a program of an unknown kind is expected to need, and its duration in
-# seconds.
-INITIAL_ESTIMATE: Final = 12.0
-INITIAL_DURATION_S: Final = 6.0
-# Shortest wait in seconds of a refused new program.
-MIN_ADMISSION_WAIT_S: Final = 0.05
-# Shortest duration of a program, in seconds, that a pace is computed from.
-MIN_DURATION_S: Final = 0.05
-# Weight of an ended program in the moving average of its kind.
-ESTIMATE_WEIGHT: Final = 0.1
-# Maximum number of program kinds with an estimate of their own.
-MAX_KINDS: Final = 256
-# Maximum number of programs stored per customer; the least recently seen are evicted.
-MAX_PROGRAMS: Final = 4096
 
 
 class QuotaBounds(NamedTuple):
@@ -110,22 +81,6 @@
     slack_requests: float = 0.0
 
 
-class HolderQuota(NamedTuple):
-    """Part of a customer's quota that each of its holders may grant.
-
-    Attributes
-    ----------
-    rate_per_s, depth : float
-        Token bucket of one holder.
-    holders : int
-        Number of holders.
-    """
-
-    rate_per_s: float
-    depth: float
-    holders: int
-
-
 class PermitStatus(IntEnum):
     """Outcome of a permit request."""
 
@@ -189,322 +144,6 @@
     return sorted(holders, key=lambda m: hash64("permit", program, m.name))
 
 
-class _Bucket:
-    """A token bucket; a negative level is a deficit."""
-
-    def __init__(self, level: float, now: float) -> None:
-        self.level = level
-        self._at = now
-
-    def refill(self, rate_per_s: float, depth: float, now: float) -> None:
-        """Add the inflow since the last call."""
-        added = rate_per_s * max(0.0, now - self._at)
-        self.level = min(depth, self.level + added)
-        self._at = max(self._at, now)
-
-
-class _ProgramUsage:
-    """A program, with its granted and its reserved requests.
-
-    Attributes
-    ----------
-    kind : str
-        Kind of the program; empty if it began at another holder or before a restart.
-    requests : int
-        Granted requests.
-    reserved : float
-        Requests that the quota has reserved for it, including the granted ones.
-    is_counted : bool
-        Whether its requests reduce what new programs may reserve. Programs that ran
-        before a restart would otherwise be counted on top of the reservations of
-        programs that replace them.
-    was_denied : bool
-        Whether its last request got no permit, so that it may not have ended by itself.
-    is_refused : bool
-        Whether the program is refused as a whole.
-    """
-
-    __slots__ = (
-        "is_counted",
-        "is_refused",
-        "kind",
-        "last_seen_at",
-        "requests",
-        "reserved",
-        "started_at",
-        "was_denied",
-    )
-
-    def __init__(self, kind: str, now: float) -> None:
-        self.kind = kind
-        self.requests = 0
-        self.reserved = 0.0
-        self.is_counted = True
-        self.started_at = now
-        self.last_seen_at = now
-        self.was_denied = False
-        self.is_refused = False
-
-
-class _Place(NamedTuple):
-    """Place of a refused new program that is expected to return.
-
-    Attributes
-    ----------
-    requests : float
-        Requests that the program is expected to need.
-    lapses_at : float
-        Time by which it has returned, or will not return.
-    """
-
-    requests: float
-    lapses_at: float
-
-
-class _Estimate(NamedTuple):
-    """Expected requests of a program, and its duration in seconds."""
-
-    requests: float = INITIAL_ESTIMATE
-    duration_s: float = INITIAL_DURATION_S
-
-
-class _RequestEstimates:
-    """Moving averages of what programs of each kind need."""
-
-    def __init__(self) -> None:
-        self._means: dict[str, _Estimate] = {}
-
-    def estimate(self, kind: str) -> _Estimate:
-        """Return what a program of this kind is expected to need."""
-        return self._means.get(kind, _Estimate())
-
-    def mean_estimate(self) -> _Estimate:
-        """Return what a program of an unknown kind is expected to need."""
-        if not self._means:
-            return _Estimate()
-        requests, durations = zip(*self._means.values(), strict=True)
-        count = len(self._means)
-        return _Estimate(sum(requests) / count, sum(durations) / count)
-
-    def add_sample(self, usage: _ProgramUsage) -> None:
-        """Add an ended program."""
-        kind = usage.kind
-        if not kind or (kind not in self._means and len(self._means) >= MAX_KINDS):
-            return
-        mean = self.estimate(kind)
-        duration_s = usage.last_seen_at - usage.started_at
-        self._means[kind] = _Estimate(
-            mean.requests + ESTIMATE_WEIGHT * (usage.requests - mean.requests),
-            mean.duration_s + ESTIMATE_WEIGHT * (duration_s - mean.duration_s),
-        )
-
-
-class _CustomerAccount:
-    """State of a customer at one of its holders.
-
-    Attributes
-    ----------
-    permits : _Bucket
-        Permits that may be granted.
-    admissions : _Bucket
-        Permits that are not reserved for running programs.
-    is_over_limit : bool
-        Whether the quota does not cover all that was promised to running programs.
-    lowered_until : float
-        Time until which the limit counts as lowered. Otherwise a holder that has few
-        permits left says little: it owns only a part of the quota, and relays get
-        permits from the others.
-    """
-
-    def __init__(self, bucket: HolderQuota, term_start: float, now: float) -> None:
-        term_s = max(0.0, now - term_start)
-        self.term_start = term_start
-        self.list_number = -1
-        self.permits = _Bucket(min(bucket.depth, bucket.rate_per_s * term_s), now)
-        self.admissions = _Bucket(self.permits.level, now)
-        self.is_over_limit = False
-        self.lowered_until = -math.inf
-        self.planned_at = -PLAN_INTERVAL_S
-        # Ordered by last request, most recent last.
-        self.programs: OrderedDict[str, _ProgramUsage] = OrderedDict()
-        # Refused new programs that are expected to return, in the order of their
-        # refusal, and the sum of their expected requests.
-        self.places: OrderedDict[str, _Place] = OrderedDict()
-        self.place_requests = 0.0
-
-    def resume(self, bucket: HolderQuota, term_start: float, now: float) -> None:
-        """Start a new term after a gap in which others may have granted permits.
-
-        Permits granted before the gap still count. Otherwise a member list that changes
-        many times per second would fill the bucket each time.
-        """
-        self.term_start = term_start
-        self.permits.refill(bucket.rate_per_s, bucket.depth, now)
-        term_s = max(0.0, now - term_start)
-        self.permits.level = min(self.permits.level, bucket.rate_per_s * term_s)
-
-    def refill(self, bucket: HolderQuota, now: float) -> None:
-        """Add the inflow since the last call."""
-        self.permits.refill(bucket.rate_per_s, bucket.depth, now)
-        self.admissions.refill(bucket.rate_per_s, bucket.depth, now)
-        if self.admissions.level > 0:
-            self.is_over_limit = False
-
-    def knows_programs(self, now: float) -> bool:
-        """Whether programs that were running before this term have become known."""
-        return now - self.term_start > PROGRAM_IDLE_S
-
-    # Admission
-
-    def admission_wait_s(
-        self,
-        program: str,
-        expected: _Estimate,
-        bucket: HolderQuota,
-        *,
-        is_known: bool,
-        now: float,
-    ) -> float:
-        """Return the seconds until a program can be admitted; 0 if it can be now.
-
-        A program that was refused before goes first: newer ones leave the requests
-        that it is expected to need.
-        """
-        self._drop_lapsed_places(now)
-        is_lowered = now < self.lowered_until
-        required = 0.0
-        if is_lowered:
-            required = required_level(*expected, bucket.rate_per_s, bucket.depth)
-        level = self.admissions.level
-        holds_place = program in self.places
-        if not (is_known or holds_place) and level < bucket.depth:
-            required += self.place_requests
-        if level > 0 and level >= required:
-            return 0.0
-        if is_lowered:
-            # As long as programs are refused, demand exceeds the lowered limit.
-            self.lowered_until = now + LOWERED_S
-        wait_s = max(required - level, 0.0) / bucket.rate_per_s
-        if not (is_known or holds_place) and wait_s <= MAX_PLACE_WAIT_S:
-            lapses_at = now + PLACE_WAIT_FACTOR * wait_s + PLACE_GRACE_S
-            self.places[program] = _Place(expected.requests, lapses_at)
-            self.place_requests += expected.requests
-        return max(wait_s, MIN_ADMISSION_WAIT_S)
-
-    def _drop_lapsed_places(self, now: float) -> None:
-        while self.places:
-            name, oldest = next(iter(self.places.items()))
-            if oldest.lapses_at > now:
-                return
-            self._drop_place(name)
-
-    def _drop_place(self, program: str) -> None:
-        place = self.places.pop(program, None)
-        if place is not None:
-            self.place_requests -= place.requests
-        if not self.places:
-            # Rounding errors must not add up.
-            self.place_requests = 0.0
-
-    def admit_program(
-        self, program: str, kind: str, expected_requests: float, now: float
-    ) -> None:
-        """Add an admitted program and reserve its expected requests."""
-        self._drop_place(program)
-        self.admissions.level -= expected_requests
-        usage = self.programs.setdefault(program, _ProgramUsage(kind, now))
-        usage.kind = kind
-        usage.is_counted = True
-        usage.reserved = usage.requests + expected_requests
-        usage.is_refused = False
-
-    # Requests of running programs
-
-    def record_request(self, program: str, now: float) -> None:
-        """Record a permitted request of a program."""
-        usage = self.programs.get(program)
-        if usage is None:
-            usage = self.programs[program] = _ProgramUsage("", now)
-            usage.is_counted = self.knows_programs(now)
-        else:
-            self.programs.move_to_end(program)
-        usage.requests += 1
-        usage.last_seen_at = now
-        usage.was_denied = False
-        # Requests beyond the reservation reduce the capacity for new programs.
-        if usage.is_counted and usage.reserved < usage.requests:
-            self.admissions.level -= usage.requests - usage.reserved
-            usage.reserved = float(usage.requests)
-
-    def record_denial(self, program: str, now: float) -> None:
-        """Record that a request of a known program got no permit."""
-        usage = self.programs.get(program)
-        if usage is not None:
-            self.programs.move_to_end(program)
-            usage.last_seen_at = now
-            usage.was_denied = True
-
-    def expire_programs(self, estimates: _RequestEstimates, now: float) -> None:
-        """Remove ended programs, release unused reservations, update the estimates."""
-        while self.programs:
-            name, oldest = next(iter(self.programs.items()))
-            if (
-                now - oldest.last_seen_at <= PROGRAM_IDLE_S
-                and len(self.programs) <= MAX_PROGRAMS
-            ):
-                return
-            del self.programs[name]
-            if not oldest.was_denied:
-                # A program that failed for lack of permits needed more requests.
-                estimates.add_sample(oldest)
-            if oldest.is_counted and not oldest.is_refused:
-                self.admissions.level += oldest.reserved - oldest.requests
-
-    # Plan
-
-    def running_count(self) -> int:
-        """Return the number of programs that are not refused."""
-        return sum(not usage.is_refused for usage in self.programs.values())
-
-    def plan(
-        self, bucket: HolderQuota, estimates: _RequestEstimates, now: float
-    ) -> None:
-        """Keep the running programs that the quota carries; refuse the others."""
-        self.planned_at = now
-        needs = [
-            _remaining_need(name, usage, estimates)
-            for name, usage in self.programs.items()
-            if not usage.is_refused
-        ]
-        carried = carried_programs(needs, self.permits.level, bucket.rate_per_s)
-        kept = {need.name: need.requests for need in carried}
-        for need in needs:
-            usage = self.programs[need.name]
-            usage.is_counted = True
-            if need.name in kept:
-                usage.reserved = usage.requests + kept[need.name]
-            else:
-                usage.reserved = 0.0
-                usage.was_denied = True
-                usage.is_refused = True
-        unreserved = self.permits.level - sum(kept.values())
-        self.admissions.level = min(self.admissions.level, unreserved)
-        self.is_over_limit = self.admissions.level <= 0
-
-
-def _remaining_need(
-    name: str, usage: _ProgramUsage, estimates: _RequestEstimates
-) -> ProgramNeed:
-    """Return what a program still needs: at least one request until it is idle."""
-    if usage.kind:
-        expected = estimates.estimate(usage.kind)
-    else:
-        expected = estimates.mean_estimate()
-    remaining = max(1.0, expected.requests - usage.requests)
-    pace_per_s = max(1.0, expected.requests) / max(MIN_DURATION_S, expected.duration_s)
-    return ProgramNeed(name, remaining, pace_per_s)
-
-
 class QuotaHolder:
     """Grants permits to the customers that have this member as a quota holder.
 
@@ -535,8 +174,8 @@
         self._me = me
         self._bounds = bounds
         self._customers: dict[str, Customer] = {}
-        self._accounts: dict[str, _CustomerAccount] = {}
-        self._estimates = _RequestEstimates()
+        self._accounts: dict[str, CustomerAccount] = {}
+        self._estimates = RequestEstimates()
         # Member lists with the time at which each became known, newest last. When the
         # first one took effect, any previous process of this member had already ended.
         self._member_lists = [(members, now)]
@@ -576,7 +215,7 @@
         account.lowered_until = now + LOWERED_S
         self._plan(account, bucket, now)
 
-    def _plan(self, account: _CustomerAccount, bucket: HolderQuota, now: float) -> None:
+    def _plan(self, account: CustomerAccount, bucket: HolderQuota, now: float) -> None:
         running_count = account.running_count()
         account.plan(bucket, self._estimates, now)
         refused_count = running_count - account.running_count()
@@ -641,7 +280,7 @@
         return self._permit_running(account, bucket, program, allow_delayed, now)
 
     def _permit_single(
-        self, account: _CustomerAccount, bucket: HolderQuota, allow_delayed: bool
+        self, account: CustomerAccount, bucket: HolderQuota, allow_delayed: bool
     ) -> Permit:
         """Decide on a request that belongs to no program."""
         unreserved = account.admissions.level
@@ -654,7 +293,7 @@
 
     def _permit_admission(
         self,
-        account: _CustomerAccount,
+        account: CustomerAccount,
         bucket: HolderQuota,
         program: str,
         kind: str,
@@ -667,8 +306,8 @@
             expected = self._estimates.estimate(kind)
         else:
             kind = usage.kind or kind
-            need = _remaining_need(program, usage, self._estimates)
-            expected = _Estimate(need.requests, need.requests / need.pace_per_s)
+            need = remaining_need(program, usage, self._estimates)
+            expected = Estimate(need.requests, need.requests / need.pace_per_s)
         wait_s = account.admission_wait_s(
             program, expected, bucket, is_known=usage is not None, now=now
         )
@@ -683,7 +322,7 @@
 
     def _permit_running(
         self,
-        account: _CustomerAccount,
+        account: CustomerAccount,
         bucket: HolderQuota,
         program: str,
         allow_delayed: bool,
@@ -709,7 +348,7 @@
 
     def _account(
         self, customer: str, bucket: HolderQuota, now: float
-    ) -> _CustomerAccount | None:
+    ) -> CustomerAccount | None:
         """Return the account of a customer; None if this is not (yet) a holder."""
         account = self._accounts.get(customer)
         if account is not None and account.list_number == self._list_number:
@@ -718,7 +357,7 @@
         if term_start is None or term_start > now:
             return None
         if account is None:
-            account = self._accounts[customer] = _CustomerAccount(
+            account = self._accounts[customer] = CustomerAccount(
                 bucket, term_start, now
             )
         elif term_start > account.term_start:
@@ -747,9 +386,7 @@
         return max(term_start, self._earliest_terms.get(customer, term_start))
 
 
-def _take(
-    account: _CustomerAccount, bucket: HolderQuota, allow_delayed: bool
-) -> Permit:
+def _take(account: CustomerAccount, bucket: HolderQuota, allow_delayed: bool) -> Permit:
     """Take a permit from the bucket if one is valid now, or soon enough."""
     wait_s = max(0.0, 1.0 - account.permits.level) / bucket.rate_per_s
     if wait_s > (MAX_ADVANCE_S if allow_delayed else 0.0):
