Predicted finish: a missing token counts three times

Cause: see docs/design/pace.md; moving programs cost too little. Change: one factor for all missing tokens, beside the delay of what runs.

--- a/wisteriastair/scheduling/finish.py
+++ b/wisteriastair/scheduling/finish.py
@@ -35,8 +35,9 @@
 # A shared prefix that this process has not sent to a server is cached there with this
 # probability if the prefixes of the service all fit into the memory of each server.
 UNKNOWN_PREFIX_MISSING: Final = 0.5
-# Tokens that are computed evict others, which are computed again later. Both count.
-EVICTION_FACTOR: Final = 2.0
+# Cost of computing a token, as a multiple of its time: it evicts another one, which is
+# computed again later and delays what runs then.
+RECOMPUTATION_COST: Final = 3.0
 # Computing a prompt stops the decoding of the requests that run on the server. Each of
 # them is delayed by this fraction of the time.
 STALLED_FRACTION: Final = 1.0
@@ -285,7 +286,7 @@
     shared_id, shared_tokens = segments[0] if segments else ("", 0)
     program_id = segments[FIRST_PRIVATE].id if len(segments) > FIRST_PRIVATE else ""
     # Prompt tokens are counted in generated tokens that take as long.
-    prompt_scale = EVICTION_FACTOR * service.prompt_token_ms / service.token_ms
+    prompt_scale = RECOMPUTATION_COST * service.prompt_token_ms / service.token_ms
     known_missing = prompt_scale * (total - shared_tokens)
     other_missing = known_missing + prompt_scale * shared_tokens * (
         1.0 if affinity_servers else UNKNOWN_PREFIX_MISSING
