--- a/wisteriastair/scheduling/fleet.py
+++ b/wisteriastair/scheduling/fleet.py
@@ -155,10 +155,8 @@
 
     def reported_by_others(self, now: float) -> int | None:
         """Return the requests of other processes in the last report, or None."""
-        if self.load_age_s(now) > MAX_LOAD_AGE_S:
-            return None
-        reported = self._load.running + self._load.waiting
-        return max(0, reported - self._in_flight_at_report)
+        report = self.recent_report(now)
+        return None if report is None else report.others
 
     def recent_report(self, now: float) -> RecentLoad | None:
         """Return what the last load report says of others; None if it is outdated."""
