Memory of engines: not counted in the relay

The shared picture counts a shared prefix once for each request, so engines seemed full and turns waited. Change: the relay switches the counting off; the decision and its tests stay. Measured: tests of engine order and of the relay pass.

--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -108,6 +108,9 @@
             self._fleet,
             name=cfg.name,
             has_memory_pressure=cfg.has_memory_pressure,
+            # The picture counts a shared prefix once for each request, so engines with
+            # free memory seem full and requests wait for nothing.
+            counts_memory=False,
             is_paced=self._dispatcher.is_paced,
             shared=self._picture.picture,
         )
--- a/wisteriastair/relay/engine_order.py
+++ b/wisteriastair/relay/engine_order.py
@@ -49,6 +49,8 @@
         The known servers.
     has_memory_pressure : bool
         Whether servers crash if their requests exceed their memory.
+    counts_memory : bool or None
+        Whether requests wait for memory of an engine; None for `has_memory_pressure`.
     is_paced : callable or None
         Whether a server of a service has reported a fourth load figure.
     shared : SharedLoad or None
@@ -63,12 +65,16 @@
         *,
         name: str = "",
         has_memory_pressure: bool = False,
+        counts_memory: bool | None = None,
         is_paced: Callable[[str], bool] | None = None,
         shared: SharedLoad | None = None,
     ) -> None:
         self.memory = EngineMemory(shared, name)
         self._fleet = fleet
         self._has_memory_pressure = has_memory_pressure
+        self._counts_memory = (
+            has_memory_pressure if counts_memory is None else counts_memory
+        )
         self._is_paced = is_paced or (lambda service: False)
         self._needs = ProgramNeeds()
         self._turns: dict[Job, _Turn] = {}
@@ -118,7 +124,7 @@
             chosen, or why the request is refused.
         """
         memory_tokens = job.engine.memory_tokens if job.engine else 0
-        if not self._has_memory_pressure or memory_tokens <= 0:
+        if not self._counts_memory or memory_tokens <= 0:
             return frozenset()
         turn = self._turns.setdefault(job, _Turn())
         self._release(turn)
