--- a/tests/relay/harness.py
+++ b/tests/relay/harness.py
@@ -104,9 +104,13 @@
         await self.writer.drain()
 
     def reset(self) -> None:
-        sock = self.writer.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        self.writer.transport.abort()
+        reset_connection(self.writer)
+
+
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
 
 
 class ScriptedServer:
@@ -118,7 +122,9 @@
         self.exchanges: list[Exchange] = []
         self.connections_accepted = 0
         self.address = ""
+        self.has_crashed = False
         self._server: asyncio.Server
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(self._serve, HOST, 0)
@@ -128,10 +134,18 @@
     def stop(self) -> None:
         self._server.close()
 
+    def crash(self) -> None:
+        """End like a process that crashes: nothing listens, connections are reset."""
+        self.has_crashed = True
+        self._server.close()
+        for writer in self._writers:
+            reset_connection(writer)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections_accepted += 1
+        self._writers.add(writer)
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
@@ -143,6 +157,8 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             # Cancellation included: asyncio would report it at the end of the loop.
             writer.close()
+        finally:
+            self._writers.discard(writer)
 
 
 def route(name: str, kind: RequestKind, **changed: object) -> Route:
