Relays: a request under which three servers crashed is not sent again

What callers saw: a request ended one server after the other; the report says three had ended and it was sent to more.

Cause: each attempt keeps its bound (at most 1, 2 or 3 servers by route), but a caller tries again with a new id and a program sends its turn again, and nothing outlived an attempt.

Change: a request under which three servers have crashed is answered 503, not run, without Retry-After, by the relay that counted them. Attempts under way stop as well.

Still open: each relay counts for itself.

--- a/tests/operators/test_endings.py
+++ b/tests/operators/test_endings.py
@@ -74,6 +74,10 @@
         ),
         (unsent_request(503, "no server is there"), (REFUSED, Cause.NO_SERVER)),
         (unsent_request(503, "no server has room"), (REFUSED, Cause.SERVERS_FULL)),
+        (
+            unsent_request(503, "quarantined: 3 servers crashed under 0a1b"),
+            (REFUSED, Cause.QUARANTINED),
+        ),
         (
             unsent_request(503, "status 429", servers=["s1"]),
             (REFUSED, Cause.SERVERS_FULL),
@@ -256,6 +260,7 @@
         "TURN_NOT_STORED",
         "NO_SERVER",
         "SERVERS_FULL",
+        "QUARANTINED",
         "REJECTED_BY_SERVER",
         "RESPONSE_TIMEOUT",
         "NO_TIME_LEFT",
--- a/tests/relay/test_crashes.py
+++ b/tests/relay/test_crashes.py
@@ -4,11 +4,14 @@
 
 import asyncio
 
+import anyio
 import pytest
 
 from tests.relay.harness import (
     Exchange,
     RelayHarness,
+    Reply,
+    Script,
     ScriptedServer,
     answer_ok,
     run_scenario,
@@ -60,8 +63,12 @@
             caller = await harness.open()
             body = "" if name == "safe" else FATAL_BODY
             await caller.send(name, f"attempt-{attempt}", body)
-            await caller.read()
+            reply = await caller.read()
         assert count_crashed(servers) <= MAX_CRASHES
+        # Not run this time, and no retry can help.
+        assert reply.status == 503
+        assert b'"ran":"no"' in reply.body
+        assert "Retry-After" not in reply.head
 
     run_scenario(servers, scenario)
 
@@ -159,3 +166,44 @@
         assert crashes.table.count(key) == 1
 
     run_scenario(servers, scenario)
+
+
+def test_other_requests_of_a_crashed_server_are_served() -> None:
+    """A busy server that crashes takes innocent requests with it, twice."""
+    servers = make_servers(4)
+    blocked = asyncio.Event()
+
+    def hold(number: int) -> Script:
+        async def serve(exchange: Exchange) -> None:
+            if exchange.body.decode() == FATAL_BODY:
+                await asyncio.sleep(0.05)
+                servers[number].crash()
+                return
+            await blocked.wait()
+            await answer_ok(exchange)
+
+        return serve
+
+    for number, server in enumerate(servers):
+        server.script = hold(number)
+
+    async def send(harness: RelayHarness, body: str, attempt: str) -> Reply:
+        caller = await harness.open()
+        await caller.send("unsafe", f"{body}-{attempt}", body)
+        return await caller.read()
+
+    async def scenario(harness: RelayHarness) -> None:
+        bodies = [f"innocent-{number}" for number in range(32)]
+        for attempt in ("a", "b"):
+            async with anyio.create_task_group() as group:
+                for body in [*bodies, FATAL_BODY]:
+                    group.start_soon(send, harness, body, attempt)
+                await asyncio.sleep(0.3)
+                blocked.set()
+            blocked.clear()
+        assert count_crashed(servers) == 2
+        blocked.set()
+        for body in bodies:
+            assert (await send(harness, body, "c")).status == 200
+
+    run_scenario(servers, scenario)
--- a/wisteriastair/errors.py
+++ b/wisteriastair/errors.py
@@ -49,6 +49,7 @@
     OVER_QUOTA = "over_quota"
     QUOTA_UNREACHABLE = "quota_away"
     RELAY_OVERLOADED = "relay_overloaded"
+    QUARANTINED = "quarantined"
 
 
 HTTP_STATUS: Final[dict[Code, int]] = {
@@ -81,6 +82,7 @@
     Code.OVER_QUOTA: 429,
     Code.QUOTA_UNREACHABLE: 503,
     Code.RELAY_OVERLOADED: 503,
+    Code.QUARANTINED: 503,
     Code.SERVER_LOST: 502,
 }
 
--- a/wisteriastair/nodemetrics.py
+++ b/wisteriastair/nodemetrics.py
@@ -148,6 +148,7 @@
                 ("picture_ignored", "Parts of replies ignored or clipped since start"),
                 ("servers_suspect", "Servers that are suspect"),
                 ("crash_suspects", "Requests under which servers have crashed"),
+                ("requests_quarantined", "Requests not sent any more for crashes"),
                 ("load_reports_wrong", "Wrong load reports of servers since start"),
                 ("silent_ends", "Requests ended at a silent server since start"),
                 ("paced_services", "Services chosen by predicted finish"),
--- a/wisteriastair/operators/endings.py
+++ b/wisteriastair/operators/endings.py
@@ -35,6 +35,7 @@
 TURN_NOT_STORED: Final = "the turn could not be kept"
 NO_SERVER: Final = "no server is there"
 SERVERS_FULL: Final = "no server has room"
+QUARANTINED: Final = "quarantined: "
 REJECTED_BY_SERVER: Final = "status "
 RESPONSE_TIMEOUT: Final = "no answer in time"
 NO_TIME_LEFT: Final = "no time left"
@@ -75,6 +76,7 @@
     TURN_NOT_STORED = "ledger did not keep the turn"
     NO_SERVER = "no server"
     SERVERS_FULL = "servers full"
+    QUARANTINED = "servers crashed under it"
     NO_SERVER_CONNECTION = "no channel to a server"
     SERVER_DISCONNECTED = "server lost"
     SERVER_RESPONSE = "the server's own answer"
@@ -220,6 +222,8 @@
         return Cause.LEDGER_SLOW if is_slow else Cause.LEDGER_UNREACHABLE
     if QUOTA_UNREACHABLE in reason:
         return Cause.QUOTA_UNREACHABLE
+    if reason.startswith(QUARANTINED):
+        return Cause.QUARANTINED
     if reason == NO_SERVER:
         return Cause.NO_SERVER
     # After a timeout the reason may still be that of a server tried earlier.
--- a/wisteriastair/relay/crashes.py
+++ b/wisteriastair/relay/crashes.py
@@ -1,4 +1,4 @@
-"""Finds out whether a server crashed under a request, and counts the crashes.
+"""Counts the servers that crash under a request, and quarantines such requests.
 
 A connection that breaks off does not show a crash: servers and middleboxes also reset
 connections, and links are cut.  The server has crashed if its port refuses connections
@@ -16,6 +16,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from ..errors import Code, Failure
 from ..nodemetrics import RelayMetrics
 from ..scheduling.crashes import CrashTable
 from ..scheduling.digest import server_key
@@ -101,6 +102,16 @@
 
     # Requests
 
+    def refusal(self, job: Job) -> Failure | None:
+        """Return why a request must not be sent to a server; None if it may be."""
+        key = self.table.find(job.identity)
+        if key is None or not self.table.is_quarantined(key):
+            return None
+        count = self.table.count(key)
+        detail = f"quarantined: {count} servers crashed under {key.hex()}"
+        # Not run this time, and waiting is of no use.
+        return Failure(Code.QUARANTINED, detail, "no")
+
     async def examine(self, job: Job, state: ServerState) -> bool:
         """Find out whether a server crashed that broke off the response to a request.
 
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -407,6 +407,7 @@
             "silent_ends": self._dispatcher.silent_ends,
             "paced_services": len(self._dispatcher.paced_services()),
             "crash_suspects": len(self._crashes.table),
+            "requests_quarantined": self._crashes.table.quarantined_count,
             "servers_avoided": servers_avoided,
             "servers_slow": servers_slow,
         }
--- a/wisteriastair/relay/handler.py
+++ b/wisteriastair/relay/handler.py
@@ -189,7 +189,8 @@
         job.admission = self._admission.make_check(job, table)
         self.active_requests += 1
         try:
-            refusal = await job.admission.wait_for_start()
+            refusal = self._dispatcher.crashes.refusal(job)
+            refusal = refusal or await job.admission.wait_for_start()
             if refusal is not None:
                 job.refuse(refusal)
                 return
--- a/wisteriastair/relay/plain.py
+++ b/wisteriastair/relay/plain.py
@@ -68,6 +68,11 @@
     retry_policy = dispatcher.retry_policy
     retry_policy.record_request()
     while True:
+        refusal = dispatcher.crashes.refusal(job)
+        if refusal is not None:
+            if possible_runs:
+                return Failure(Code.SERVER_LOST, refusal.detail, "unknown")
+            return refusal
         state = dispatcher.choose_server(
             job.service, frozenset(excluded), body_bytes=len(job.req.body)
         )
--- a/wisteriastair/relay/streams.py
+++ b/wisteriastair/relay/streams.py
@@ -179,6 +179,11 @@
         resume_on: ServerState | None = None
         may_retry = True
         while True:
+            refusal = self._dispatcher.crashes.refusal(job)
+            if refusal is not None:
+                if turn.response_started or resume_count:
+                    return Failure(Code.SERVER_LOST, refusal.detail, "unknown")
+                return refusal
             body = turn.history + job.req.body
             state = resume_on or self._dispatcher.choose_server(
                 job.service,
