Crashes under a request are summed over all relays

What callers saw: attempts of one request that reach different relays ended servers at each of them; a retry comes on a new connection and mostly reaches another relay.

Cause: each relay counted for itself.

Change: a relay reports a crash to all watchers of the store, which are keepers that know every relay as a subscriber, and waits for the first reply (0.1 s at most) before it goes on, so that the caller's next attempt can't overtake the news. A keeper sums, and tells all relays of a request that is one crash from quarantine or beyond; requests that lost one server are told to nobody, since a lost failure domain has thousands of these. Reports are repeated until each watcher has replied. A new or restarted watcher is told all that a relay knows, a new relay gets what the watchers know, and a relay that missed an update asks. No call to the platform's store; tables are bounded in entries and time.

One watcher away by turns: at most 4. Restarted watchers and relays: at most 3.

--- a/tests/relay/harness.py
+++ b/tests/relay/harness.py
@@ -30,6 +30,7 @@
 from wisteriastair.peers.transport import Transport
 from wisteriastair.relay.chains import ChainCache
 from wisteriastair.relay.crashes import CrashMonitor
+from wisteriastair.relay.crashshare import CrashShare
 from wisteriastair.relay.dispatch import Dispatcher
 from wisteriastair.relay.handler import RelayHandler
 from wisteriastair.relay.pool import ConnectionPool
@@ -37,6 +38,7 @@
 from wisteriastair.relay.quota import QuotaClient
 from wisteriastair.relay.streams import StreamRelay
 from wisteriastair.scheduling.buffers import BufferLimits
+from wisteriastair.scheduling.crashes import CrashTable
 from wisteriastair.scheduling.fleet import Fleet, Server
 
 HOST = "127.0.0.1"
@@ -283,19 +285,27 @@
 
 @asynccontextmanager
 async def run_harness(
-    *servers: ScriptedServer, limits: BufferLimits | None = None
+    *servers: ScriptedServer,
+    limits: BufferLimits | None = None,
+    share: CrashShare | None = None,
 ) -> AsyncIterator[RelayHarness]:
-    """Run a handler with some servers; with `limits`, memory pressure is on."""
+    """Run a handler with some servers; with `limits`, memory pressure is on.
+
+    Several harnesses may have the same servers; `share` connects their counts of
+    crashes.
+    """
     loop = asyncio.get_running_loop()
     fleet = Fleet()
     for server in servers:
-        await server.start()
+        if not server.address:
+            await server.start()
         fleet.put(Server(server.id, "svc", server.address, "d", 8, False, 0.0))
     metrics = RelayMetrics()
     pressure = RelayPressure("r1", limits, 0.0, metrics) if limits else None
     meter = pressure.meter if pressure else None
     pool = ConnectionPool(lambda server_id: None, meter)
-    crashes = CrashMonitor(pool, metrics)
+    share = share or CrashShare(CrashTable(), list)
+    crashes = CrashMonitor(pool, metrics, share)
     dispatcher = Dispatcher(fleet, pool, "d", crashes)
     keepers = Keepers(3)
     streams = StreamRelay(dispatcher, keepers.client, ChainCache(1_000_000))
--- /dev/null
+++ b/tests/relay/test_crashshare.py
@@ -0,0 +1,208 @@
+"""Crashes under a request whose attempts reach several relays."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import anyio
+import pytest
+
+from tests.relay.crash_network import CrashNetwork
+from tests.relay.harness import RelayHarness, ScriptedServer, run_harness
+from tests.relay.test_crashes import (
+    FATAL_BODY,
+    MAX_CRASHES,
+    count_crashed,
+    make_servers,
+)
+from wisteriastair.core.ledgerwire import (
+    CrashReport,
+    CrashUpdate,
+    RequestCrashes,
+)
+from wisteriastair.keeper.crashes import CrashKeeper
+from wisteriastair.relay.crashshare import CrashShare
+from wisteriastair.scheduling.crashes import CrashTable
+
+KEY = bytes(range(16))
+Scenario = Callable[[CrashNetwork, list[RelayHarness]], Awaitable[None]]
+
+
+@asynccontextmanager
+async def run_relays(
+    network: CrashNetwork, servers: list[ScriptedServer], count: int
+) -> AsyncIterator[list[RelayHarness]]:
+    async with anyio.create_task_group() as group:
+        group.start_soon(network.run)
+        async with AsyncExitStack() as stack:
+            yield [
+                await stack.enter_async_context(
+                    run_harness(*servers, share=network.add_relay(f"r{number}"))
+                )
+                for number in range(count)
+            ]
+        group.cancel_scope.cancel()
+
+
+def run_world(servers: list[ScriptedServer], scenario: Scenario, relays: int) -> None:
+    async def main() -> None:
+        network = CrashNetwork()
+        async with run_relays(network, servers, relays) as harnesses:
+            with anyio.fail_after(10):
+                await scenario(network, harnesses)
+
+    anyio.run(main)
+
+
+async def send(relay: RelayHarness, attempt: str, name: str = "unsafe") -> int:
+    caller = await relay.open()
+    await caller.send(name, attempt, FATAL_BODY)
+    return (await caller.read()).status
+
+
+@pytest.mark.parametrize("name", ["unsafe", "long", "talk"])
+def test_attempts_at_other_relays_add_up(name: str) -> None:
+    """Each attempt reaches another relay right after the answer to the last one."""
+    servers = make_servers(24)
+
+    async def scenario(network: CrashNetwork, relays: list[RelayHarness]) -> None:
+        for number, relay in enumerate(relays):
+            status = await send(relay, f"attempt-{number}", name)
+        assert count_crashed(servers) <= MAX_CRASHES
+        assert status == 503
+
+    run_world(servers, scenario, 6)
+
+
+def test_crashes_are_shared_while_one_watcher_is_away() -> None:
+    """Either watcher suffices, and it may be another one each time."""
+    servers = make_servers(24)
+
+    async def scenario(network: CrashNetwork, relays: list[RelayHarness]) -> None:
+        for number, relay in enumerate(relays):
+            network.unreachable = {f"k{number % 2}:1"}
+            await send(relay, f"attempt-{number}")
+            await anyio.sleep(0.3)
+        assert count_crashed(servers) <= MAX_CRASHES + 1
+
+    run_world(servers, scenario, 6)
+
+
+def test_restarted_keepers_learn_from_relays() -> None:
+    """All watchers lose their memory between two attempts."""
+    servers = make_servers(24)
+
+    async def scenario(network: CrashNetwork, relays: list[RelayHarness]) -> None:
+        for number, relay in enumerate(relays):
+            await send(relay, f"attempt-{number}")
+            for address in network.watchers():
+                network.restart_keeper(address)
+            await anyio.sleep(0.05)
+        assert count_crashed(servers) <= MAX_CRASHES
+
+    run_world(servers, scenario, 6)
+
+
+def test_restarted_relay_learns_from_keepers() -> None:
+    """A relay that has just started knows no crash of its own."""
+
+    async def main() -> None:
+        network = CrashNetwork()
+        share = network.add_relay("r0")
+        share.table.add(KEY, [1, 2, 3], 0.0)
+        share.report_crash(KEY)
+        await anyio.sleep(0.02)
+        restarted = network.add_relay("r0")
+        await anyio.sleep(0.02)
+        assert restarted.table.is_quarantined(KEY)
+
+    anyio.run(main)
+
+
+def test_relay_asks_for_what_it_missed() -> None:
+    """Updates are lost while a relay is cut off from the watchers."""
+
+    async def main() -> None:
+        network = CrashNetwork()
+        shares = [network.add_relay(f"r{number}") for number in range(2)]
+        async with anyio.create_task_group() as group:
+            group.start_soon(network.run)
+            await anyio.sleep(0.02)
+            network.unreachable = {"r1"}
+            shares[0].table.add(KEY, [1, 2, 3], 0.0)
+            shares[0].report_crash(KEY)
+            await anyio.sleep(0.02)
+            assert not shares[1].table.is_quarantined(KEY)
+            network.unreachable = set()
+            await anyio.sleep(1.3)
+            assert shares[1].table.is_quarantined(KEY)
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+def test_answered_request_is_forgotten_everywhere() -> None:
+    """Two servers ended under a request by chance; the third one answers it."""
+
+    async def main() -> None:
+        network = CrashNetwork()
+        shares = [network.add_relay(f"r{number}") for number in range(3)]
+        for number in (0, 1):
+            shares[number].table.add(KEY, [number], 0.0)
+            shares[number].report_crash(KEY)
+        await anyio.sleep(0.02)
+        assert shares[2].table.count(KEY) == 2
+        shares[2].table.forget(KEY)
+        shares[2].report_answer(KEY)
+        await anyio.sleep(0.02)
+        tables = [share.table for share in shares]
+        tables += [keeper.table for keeper in network.keepers.values()]
+        assert [table.count(KEY) for table in tables] == [0] * 5
+
+    anyio.run(main)
+
+
+def test_relays_without_watchers_count_for_themselves() -> None:
+    """The members of the ledger are not known yet, so a crash is told to nobody."""
+
+    async def main() -> None:
+        share = CrashShare(CrashTable(), list)
+        share.table.add(KEY, [1, 2, 3], 0.0)
+        with anyio.fail_after(0.1):
+            await share.report_crash(KEY).wait()
+        assert share.table.is_quarantined(KEY)
+
+    anyio.run(main)
+
+
+def test_requests_of_a_lost_failure_domain_are_not_sent_to_all_relays() -> None:
+    """A domain of 115 servers ends with all its requests: each is counted once."""
+    keeper = CrashKeeper(CrashTable())
+    crashes = [RequestCrashes(n.to_bytes(16, "big"), [n % 115]) for n in range(1400)]
+    for start in range(0, len(crashes), 12):
+        report = CrashReport(start + 1, crashes[start : start + 12])
+        assert keeper.receive(report, 0.0) is not None
+        assert keeper.next_update(0.0) is None
+
+
+@pytest.mark.parametrize(
+    "entry",
+    [
+        RequestCrashes(b"short", [1, 2, 3]),
+        RequestCrashes(KEY, []),
+        RequestCrashes(KEY, [1] * 1000),
+    ],
+)
+def test_damaged_entries_quarantine_nothing(entry: RequestCrashes) -> None:
+    """Wrong keys, no servers, and one server many times."""
+    keeper = CrashKeeper(CrashTable())
+    keeper.receive(CrashReport(1, [entry]), 0.0)
+    assert keeper.table.quarantined_count == 0
+
+    async def main() -> None:
+        share = CrashShare(CrashTable(), lambda: ["k0:1"])
+        share.receive("k0:1#0", CrashUpdate(0, 1, [entry]), 0.0)
+        assert share.table.quarantined_count == 0
+
+    anyio.run(main)
--- a/wisteriastair/core/ledgerwire.py
+++ b/wisteriastair/core/ledgerwire.py
@@ -432,6 +432,64 @@
     weights: Weights = Weights()
 
 
+class RequestCrashes(msgspec.Struct, frozen=True, array_like=True):
+    """Servers that crashed under a request.
+
+    Attributes
+    ----------
+    key : bytes
+        Key of the request, the same for all of its attempts.
+    servers : list of int
+        Keys of the servers' incarnations.
+    age_ms : int
+        Milliseconds since the last crash.
+    """
+
+    key: bytes
+    servers: list[int]
+    age_ms: int = 0
+
+
+class CrashReport(msgspec.Struct, frozen=True, array_like=True, tag=17):
+    """Crashes that a relay found, to each watcher of the store, which replies to it.
+
+    Attributes
+    ----------
+    op : int
+        Number of the report; 0 if no reply is needed.
+    answered : list of bytes
+        Keys of remembered requests that a server has answered.
+    wants_all : bool
+        Whether the relay has missed an update.
+    """
+
+    op: int
+    crashes: list[RequestCrashes] = []
+    answered: list[bytes] = []
+    wants_all: bool = False
+
+
+class CrashUpdate(msgspec.Struct, frozen=True, array_like=True, tag=18):
+    """Requests that any relay may have to stop or to forget, from a watcher.
+
+    Attributes
+    ----------
+    base, revision : int
+        Revisions of the sender's table before and after the changes; a base of 0 means
+        that the message has the whole table.
+    forgotten : list of bytes
+        Keys of requests that are forgotten.
+    op : int
+        Report that this replies to; 0 for none.
+    """
+
+    base: int
+    revision: int
+    crashes: list[RequestCrashes] = []
+    forgotten: list[bytes] = []
+    op: int = 0
+
+
 LedgerMessage = (
     Write
     | FanOutWrite
@@ -449,6 +507,8 @@
     | RelayDigest
     | PictureUpdate
     | DomainSums
+    | CrashReport
+    | CrashUpdate
 )
 
 _LOAD_FORMAT: Final = struct.Struct("<IBBB")
--- a/wisteriastair/core/watchers.py
+++ b/wisteriastair/core/watchers.py
@@ -148,6 +148,11 @@
         """Whether this process watches the store for the others."""
         return self._me in self._watchers
 
+    @property
+    def watchers(self) -> list[str]:
+        """Addresses of the watchers, the nearest one first."""
+        return self._watchers
+
     def set_view(self, view: View, now: float) -> None:
         """Apply the member list from which the watchers are chosen.
 
@@ -277,6 +282,11 @@
         self._expire(now)
         return bool(self._expires_at)
 
+    def active(self, now: float) -> list[str]:
+        """Return the member ids of the subscribers."""
+        self._expire(now)
+        return list(self._expires_at)
+
     def make_updates(
         self, store_update: StoreUpdate, now: float
     ) -> list[tuple[str, StoreUpdate]]:
--- a/wisteriastair/keeper/daemon.py
+++ b/wisteriastair/keeper/daemon.py
@@ -20,6 +20,8 @@
 
 from ..core.keeper import KeeperCore
 from ..core.ledgerwire import (
+    CrashReport,
+    CrashUpdate,
     Document,
     DocumentsReply,
     DocumentsRequest,
@@ -55,6 +57,8 @@
 )
 from ..platform.mirror import Mirror
 from ..platform.store import Store, StoreError, StoreItem, Swapped
+from ..scheduling.crashes import CrashTable
+from .crashes import CrashKeeper
 from .documents import Documents
 from .log import Log
 from .picture import PictureKeeper
@@ -99,6 +103,7 @@
         self._picture = PictureKeeper(
             cfg.internal_address, cfg.max_failures, time.monotonic()
         )
+        self._crashes = CrashKeeper(CrashTable())
         self._stop = anyio.Event()
         self._metrics = KeeperMetrics()
         self._reported_done: set[str] = set()
@@ -198,11 +203,11 @@
             return
         if isinstance(message, Subscribe):
             store_update = self._mirror.store_update()
-            if (
-                self._subscribers.add(sender, message, time.monotonic())
-                and store_update
-            ):
-                self._transport.send(sender, store_update)
+            if self._subscribers.add(sender, message, time.monotonic()):
+                if store_update:
+                    self._transport.send(sender, store_update)
+                snapshot = self._crashes.snapshot(time.monotonic())
+                self._transport.send(sender, snapshot)
             return
         if isinstance(message, StoreUpdate):
             self._mirror.apply_update(sender, message)
@@ -210,6 +215,12 @@
         if isinstance(message, RelayDigest | DomainSums):
             self._merge(sender, message)
             return
+        if isinstance(message, CrashReport):
+            self._add_crashes(sender, message)
+            return
+        if isinstance(message, CrashUpdate):
+            # Sent to all subscribers; keepers need only the reports of relays.
+            return
         self._core.receive(sender, message, time.monotonic())
         self._send()
         self._storage.wake()
@@ -220,6 +231,20 @@
         for to, reply in replies:
             self._transport.send(to, reply)
 
+    def _add_crashes(self, sender: str, report: CrashReport) -> None:
+        reply = self._crashes.receive(report, time.monotonic())
+        # Other relays first: the reply releases the answer to the caller.
+        self._publish_crashes()
+        if reply is not None:
+            self._transport.send(sender, reply)
+
+    def _publish_crashes(self) -> None:
+        now = time.monotonic()
+        crash_update = self._crashes.next_update(now)
+        if crash_update is not None:
+            for member in self._subscribers.active(now):
+                self._transport.send(member, crash_update)
+
     def _publish(self, store_update: StoreUpdate) -> None:
         for to, message in self._subscribers.make_updates(
             store_update, time.monotonic()
@@ -237,6 +262,7 @@
             now = time.monotonic()
             self._core.tick(now)
             self._send()
+            self._publish_crashes()
             self._subscription.set_view(self._core.view, now)
             for address, message in self._subscription.due_subscriptions(now):
                 self._transport.send(address, message)
--- a/wisteriastair/relay/crashes.py
+++ b/wisteriastair/relay/crashes.py
@@ -18,9 +18,9 @@
 
 from ..errors import Code, Failure
 from ..nodemetrics import RelayMetrics
-from ..scheduling.crashes import CrashTable
 from ..scheduling.digest import server_key
 from ..scheduling.fleet import Server, ServerState
+from .crashshare import CrashShare
 from .job import Job
 from .loglimit import LineLimit
 from .pool import ConnectionPool, ProbeResult
@@ -28,6 +28,9 @@
 # Longest wait of a request for the probe of its server, in seconds.  A port that is
 # closed refuses within a round trip.
 MAX_PROBE_WAIT_S: Final = 0.1
+# Longest wait of a request for a keeper that tells the other relays of its crash, in
+# seconds.  If its caller had the answer first, the next attempt could overtake that.
+MAX_SHARE_WAIT_S: Final = 0.1
 # Seconds for which an interrupted request waits for evidence of a crash: longer than
 # the platform keeps the entry of a silent server.
 EVIDENCE_WAIT_S: Final = 10.0
@@ -54,6 +57,8 @@
     ----------
     decided : anyio.Event
         Set when the server is known to have crashed or to listen.
+    shared : anyio.Event or None
+        Set when the crash has been shared with other relays.
     """
 
     def __init__(self, job: Job, server: Server) -> None:
@@ -65,6 +70,7 @@
         self.expires_at = self.at + EVIDENCE_WAIT_S
         self.has_crashed = False
         self.decided = anyio.Event()
+        self.shared: anyio.Event | None = None
 
 
 class CrashMonitor:
@@ -76,17 +82,18 @@
         Connections to the servers.
     metrics : RelayMetrics
         Counts crashes.
-    table : CrashTable or None
-        The counts; None for an empty table with the default bound.
+    share : CrashShare
+        The counts, shared with other relays.
     """
 
     def __init__(
         self,
         pool: ConnectionPool,
         metrics: RelayMetrics,
-        table: CrashTable | None = None,
+        share: CrashShare,
     ) -> None:
-        self.table = CrashTable() if table is None else table
+        self.table = share.table
+        self._share = share
         self._pool = pool
         self._metrics = metrics
         self._interrupted: dict[str, list[_Interrupted]] = {}
@@ -130,6 +137,9 @@
             self._group.start_soon(self._probe, state.server)
         with anyio.move_on_after(MAX_PROBE_WAIT_S):
             await interrupted.decided.wait()
+        if interrupted.shared is not None:
+            with anyio.move_on_after(MAX_SHARE_WAIT_S):
+                await interrupted.shared.wait()
         return interrupted.has_crashed
 
     def record_end(self, job: Job) -> None:
@@ -148,6 +158,7 @@
         key = self.table.find(job.identity)
         if key is not None:
             self.table.forget(key)
+            self._share.report_answer(key)
 
     def _add_interrupted(self, job: Job, state: ServerState) -> _Interrupted | None:
         """Remember an interrupted request; None if its server is leaving."""
@@ -212,10 +223,11 @@
             if interrupted.expires_at < now:
                 continue
             interrupted.has_crashed = True
-            interrupted.decided.set()
             if self.table.add(interrupted.key, [server_key(incarnation)], now):
+                interrupted.shared = self._share.report_crash(interrupted.key)
                 self._metrics.server_crashes.labels(evidence.value).inc()
                 self._log_crash(interrupted, evidence, now)
+            interrupted.decided.set()
 
     def _log_crash(
         self, interrupted: _Interrupted, evidence: Evidence, now: float
@@ -238,6 +250,7 @@
     def sweep(self, now: float) -> None:
         """Drop what is too old to matter."""
         self.table.expire(now)
+        self._share.sweep(now)
         for incarnation, waiting in list(self._interrupted.items()):
             kept = [one for one in waiting if one.expires_at >= now]
             self._interrupted_count -= len(waiting) - len(kept)
--- /dev/null
+++ b/wisteriastair/relay/crashshare.py
@@ -0,0 +1,186 @@
+"""Tells keepers of crashes under requests, and applies what other relays found.
+
+A caller's next attempt mostly reaches another relay, some milliseconds after the answer
+to the last one.  A relay therefore reports a crash to all watchers of the store before
+it answers, and a watcher tells all relays once a request is close to quarantine.
+Reports are repeated until each watcher has replied.  Without watchers a relay goes on
+with what it knows itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Final, Protocol
+
+import anyio
+
+from ..core.hashing import address_of
+from ..core.ledgerwire import CrashReport, CrashUpdate, LedgerMessage
+from ..scheduling.crashes import MAX_ENTRIES, CrashTable, make_entry, read_age_s
+
+# Seconds after which a report without a reply is sent again, and how often.  A keeper
+# that is silent for longer has been replaced as a watcher, or learns all at its return.
+RESEND_INTERVAL_S: Final = 0.2
+MAX_SENDS: Final = 20
+# Entries in one report.
+MAX_REPORTED: Final = 256
+
+
+class MessageSender(Protocol):
+    """Sends messages to other processes."""
+
+    def send(self, to: str, message: LedgerMessage) -> None:
+        """Send a message, without waiting."""
+
+
+class _OpenReport:
+    """A report that some watcher has not replied to."""
+
+    def __init__(self, report: CrashReport, watchers: set[str], now: float) -> None:
+        self.report = report
+        self.waiting_for = watchers
+        self.sent_at = now
+        self.sends = 1
+        # Set by the first reply.
+        self.replied = anyio.Event()
+
+
+class CrashShare:
+    """Reports crashes to the watchers and applies their updates.
+
+    Parameters
+    ----------
+    table : CrashTable
+        What this relay knows.
+    watchers : callable
+        Returns the addresses of the watchers of the store.
+    """
+
+    def __init__(self, table: CrashTable, watchers: Callable[[], list[str]]) -> None:
+        self.table = table
+        self._watchers = watchers
+        self._op = 0
+        self._open: dict[int, _OpenReport] = {}
+        # Member id and last revision of each watcher that was heard, by address.
+        self._members: dict[str, str] = {}
+        self._revisions: dict[str, int] = {}
+        self._new: list[bytes] = []
+        self._next_report: _OpenReport | None = None
+        self._sender: MessageSender | None = None
+
+    def start(self, sender: MessageSender) -> None:
+        """Set the transport."""
+        self._sender = sender
+
+    # Reports
+
+    def report_crash(self, key: bytes) -> anyio.Event:
+        """Report a request to all watchers; the event is set by the first reply.
+
+        All reports of one iteration of the event loop are one message: a server takes
+        all its requests with it.
+        """
+        self._new.append(key)
+        loop = asyncio.get_running_loop()
+        if self._next_report is None:
+            self._next_report = _OpenReport(CrashReport(0), set(), loop.time())
+            loop.call_soon(self._send_new)
+        return self._next_report.replied
+
+    def _send_new(self) -> None:
+        opened = self._next_report
+        assert opened is not None, "scheduled together with the report"
+        self._next_report = None
+        keys, self._new = self._new, []
+        now = asyncio.get_running_loop().time()
+        self._send_report(opened, self._make_report(keys, now), now)
+
+    def report_answer(self, key: bytes) -> None:
+        """Tell all watchers that a server has answered a remembered request."""
+        now = asyncio.get_running_loop().time()
+        opened = _OpenReport(CrashReport(0), set(), now)
+        self._send_report(opened, CrashReport(0, answered=[key]), now)
+
+    def _make_report(self, keys: list[bytes], now: float) -> CrashReport:
+        known = [key for key in keys if key in self.table]
+        return CrashReport(0, [make_entry(self.table, key, now) for key in known])
+
+    def _send_report(
+        self, opened: _OpenReport, report: CrashReport, now: float
+    ) -> None:
+        watchers = self._watchers()
+        if self._sender is None or not watchers:
+            opened.replied.set()
+            return
+        self._op += 1
+        opened.report = CrashReport(self._op, report.crashes, report.answered)
+        opened.waiting_for = set(watchers)
+        opened.sent_at = now
+        self._open[self._op] = opened
+        for address in watchers:
+            self._sender.send(address, opened.report)
+
+    def sweep(self, now: float) -> None:
+        """Send reports again that watchers have not replied to."""
+        for op, opened in list(self._open.items()):
+            opened.waiting_for &= set(self._watchers())
+            if not opened.waiting_for or opened.sends >= MAX_SENDS:
+                del self._open[op]
+                opened.replied.set()
+            elif now - opened.sent_at >= RESEND_INTERVAL_S:
+                opened.sent_at = now
+                opened.sends += 1
+                for address in opened.waiting_for:
+                    self._send(address, opened.report)
+
+    # Watchers
+
+    def record_watcher(self, sender: str, now: float) -> None:
+        """Record a message of a keeper; tell it all if it is new or has restarted."""
+        address = address_of(sender)
+        if self._members.get(address) == sender or address not in self._watchers():
+            return
+        self._members[address] = sender
+        self._revisions.pop(address, None)
+        keys = self.table.keys()
+        for start in range(0, len(keys), MAX_REPORTED):
+            part = keys[start : start + MAX_REPORTED]
+            self._send(sender, self._make_report(part, now))
+
+    def receive(self, sender: str, update: CrashUpdate, now: float) -> list[bytes]:
+        """Apply an update; return the requests that it quarantines."""
+        address = address_of(sender)
+        self.record_watcher(sender, now)
+        quarantined = []
+        for entry in update.crashes[:MAX_ENTRIES]:
+            was_quarantined = self.table.is_quarantined(entry.key)
+            if not self.table.add(entry.key, entry.servers, now - read_age_s(entry)):
+                continue
+            if not was_quarantined and self.table.is_quarantined(entry.key):
+                quarantined.append(entry.key)
+        for key in update.forgotten[:MAX_ENTRIES]:
+            self.table.forget(key)
+        opened = self._open.get(update.op)
+        if opened is not None:
+            opened.waiting_for.discard(address)
+            opened.replied.set()
+            if not opened.waiting_for:
+                del self._open[update.op]
+        self._check_revision(sender, address, update)
+        return quarantined
+
+    def _check_revision(self, sender: str, address: str, update: CrashUpdate) -> None:
+        """Ask for the whole table if an update was missed."""
+        if update.op:
+            # A reply has only what was asked for.
+            return
+        known = self._revisions.get(address, 0)
+        if update.base not in (0, known) and known < update.revision:
+            self._send(sender, CrashReport(0, wants_all=True))
+            return
+        self._revisions[address] = max(known, update.revision)
+
+    def _send(self, to: str, report: CrashReport) -> None:
+        if self._sender is not None:
+            self._sender.send(to, report)
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -14,6 +14,7 @@
 from anyio.abc import TaskGroup
 
 from ..core.ledgerwire import (
+    CrashUpdate,
     DocumentsReply,
     DocumentsRequest,
     LedgerMessage,
@@ -46,10 +47,12 @@
 )
 from ..platform.mirror import Mirror
 from ..platform.store import Store, StoreItem
+from ..scheduling.crashes import CrashTable
 from ..scheduling.fleet import REREGISTRATION_S, Fleet
 from .admission import AdmissionGate
 from .chains import ChainCache
 from .crashes import CrashMonitor
+from .crashshare import CrashShare
 from .dispatch import Dispatcher
 from .drain import Drain
 from .engine_order import EngineOrder
@@ -101,7 +104,10 @@
             lambda: self._ledger.view,
             has_memory_pressure=cfg.has_memory_pressure,
         )
-        self._crashes = CrashMonitor(self._pool, self._metrics)
+        self._crash_share = CrashShare(
+            CrashTable(), lambda: self._subscription.watchers
+        )
+        self._crashes = CrashMonitor(self._pool, self._metrics, self._crash_share)
         self._dispatcher = Dispatcher(
             self._fleet, self._pool, cfg.domain, self._crashes, self._picture.picture
         )
@@ -158,6 +164,7 @@
         async with anyio.create_task_group() as group:
             self._ledger.start(transport, group)
             self._quota.start(transport)
+            self._crash_share.start(transport)
             self._crashes.start(group)
             group.start_soon(transport.run)
             group.start_soon(self._mirror.run)
@@ -234,14 +241,17 @@
         return self._handler.table is not None and len(self._fleet) > 0
 
     def _on_message(self, sender: str, message: LedgerMessage) -> None:
+        now = asyncio.get_running_loop().time()
         if isinstance(message, StoreUpdate):
+            self._crash_share.record_watcher(sender, now)
             if self._mirror.apply_update(sender, message):
                 self._transport.send(sender, DocumentsRequest())
         elif isinstance(message, PermitReply):
             self._quota.receive(message)
         elif isinstance(message, PictureUpdate):
-            now = asyncio.get_running_loop().time()
             self._picture.receive(sender, message, now)
+        elif isinstance(message, CrashUpdate):
+            self._crash_share.receive(sender, message, now)
         elif isinstance(message, DocumentsReply):
             self._apply_documents(sender, message)
         else:
--- a/wisteriastair/scheduling/crashes.py
+++ b/wisteriastair/scheduling/crashes.py
@@ -18,6 +18,8 @@
 from hashlib import blake2b
 from typing import Final, NamedTuple
 
+from ..core.ledgerwire import RequestCrashes
+
 # Servers that may crash under one request.
 MAX_CRASHES: Final = 3
 # Seconds after the last crash for which a request is remembered: far longer than the
@@ -31,6 +33,9 @@
 # Bytes of each half of a request key.
 DIGEST_BYTES: Final = 8
 KEY_BYTES: Final = 2 * DIGEST_BYTES
+# Entries of one message that are read.
+MAX_ENTRIES: Final = 4096
+MS_PER_S: Final = 1000.0
 
 
 class RequestIdentity(NamedTuple):
@@ -123,6 +128,11 @@
         crashes = self._quarantined.get(key) or self._suspects.get(key)
         return frozenset(crashes.servers) if crashes else frozenset()
 
+    def last_at(self, key: bytes) -> float:
+        """Return the time of the last crash under a remembered request."""
+        crashes = self._quarantined.get(key) or self._suspects[key]
+        return crashes.last_at
+
     def keys(self) -> list[bytes]:
         """Return the remembered requests."""
         return [*self._quarantined, *self._suspects]
@@ -181,3 +191,14 @@
             if not self._envelopes[envelope]:
                 del self._envelopes[envelope]
         return crashes
+
+
+def make_entry(table: CrashTable, key: bytes, now: float) -> RequestCrashes:
+    """Return what a table knows of a request, as part of a message."""
+    age_ms = int(max(0.0, now - table.last_at(key)) * MS_PER_S)
+    return RequestCrashes(key, sorted(table.servers(key)), age_ms)
+
+
+def read_age_s(entry: RequestCrashes) -> float:
+    """Return the age of an entry in seconds, clipped to a valid one."""
+    return min(MAX_AGE_S, max(0.0, entry.age_ms / MS_PER_S))
