Quarantined requests are recorded in the platform's store

Cause: the counts live in the memory of relays and watchers. After all of them were killed at the same moment, a request could end three further servers, and an operator neither saw a quarantine nor could end it.

All processes read the records by the watches they have; keepers cache them on their disks with the other documents for relays that start while the store is away. Removing a record ends the quarantine everywhere.

--- a/tests/platform/standin_store.py
+++ b/tests/platform/standin_store.py
@@ -137,6 +137,9 @@
             if self.items.get(row["key"], {"rev": 0})["rev"] != row["rev"]:
                 caller_conn.respond(412, [], b'{"items":[]}')
                 return
+        for key in call["remove"]:
+            if key in self.items:
+                self.remove(key)
         for put in call["puts"]:
             self.put(put["key"], b64decode(put["value"]))
         if self.responses_to_drop:
--- a/tests/relay/test_crashshare.py
+++ b/tests/relay/test_crashshare.py
@@ -84,7 +84,7 @@
             network.unreachable = {f"k{number % 2}:1"}
             await send(relay, f"attempt-{number}")
             await anyio.sleep(0.3)
-        assert count_crashed(servers) <= MAX_CRASHES + 1
+        assert count_crashed(servers) <= MAX_CRASHES
 
     run_world(servers, scenario, 6)
 
--- a/wisteriastair/core/ledgerwire.py
+++ b/wisteriastair/core/ledgerwire.py
@@ -443,11 +443,14 @@
         Keys of the servers' incarnations.
     age_ms : int
         Milliseconds since the last crash.
+    description : str
+        What operators are told of the request.
     """
 
     key: bytes
     servers: list[int]
     age_ms: int = 0
+    description: str = ""
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True, tag=17):
--- a/wisteriastair/core/watchers.py
+++ b/wisteriastair/core/watchers.py
@@ -148,6 +148,13 @@
         """Whether this process watches the store for the others."""
         return self._me in self._watchers
 
+    @property
+    def rank(self) -> int | None:
+        """Number of watchers before this process; None if it is none."""
+        if not self.is_watcher:
+            return None
+        return sorted(self._watchers).index(self._me)
+
     @property
     def watchers(self) -> list[str]:
         """Addresses of the watchers, the nearest one first."""
--- a/wisteriastair/keeper/crashes.py
+++ b/wisteriastair/keeper/crashes.py
@@ -12,7 +12,7 @@
 from typing import Final
 
 from ..core.ledgerwire import CrashReport, CrashUpdate
-from ..scheduling.crashes import MAX_ENTRIES, CrashTable, make_entry, read_age_s
+from ..scheduling.crashes import MAX_ENTRIES, CrashTable, add_entry, make_entry
 
 # Interval in seconds at which relays are told the revision while there is anything to
 # know, so that they notice a lost update.
@@ -47,7 +47,7 @@
         """Add a report; return the reply to the relay, if it needs one."""
         known = []
         for entry in report.crashes[:MAX_ENTRIES]:
-            if self.table.add(entry.key, entry.servers, now - read_age_s(entry)):
+            if add_entry(self.table, entry, now):
                 self._on_added(entry.key)
             known.append(entry.key)
         for key in report.answered[:MAX_ENTRIES]:
@@ -73,7 +73,11 @@
         if self.table.is_quarantined(key):
             log.warning(
                 "request quarantined",
-                extra={"key": key.hex(), "crashes": self.table.count(key)},
+                extra={
+                    "key": key.hex(),
+                    "crashes": self.table.count(key),
+                    "description": self.table.description(key),
+                },
             )
 
     def forget(self, key: bytes) -> None:
--- a/wisteriastair/keeper/daemon.py
+++ b/wisteriastair/keeper/daemon.py
@@ -46,6 +46,7 @@
 from ..peers.transport import Transport
 from ..platform.documents import (
     CONFIG_KEY,
+    QUARANTINE_KEY_PREFIX,
     RETIRE_DONE,
     RETIRE_KEY_PREFIX,
     RETIRE_RUNNING,
@@ -62,6 +63,7 @@
 from .documents import Documents
 from .log import Log
 from .picture import PictureKeeper
+from .quarantine import QuarantineRecords
 from .storage import Storage
 
 TICK_INTERVAL_S: Final = 0.1
@@ -74,8 +76,12 @@
 PROPOSAL_RETRY_S: Final = 0.3
 # Interval of checks for expired accounts and old segments.
 RECLAIM_INTERVAL_S: Final = 5.0
+# Interval of writes of quarantined requests to the store.
+RECORD_INTERVAL_S: Final = 1.0
 # Interval of checks for changed documents that must be saved.
 SAVE_INTERVAL_S: Final = 0.5
+# Keys whose values are cached for relays that start.
+CACHED_PREFIXES: Final = (SERVER_KEY_PREFIX, QUARANTINE_KEY_PREFIX)
 
 log = logging.getLogger(__name__)
 
@@ -104,6 +110,7 @@
             cfg.internal_address, cfg.max_failures, time.monotonic()
         )
         self._crashes = CrashKeeper(CrashTable())
+        self._quarantine = QuarantineRecords(self._crashes, self._store)
         self._stop = anyio.Event()
         self._metrics = KeeperMetrics()
         self._reported_done: set[str] = set()
@@ -139,6 +146,8 @@
                 self._apply_config(document.value)
             elif document.key.startswith(SERVER_KEY_PREFIX):
                 self._picture.apply_server(document.key, document.value)
+            elif document.key.startswith(QUARANTINE_KEY_PREFIX):
+                self._quarantine.apply(document.key, document.value, now)
         self._storage = Storage(self._log, self._core, self._metrics)
         log.info(
             "keeper started",
@@ -176,6 +185,7 @@
         group.start_soon(self._tick)
         group.start_soon(self._maintain_view)
         group.start_soon(self._reclaim_space)
+        group.start_soon(self._record_quarantine)
         group.start_soon(self._watch_signals)
 
     async def _watch_signals(self) -> None:
@@ -275,6 +285,13 @@
             while await self._storage.reclaim_space(time.monotonic()):
                 pass
 
+    async def _record_quarantine(self) -> None:
+        while True:
+            await anyio.sleep(RECORD_INTERVAL_S)
+            rank = self._subscription.rank
+            if rank is not None:
+                await self._quarantine.sync(rank, time.monotonic())
+
     async def _save_documents(self) -> None:
         while True:
             await anyio.sleep(SAVE_INTERVAL_S)
@@ -303,6 +320,8 @@
             "picture_relays": self._picture.merger.relay_count,
             "picture_bytes_sent": self._picture.bytes_sent,
             "picture_ignored": self._picture.merger.counters.total,
+            "crash_suspects": len(self._crashes.table),
+            "requests_quarantined": self._crashes.table.quarantined_count,
         }
         for name, value in values.items():
             self._metrics.gauges[name].set(value)
@@ -316,7 +335,9 @@
     def _on_item(self, item: StoreItem) -> None:
         if item.key.startswith(SERVER_KEY_PREFIX):
             self._picture.apply_server(item.key, item.value)
-        is_cached = item.key == CONFIG_KEY or item.key.startswith(SERVER_KEY_PREFIX)
+        if item.key.startswith(QUARANTINE_KEY_PREFIX):
+            self._quarantine.apply(item.key, item.value, time.monotonic())
+        is_cached = item.key == CONFIG_KEY or item.key.startswith(CACHED_PREFIXES)
         if item.value is None:
             self._documents.remove(item.key)
         elif is_cached or item.key == VIEW_KEY:
--- a/wisteriastair/nodemetrics.py
+++ b/wisteriastair/nodemetrics.py
@@ -203,6 +203,8 @@
                 ("picture_relays", "Relays that report servers to this process"),
                 ("picture_bytes_sent", "Bytes of merged pictures sent since start"),
                 ("picture_ignored", "Parts of reports ignored or clipped since start"),
+                ("crash_suspects", "Requests under which servers have crashed"),
+                ("requests_quarantined", "Requests not sent any more for crashes"),
             )
         }
 
--- a/wisteriastair/platform/documents.py
+++ b/wisteriastair/platform/documents.py
@@ -1,7 +1,8 @@
 """Decoding of the documents in the platform's store.
 
 `op/config` holds the operators' whole configuration, `servers/ID` the entry of one
-backend server, and `op/retire/NAME` the request to retire an instance with a disk.  A
+backend server, and `op/retire/NAME` the request to retire an instance with a disk.
+`status/quarantine/KEY` tells operators of a request that is not sent any more.  A
 document that does not decode yields an error with its key and the reason, never an
 empty document.
 """
@@ -30,6 +31,7 @@
 SERVER_KEY_PREFIX: Final = "servers/"
 RETIRE_KEY_PREFIX: Final = "op/retire/"
 RETIRE_STATUS_KEY_PREFIX: Final = "status/retire/"
+QUARANTINE_KEY_PREFIX: Final = "status/quarantine/"
 RETIRE_DONE: Final = b'{"state":"done"}'
 RETIRE_RUNNING: Final = b'{"state":"running"}'
 # Prefix of the keys that the system itself writes.
--- a/wisteriastair/platform/store.py
+++ b/wisteriastair/platform/store.py
@@ -26,6 +26,8 @@
 
 CONNECT_TIMEOUT_S: Final = 0.7
 MS_PER_S: Final = 1000
+# Keys that one call may write and remove.
+MAX_TXN_ENTRIES: Final = 32
 
 
 class StoreItem(NamedTuple):
@@ -197,14 +199,28 @@
         """Write a key unconditionally; the call is idempotent."""
         return await self._write([], key, value)
 
+    async def update(
+        self, values: dict[str, bytes], removed: list[str]
+    ) -> Swapped | SwapConflict | StoreError:
+        """Write some keys and remove others; the call is idempotent.
+
+        At most `MAX_TXN_ENTRIES` keys.
+        """
+        puts = [_encode_put(key, value) for key, value in values.items()]
+        return await self._commit([], puts, removed)
+
     async def _write(
         self, precondition: list[dict[str, str | int]], key: str, value: bytes
     ) -> Swapped | SwapConflict | StoreError:
-        body = {
-            "precondition": precondition,
-            "puts": [{"key": key, "value": b64encode(value).decode()}],
-            "remove": [],
-        }
+        return await self._commit(precondition, [_encode_put(key, value)], [])
+
+    async def _commit(
+        self,
+        precondition: list[dict[str, str | int]],
+        puts: list[dict[str, str]],
+        removed: list[str],
+    ) -> Swapped | SwapConflict | StoreError:
+        body = {"precondition": precondition, "puts": puts, "remove": removed}
         response = await self._call("POST", "/v1/kv-txn", json=body)
         if isinstance(response, StoreError):
             return response
@@ -249,6 +265,10 @@
         return response
 
 
+def _encode_put(key: str, value: bytes) -> dict[str, str]:
+    return {"key": key, "value": b64encode(value).decode()}
+
+
 def _decode_item(raw: _ItemData) -> StoreItem:
     if raw.removed:
         return StoreItem(raw.key, raw.rev, None)
--- a/wisteriastair/relay/crashes.py
+++ b/wisteriastair/relay/crashes.py
@@ -63,6 +63,7 @@
 
     def __init__(self, job: Job, server: Server) -> None:
         self.key = job.identity.key()
+        self.description = job.identity.description()
         self.request = job.caller_req.id
         self.program = job.caller_req.program
         self.server = server
@@ -223,7 +224,8 @@
             if interrupted.expires_at < now:
                 continue
             interrupted.has_crashed = True
-            if self.table.add(interrupted.key, [server_key(incarnation)], now):
+            servers = [server_key(incarnation)]
+            if self.table.add(interrupted.key, servers, now, interrupted.description):
                 interrupted.shared = self._share.report_crash(interrupted.key)
                 self._metrics.server_crashes.labels(evidence.value).inc()
                 self._log_crash(interrupted, evidence, now)
--- a/wisteriastair/relay/crashshare.py
+++ b/wisteriastair/relay/crashshare.py
@@ -17,7 +17,7 @@
 
 from ..core.hashing import address_of
 from ..core.ledgerwire import CrashReport, CrashUpdate, LedgerMessage
-from ..scheduling.crashes import MAX_ENTRIES, CrashTable, make_entry, read_age_s
+from ..scheduling.crashes import MAX_ENTRIES, CrashTable, add_entry, make_entry
 
 # Seconds after which a report without a reply is sent again, and how often.  A keeper
 # that is silent for longer has been replaced as a watcher, or learns all at its return.
@@ -155,7 +155,7 @@
         quarantined = []
         for entry in update.crashes[:MAX_ENTRIES]:
             was_quarantined = self.table.is_quarantined(entry.key)
-            if not self.table.add(entry.key, entry.servers, now - read_age_s(entry)):
+            if not add_entry(self.table, entry, now):
                 continue
             if not was_quarantined and self.table.is_quarantined(entry.key):
                 quarantined.append(entry.key)
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -39,6 +39,7 @@
 from ..peers.transport import Transport
 from ..platform.documents import (
     CONFIG_KEY,
+    QUARANTINE_KEY_PREFIX,
     SERVER_KEY_PREFIX,
     VIEW_KEY,
     InvalidDocument,
@@ -46,6 +47,7 @@
     decode_server,
 )
 from ..platform.mirror import Mirror
+from ..platform.quarantine import apply_record
 from ..platform.store import Store, StoreItem
 from ..scheduling.crashes import CrashTable
 from ..scheduling.fleet import REREGISTRATION_S, Fleet
@@ -286,6 +288,9 @@
             self._apply_view(item.value)
         elif item.key.startswith(SERVER_KEY_PREFIX):
             self._apply_server(item)
+        elif item.key.startswith(QUARANTINE_KEY_PREFIX):
+            now = asyncio.get_running_loop().time()
+            apply_record(self._crashes.table, item.key, item.value, now)
 
     def _apply_config(self, item: StoreItem) -> None:
         if item.value is None:
--- a/wisteriastair/relay/job.py
+++ b/wisteriastair/relay/job.py
@@ -140,7 +140,7 @@
     def identity(self) -> RequestIdentity:
         """What all attempts of this request have in common."""
         req, caller_req = self.req, self.caller_req
-        envelope = (
+        return RequestIdentity(
             self.customer_name or "",
             req.method,
             caller_req.host,
@@ -148,8 +148,8 @@
             caller_req.program,
             caller_req.session,
             caller_req.previous_id,
+            req.body,
         )
-        return RequestIdentity(envelope, req.body)
 
     @property
     def admitted_at(self) -> float:
--- a/wisteriastair/scheduling/crashes.py
+++ b/wisteriastair/scheduling/crashes.py
@@ -33,6 +33,8 @@
 # Bytes of each half of a request key.
 DIGEST_BYTES: Final = 8
 KEY_BYTES: Final = 2 * DIGEST_BYTES
+# Characters that describe a request to operators.
+MAX_DESCRIPTION: Final = 200
 # Entries of one message that are read.
 MAX_ENTRIES: Final = 4096
 MS_PER_S: Final = 1000.0
@@ -47,16 +49,34 @@
 
     Attributes
     ----------
-    envelope : tuple of str
-        All parts but the body.
+    customer, method, host, target : str
+        Name of the customer, and the first line of the request.
+    program, session, previous_turn : str
+        Ids that the caller sent; empty if it sent none.
     """
 
-    envelope: tuple[str, ...]
+    customer: str
+    method: str
+    host: str
+    target: str
+    program: str
+    session: str
+    previous_turn: str
     body: bytes
 
     def envelope_digest(self) -> bytes:
-        """Return the digest of the envelope, which is the first half of the key."""
-        return _digest("\x00".join(self.envelope).encode())
+        """Return the digest of all but the body, the first half of the key."""
+        return _digest("\x00".join(self[:-1]).encode())
+
+    def description(self) -> str:
+        """Return what operators are told of the request; the query may be private."""
+        path = self.target.partition("?")[0]
+        parts = [self.method, self.host + path]
+        if self.program:
+            parts.append(f"program {self.program}")
+        if self.customer:
+            parts.append(f"customer {self.customer}")
+        return " ".join(parts)[:MAX_DESCRIPTION]
 
     def key(self) -> bytes:
         """Return the key of the request."""
@@ -73,6 +93,7 @@
     def __init__(self) -> None:
         self.servers: set[int] = set()
         self.last_at = 0.0
+        self.description = ""
 
 
 class CrashTable:
@@ -133,6 +154,15 @@
         crashes = self._quarantined.get(key) or self._suspects[key]
         return crashes.last_at
 
+    def description(self, key: bytes) -> str:
+        """Return what is known of a remembered request."""
+        crashes = self._quarantined.get(key) or self._suspects[key]
+        return crashes.description
+
+    def quarantined_keys(self) -> list[bytes]:
+        """Return the quarantined requests."""
+        return list(self._quarantined)
+
     def keys(self) -> list[bytes]:
         """Return the remembered requests."""
         return [*self._quarantined, *self._suspects]
@@ -141,7 +171,9 @@
         """Return whether a request must not be sent to a server."""
         return key in self._quarantined
 
-    def add(self, key: bytes, servers: Iterable[int], now: float) -> bool:
+    def add(
+        self, key: bytes, servers: Iterable[int], now: float, description: str = ""
+    ) -> bool:
         """Add servers that crashed under a request; return whether any is new.
 
         Invalid keys are ignored, and servers beyond the limit say nothing more.
@@ -156,6 +188,7 @@
         crashes = self._take(key) or _Crashes()
         crashes.servers.update(new)
         crashes.last_at = now
+        crashes.description = description[:MAX_DESCRIPTION] or crashes.description
         is_quarantined = len(crashes.servers) >= self.max_crashes
         entries = self._quarantined if is_quarantined else self._suspects
         limit = MAX_QUARANTINED if is_quarantined else MAX_REQUESTS
@@ -196,7 +229,15 @@
 def make_entry(table: CrashTable, key: bytes, now: float) -> RequestCrashes:
     """Return what a table knows of a request, as part of a message."""
     age_ms = int(max(0.0, now - table.last_at(key)) * MS_PER_S)
-    return RequestCrashes(key, sorted(table.servers(key)), age_ms)
+    return RequestCrashes(
+        key, sorted(table.servers(key)), age_ms, table.description(key)
+    )
+
+
+def add_entry(table: CrashTable, entry: RequestCrashes, now: float) -> bool:
+    """Add an entry of a message to a table; return whether a server is new."""
+    last_at = now - read_age_s(entry)
+    return table.add(entry.key, entry.servers, last_at, entry.description)
 
 
 def read_age_s(entry: RequestCrashes) -> float:
