--- a/tests/relay/test_crashshare.py
+++ b/tests/relay/test_crashshare.py
@@ -110,7 +110,7 @@
     async def main() -> None:
         network = CrashNetwork()
         share = network.add_relay("r0")
-        share.table.add(KEY, [1, 2, 3], 0.0)
+        share.table.add(KEY, [1, 2, 3], anyio.current_time())
         share.report_crash(KEY)
         await anyio.sleep(0.02)
         restarted = network.add_relay("r0")
@@ -130,7 +130,7 @@
             group.start_soon(network.run)
             await anyio.sleep(0.02)
             network.unreachable = {"r1"}
-            shares[0].table.add(KEY, [1, 2, 3], 0.0)
+            shares[0].table.add(KEY, [1, 2, 3], anyio.current_time())
             shares[0].report_crash(KEY)
             await anyio.sleep(0.02)
             assert not shares[1].table.is_quarantined(KEY)
@@ -149,7 +149,7 @@
         network = CrashNetwork()
         shares = [network.add_relay(f"r{number}") for number in range(3)]
         for number in (0, 1):
-            shares[number].table.add(KEY, [number], 0.0)
+            shares[number].table.add(KEY, [number], anyio.current_time())
             shares[number].report_crash(KEY)
         await anyio.sleep(0.02)
         assert shares[2].table.count(KEY) == 2
@@ -168,7 +168,7 @@
 
     async def main() -> None:
         share = CrashShare(CrashTable(), list)
-        share.table.add(KEY, [1, 2, 3], 0.0)
+        share.table.add(KEY, [1, 2, 3], anyio.current_time())
         with anyio.fail_after(0.1):
             await share.report_crash(KEY).wait()
         assert share.table.is_quarantined(KEY)
