A resumed stream runs on no more servers than its route allows

What callers saw: nothing; the operator's limit of servers for a request was passed.

Cause: the route's maximum was read for plain services alone. A stream was bounded by its number of resumptions, so after a reset connection it went on at up to three servers when the first one was too full to take it back, though none had ended.

Change: servers that may have run the stream count, other than those that crashed, cannot be reached, or lost their address to another server.

Result: the new test (a route with one server, servers that reset the stream once and are full after that) ran it on 3 servers before and on 1 now; a stream whose server crashed is still resumed on another one.

--- a/tests/relay/test_crashes.py
+++ b/tests/relay/test_crashes.py
@@ -207,3 +207,66 @@
             assert (await send(harness, body, "c")).status == 200
 
     run_scenario(servers, scenario)
+
+
+def refuse_after_reset(events: int) -> Script:
+    """Make a script that resets a stream after some events, and then is full."""
+    has_reset = False
+
+    async def serve(exchange: Exchange) -> None:
+        nonlocal has_reset
+        if has_reset:
+            await exchange.write_text(
+                "HTTP/1.1 503 Service Unavailable\nX-Not-Executed: 1\n"
+                "Content-Length: 0\n\n"
+            )
+            return
+        has_reset = True
+        for event in range(1, events + 1):
+            await exchange.send_event(f"id: {event}\ndata: x\n\n")
+        exchange.reset()
+
+    return serve
+
+
+@pytest.mark.parametrize("events", [0, 1])
+def test_resumed_stream_runs_on_no_more_servers_than_its_route_allows(
+    events: int,
+) -> None:
+    """The connection is reset, and the server is then too full to resume the stream.
+
+    The route allows one server, and this one has not crashed.
+    """
+    servers = [ScriptedServer(f"s{n}", refuse_after_reset(events)) for n in range(4)]
+
+    async def scenario(harness: RelayHarness) -> None:
+        await harness.request("talk")
+        assert sum(bool(server.exchanges) for server in servers) == 1
+
+    run_scenario(servers, scenario)
+
+
+def test_stream_is_resumed_on_another_server_after_a_crash() -> None:
+    """A server that crashed does not count: the route allows one server."""
+    servers = [ScriptedServer(f"s{n}", answer_ok) for n in range(3)]
+    crashed = False
+
+    async def serve(exchange: Exchange) -> None:
+        nonlocal crashed
+        if not crashed:
+            crashed = True
+            await exchange.send_event("id: 1\ndata: x\n\n")
+            next(s for s in servers if exchange in s.exchanges).crash()
+            return
+        assert exchange.header("Last-Event-Id") == "1"
+        await exchange.stream("id: 2\ndata: y\n\n")
+
+    for server in servers:
+        server.script = serve
+
+    async def scenario(harness: RelayHarness) -> None:
+        reply = await harness.request("talk")
+        assert reply.whole
+        assert reply.body == b"id: 1\ndata: x\n\nid: 2\ndata: y\n\n"
+
+    run_scenario(servers, scenario)
--- a/wisteriastair/relay/dispatch.py
+++ b/wisteriastair/relay/dispatch.py
@@ -33,8 +33,9 @@
 
 # A server that reports that it is full is avoided for this time.
 OVERLOAD_BACKOFF_S: Final = 0.15
-# Status of a server without room; a 421 means another process at the same address.
+# Status of a server without room, and of another process at its address.
 FULL_STATUS: Final = 503
+MISDIRECTED_STATUS: Final = 421
 BYTES_PER_KB: Final = 1000.0
 SUCCESS_STATUSES: Final = range(200, 300)
 # Interval in seconds at which the weights of servers are read.
@@ -54,11 +55,14 @@
     ----------
     is_full : bool
         Whether the server rejected the request because it is full.
+    is_gone : bool
+        Whether the server cannot be reached, or another one has taken its address.
     """
 
     server: str
     reason: str
     is_full: bool = False
+    is_gone: bool = False
 
 
 class ResponseStarted(NamedTuple):
@@ -274,7 +278,7 @@
             if isinstance(server_conn, str):
                 self.record_failure(state)
                 succeeded = False
-                yield NotRun(server.id, server_conn)
+                yield NotRun(server.id, server_conn, is_gone=True)
                 return
             exchange = Exchange(request_id, req.method)
             first_line = f"{req.method} {req.target} HTTP/1.1".encode("latin-1")
@@ -343,7 +347,8 @@
             is_full = head.status == FULL_STATUS
             if is_full:
                 state.full_at = now
-            return NotRun(server_id, f"status {head.status}", is_full)
+            is_gone = head.status == MISDIRECTED_STATUS
+            return NotRun(server_id, f"status {head.status}", is_full, is_gone)
         return ResponseStarted(state, exchange, server_conn, head, open_req, timer)
 
     def _record_load(
--- a/wisteriastair/relay/streams.py
+++ b/wisteriastair/relay/streams.py
@@ -175,6 +175,8 @@
         job = turn.job
         excluded: set[str] = set()
         full: frozenset[str] = frozenset()
+        # Servers that may have run the request; those that are gone do not count.
+        run_on: set[str] = set()
         resume_count = 0
         resume_on: ServerState | None = None
         may_retry = True
@@ -202,6 +204,8 @@
                     delay_s = job.admission.retry_after_s()
                     return Failure(Code.SERVERS_FULL, detail, "no", delay_s)
                 return Failure(Code.NO_SERVER, detail, "no", RETRY_AFTER_S)
+            if len(run_on | {state.server.id}) > job.route.max_servers:
+                return Failure(Code.SERVER_LOST, job.reason, "unknown")
             room = await self._order.take_room(job, state, excluded)
             if isinstance(room, Failure):
                 if turn.response_started or resume_count:
@@ -245,6 +249,8 @@
             job.reason = error.reason
             if isinstance(error, NotRun):
                 excluded.add(error.server)
+                if error.is_gone:
+                    run_on.discard(error.server)
                 job.sent_to = None
                 job.was_sent = turn.response_started or resume_count > 0
                 # A stream that has begun is not lost for the sake of the budget.
@@ -252,8 +258,11 @@
                     job.was_sent or not error.is_full or job.admission.take_retry()
                 )
                 continue
-            if error.is_disconnected:
-                await self._dispatcher.crashes.examine(job, state)
+            run_on.add(error.server)
+            if error.is_disconnected and await self._dispatcher.crashes.examine(
+                job, state
+            ):
+                run_on.discard(error.server)
             if not _can_resume(turn) or resume_count >= MAX_RESUMES:
                 return Failure(Code.SERVER_LOST, error.reason, "unknown")
             # Prefer the same server: it has the prompt in its cache, and a run on
