Flags for the number of crashes and the length of a quarantine

Operators could not set the bound under which a request is quarantined. Both flags exist for relays and keepers, are checked at the start, and name themselves when out of range.

--- a/tests/relay/crash_network.py
+++ b/tests/relay/crash_network.py
@@ -13,7 +13,7 @@
 )
 from wisteriastair.keeper.crashes import CrashKeeper
 from wisteriastair.relay.crashshare import CrashShare
-from wisteriastair.scheduling.crashes import CrashTable
+from wisteriastair.scheduling.crashes import DEFAULT_LIMITS, CrashLimits, CrashTable
 
 TICK_S = 0.05
 
@@ -29,10 +29,13 @@
         Messages sent.
     """
 
-    def __init__(self, watchers: int = 2) -> None:
+    def __init__(self, watchers: int = 2, limits: CrashLimits = DEFAULT_LIMITS) -> None:
         self.unreachable: set[str] = set()
         self.messages = 0
-        self.keepers = {f"k{n}:1": CrashKeeper(CrashTable()) for n in range(watchers)}
+        self._limits = limits
+        self.keepers = {
+            f"k{n}:1": CrashKeeper(CrashTable(limits)) for n in range(watchers)
+        }
         self._incarnations = dict.fromkeys(self.keepers, 0)
         self._shares: dict[str, CrashShare] = {}
 
@@ -41,7 +44,7 @@
 
     def add_relay(self, name: str) -> CrashShare:
         """Add a relay, or replace it by one that knows nothing."""
-        share = CrashShare(CrashTable(), self.watchers)
+        share = CrashShare(CrashTable(self._limits), self.watchers)
         share.start(_Sender(self, name))
         self._shares[name] = share
         for address, keeper in self.keepers.items():
@@ -50,7 +53,7 @@
 
     def restart_keeper(self, address: str) -> None:
         """Replace a keeper by one that knows nothing."""
-        self.keepers[address] = CrashKeeper(CrashTable())
+        self.keepers[address] = CrashKeeper(CrashTable(self._limits))
         self._incarnations[address] += 1
         for name in self._shares:
             snapshot = self.keepers[address].snapshot(_now())
--- a/tests/relay/test_crashshare.py
+++ b/tests/relay/test_crashshare.py
@@ -23,7 +23,7 @@
 )
 from wisteriastair.keeper.crashes import CrashKeeper
 from wisteriastair.relay.crashshare import CrashShare
-from wisteriastair.scheduling.crashes import CrashTable
+from wisteriastair.scheduling.crashes import CrashLimits, CrashTable
 
 KEY = bytes(range(16))
 Scenario = Callable[[CrashNetwork, list[RelayHarness]], Awaitable[None]]
@@ -176,6 +176,24 @@
     anyio.run(main)
 
 
+@pytest.mark.parametrize("max_crashes", [1, 2, 5])
+def test_bound_that_operators_set_is_kept(max_crashes: int) -> None:
+    """Relays find one crash each, in turn."""
+
+    async def main() -> None:
+        limits = CrashLimits(max_crashes)
+        network = CrashNetwork(limits=limits)
+        shares = [network.add_relay(f"r{number}") for number in range(max_crashes + 1)]
+        for number in range(max_crashes):
+            assert not any(share.table.is_quarantined(KEY) for share in shares)
+            shares[number].table.add(KEY, [number], anyio.current_time())
+            shares[number].report_crash(KEY)
+            await anyio.sleep(0.02)
+        assert all(share.table.is_quarantined(KEY) for share in shares)
+
+    anyio.run(main)
+
+
 def test_requests_of_a_lost_failure_domain_are_not_sent_to_all_relays() -> None:
     """A domain of 115 servers ends with all its requests: each is counted once."""
     keeper = CrashKeeper(CrashTable())
--- a/wisteriastair/keeper/crashes.py
+++ b/wisteriastair/keeper/crashes.py
@@ -41,7 +41,7 @@
 
     @property
     def _min_shared(self) -> int:
-        return max(1, self.table.max_crashes - 1)
+        return max(1, self.table.limits.max_crashes - 1)
 
     def receive(self, report: CrashReport, now: float) -> CrashUpdate | None:
         """Add a report; return the reply to the relay, if it needs one."""
--- a/wisteriastair/keeper/daemon.py
+++ b/wisteriastair/keeper/daemon.py
@@ -109,7 +109,7 @@
         self._picture = PictureKeeper(
             cfg.internal_address, cfg.max_failures, time.monotonic()
         )
-        self._crashes = CrashKeeper(CrashTable())
+        self._crashes = CrashKeeper(CrashTable(cfg.crash_limits))
         self._quarantine = QuarantineRecords(self._crashes, self._store)
         self._stop = anyio.Event()
         self._metrics = KeeperMetrics()
--- a/wisteriastair/nodeoptions.py
+++ b/wisteriastair/nodeoptions.py
@@ -6,9 +6,15 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from .core.quota import QuotaBounds
+from .scheduling.crashes import CrashLimits
+
+# Most servers that operators may allow to crash under one request, and the longest
+# quarantine in seconds: a day.
+MAX_MAX_CRASHES: Final = 100
+MAX_QUARANTINE_S: Final = 86_400.0
 
 
 class NodeOptions(NamedTuple):
@@ -61,6 +67,8 @@
     has_memory_pressure : bool
         Whether callers and servers may read slowly, and servers crash if the requests
         that they hold exceed their memory.
+    crash_limits : CrashLimits
+        When a request is quarantined, and for how long.
     """
 
     name: str
@@ -84,6 +92,7 @@
     cpu_cores: float = 0.0
     link_bytes_per_s: float = 0.0
     has_memory_pressure: bool = False
+    crash_limits: CrashLimits = CrashLimits()
 
     @property
     def change_deadline_s(self) -> float:
@@ -97,10 +106,23 @@
 
 
 class BadNodeSetting(NamedTuple):
-    """A field of the settings file that is missing or invalid."""
+    """A field of the settings file, or a flag, that is missing or invalid."""
 
     field: str
     reason: str
 
     def __str__(self) -> str:
-        return f"settings file: {self.field}: {self.reason}"
+        source = "" if self.field.startswith("--") else "settings file: "
+        return f"{source}{self.field}: {self.reason}"
+
+
+def check_crash_limits(limits: CrashLimits) -> BadNodeSetting | None:
+    """Return the flag of a limit that is out of range; None if there is none."""
+    if not 1 <= limits.max_crashes <= MAX_MAX_CRASHES:
+        return BadNodeSetting("--max-crashes", f"is not in 1 to {MAX_MAX_CRASHES}")
+    # A comparison with NaN is false.
+    if not 0 < limits.quarantine_s <= MAX_QUARANTINE_S:
+        return BadNodeSetting(
+            "--quarantine-s", f"is not above 0 and at most {MAX_QUARANTINE_S:.0f}"
+        )
+    return None
--- a/wisteriastair/nodes.py
+++ b/wisteriastair/nodes.py
@@ -15,8 +15,9 @@
 import anyio
 
 from .logs import set_up_daemon_logs
-from .nodeoptions import BadNodeSetting, NodeOptions
+from .nodeoptions import BadNodeSetting, NodeOptions, check_crash_limits
 from .platform.settings import SETTINGS_VARIABLE, load_settings
+from .scheduling.crashes import MAX_AGE_S, MAX_CRASHES, CrashLimits
 
 EXIT_BAD_SETTING: Final = 2
 # Allocations between two garbage collections of the youngest generation.  The default
@@ -25,7 +26,13 @@
 GC_THRESHOLD: Final = 20_000
 
 
-def relay(*, settings: str = "", log_level: str = "info") -> int:
+def relay(
+    *,
+    settings: str = "",
+    log_level: str = "info",
+    max_crashes: int = MAX_CRASHES,
+    quarantine_s: float = MAX_AGE_S,
+) -> int:
     """Run a relay, which forwards callers' requests to backend servers.
 
     Parameters
@@ -34,11 +41,22 @@
         Path of the platform's settings file; the default is $WISTERIASTAIR_BOOT.
     log_level : str
         debug, info, warning or error.
+    max_crashes : int
+        Servers that may crash under one request; the same in every process.
+    quarantine_s : float
+        Seconds after the last of them for which it is not sent again.
     """
-    return _start(settings, log_level, _run_relay)
+    limits = CrashLimits(max_crashes, quarantine_s)
+    return _start(settings, log_level, limits, _run_relay)
 
 
-def keeper(*, settings: str = "", log_level: str = "info") -> int:
+def keeper(
+    *,
+    settings: str = "",
+    log_level: str = "info",
+    max_crashes: int = MAX_CRASHES,
+    quarantine_s: float = MAX_AGE_S,
+) -> int:
     """Run a keeper, which stores a replica of the ledger on an instance with a disk.
 
     Parameters
@@ -47,8 +65,13 @@
         Path of the platform's settings file; the default is $WISTERIASTAIR_BOOT.
     log_level : str
         debug, info, warning or error.
+    max_crashes : int
+        Servers that may crash under one request; the same in every process.
+    quarantine_s : float
+        Seconds after the last of them for which it is not sent again.
     """
-    return _start(settings, log_level, _run_keeper)
+    limits = CrashLimits(max_crashes, quarantine_s)
+    return _start(settings, log_level, limits, _run_keeper)
 
 
 def _run_relay(cfg: NodeOptions) -> BadNodeSetting | None:
@@ -70,10 +93,15 @@
 
 
 def _start(
-    settings: str, log_level: str, run: Callable[[NodeOptions], BadNodeSetting | None]
+    settings: str,
+    log_level: str,
+    limits: CrashLimits,
+    run: Callable[[NodeOptions], BadNodeSetting | None],
 ) -> int:
     gc.set_threshold(GC_THRESHOLD)
     cfg = load_settings(settings or os.environ.get(SETTINGS_VARIABLE, ""))
+    if not isinstance(cfg, BadNodeSetting):
+        cfg = check_crash_limits(limits) or cfg._replace(crash_limits=limits)
     name = "" if isinstance(cfg, BadNodeSetting) else cfg.name
     set_up_daemon_logs(log_level, name)
     bad_setting = cfg if isinstance(cfg, BadNodeSetting) else run(cfg)
--- a/wisteriastair/platform/quarantine.py
+++ b/wisteriastair/platform/quarantine.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from ..scheduling.crashes import KEY_BYTES, MAX_AGE_S, CrashTable
+from ..scheduling.crashes import KEY_BYTES, CrashTable
 from .documents import QUARANTINE_KEY_PREFIX
 
 log = logging.getLogger(__name__)
@@ -51,7 +51,8 @@
 
 def make_record(table: CrashTable, request_key: bytes, now: float) -> bytes:
     """Return the record of a quarantined request."""
-    remaining_s = MAX_AGE_S - (now - table.last_at(request_key))
+    elapsed_s = now - table.last_at(request_key)
+    remaining_s = table.limits.quarantine_s - elapsed_s
     record = QuarantineRecord(
         table.description(request_key),
         sorted(table.servers(request_key)),
@@ -73,8 +74,9 @@
         except msgspec.DecodeError as exc:
             _log_invalid(key, str(exc))
             return
-        remaining_s = min(MAX_AGE_S, max(0.0, record.until - time.time()))
-        last_at = now - MAX_AGE_S + remaining_s
+        quarantine_s = table.limits.quarantine_s
+        remaining_s = min(quarantine_s, max(0.0, record.until - time.time()))
+        last_at = now - quarantine_s + remaining_s
         table.add(request_key, record.servers, last_at, record.request)
 
 
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -107,7 +107,7 @@
             has_memory_pressure=cfg.has_memory_pressure,
         )
         self._crash_share = CrashShare(
-            CrashTable(), lambda: self._subscription.watchers
+            CrashTable(cfg.crash_limits), lambda: self._subscription.watchers
         )
         self._crashes = CrashMonitor(self._pool, self._metrics, self._crash_share)
         self._dispatcher = Dispatcher(
--- a/wisteriastair/scheduling/crashes.py
+++ b/wisteriastair/scheduling/crashes.py
@@ -40,6 +40,24 @@
 MS_PER_S: Final = 1000.0
 
 
+class CrashLimits(NamedTuple):
+    """When a request is quarantined, and for how long.
+
+    Attributes
+    ----------
+    max_crashes : int
+        Servers that may crash under one request.
+    quarantine_s : float
+        Seconds after its last crash for which a request is remembered.
+    """
+
+    max_crashes: int = MAX_CRASHES
+    quarantine_s: float = MAX_AGE_S
+
+
+DEFAULT_LIMITS: Final = CrashLimits()
+
+
 class RequestIdentity(NamedTuple):
     """What is the same in all attempts of a request, and differs between requests.
 
@@ -101,17 +119,12 @@
 
     Parameters
     ----------
-    max_crashes : int
-        Crashes after which a request is quarantined.
-    max_age_s : float
-        Seconds after its last crash for which a request is remembered.
+    limits : CrashLimits
+        When a request is quarantined, and for how long.
     """
 
-    def __init__(
-        self, max_crashes: int = MAX_CRASHES, max_age_s: float = MAX_AGE_S
-    ) -> None:
-        self.max_crashes = max_crashes
-        self._max_age_s = max_age_s
+    def __init__(self, limits: CrashLimits = DEFAULT_LIMITS) -> None:
+        self.limits = limits
         # Both in the order of the last crash.
         self._suspects: dict[bytes, _Crashes] = {}
         self._quarantined: dict[bytes, _Crashes] = {}
@@ -182,14 +195,14 @@
             return False
         known = self.servers(key)
         new = [s for s in dict.fromkeys(servers) if s not in known]
-        new = new[: max(0, self.max_crashes - len(known))]
+        new = new[: max(0, self.limits.max_crashes - len(known))]
         if not new:
             return False
         crashes = self._take(key) or _Crashes()
         crashes.servers.update(new)
         crashes.last_at = now
         crashes.description = description[:MAX_DESCRIPTION] or crashes.description
-        is_quarantined = len(crashes.servers) >= self.max_crashes
+        is_quarantined = len(crashes.servers) >= self.limits.max_crashes
         entries = self._quarantined if is_quarantined else self._suspects
         limit = MAX_QUARANTINED if is_quarantined else MAX_REQUESTS
         if len(entries) >= limit:
@@ -209,7 +222,7 @@
         for entries in (self._suspects, self._quarantined):
             while entries:
                 key, crashes = next(iter(entries.items()))
-                if now - crashes.last_at <= self._max_age_s:
+                if now - crashes.last_at <= self.limits.quarantine_s:
                     break
                 if key in self._quarantined:
                     lifted.append(key)
@@ -236,10 +249,6 @@
 
 def add_entry(table: CrashTable, entry: RequestCrashes, now: float) -> bool:
     """Add an entry of a message to a table; return whether a server is new."""
-    last_at = now - read_age_s(entry)
+    age_s = max(0.0, entry.age_ms / MS_PER_S)
+    last_at = now - min(table.limits.quarantine_s, age_s)
     return table.add(entry.key, entry.servers, last_at, entry.description)
-
-
-def read_age_s(entry: RequestCrashes) -> float:
-    """Return the age of an entry in seconds, clipped to a valid one."""
-    return min(MAX_AGE_S, max(0.0, entry.age_ms / MS_PER_S))
