Crashes are reported to keepers of the newest view; the soak plays such requests

What callers saw: in the soak, a request ended 5 servers.

Cause: relays reported to the watchers of the store, which each process chooses again only after the members have been unchanged for 2 s. At the start a relay knew one watcher, of the first view with one member; it froze, and the other relay heard nothing of two crashes.

Change: reports go to keepers chosen from the newest view, one more than there are watchers, and each report subscribes the relay to updates for 4 s.

The soak has a new kind of run (--crashes): callers send requests that crash each server that starts them, eight times each with new ids at relays of any number, beside all faults; crashed servers come back with other ids at other addresses. At most three servers may crash under a request. Excused and printed are crashes whose attempt got no answer (the relay was killed with it), and counts that only memory held when all processes were killed.

--- a/tests/relay/harness.py
+++ b/tests/relay/harness.py
@@ -112,6 +112,9 @@
 
 def reset_connection(writer: asyncio.StreamWriter) -> None:
     sock = writer.get_extra_info("socket")
+    if sock.fileno() < 0:
+        # The server has crashed meanwhile.
+        return
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
 
--- a/tests/relay/test_crashshare.py
+++ b/tests/relay/test_crashshare.py
@@ -75,13 +75,13 @@
     run_world(servers, scenario, 6)
 
 
-def test_crashes_are_shared_while_one_watcher_is_away() -> None:
-    """Either watcher suffices, and it may be another one each time."""
+def test_crashes_are_shared_while_one_keeper_is_away() -> None:
+    """Any of the others suffices, and it may be another one each time."""
     servers = make_servers(24)
 
     async def scenario(network: CrashNetwork, relays: list[RelayHarness]) -> None:
         for number, relay in enumerate(relays):
-            network.unreachable = {f"k{number % 2}:1"}
+            network.unreachable = {f"k{number % 3}:1"}
             await send(relay, f"attempt-{number}")
             await anyio.sleep(0.3)
         assert count_crashed(servers) <= MAX_CRASHES
@@ -90,15 +90,16 @@
 
 
 def test_restarted_keepers_learn_from_relays() -> None:
-    """All watchers lose their memory between two attempts."""
+    """All keepers lose their memory between two attempts."""
     servers = make_servers(24)
 
     async def scenario(network: CrashNetwork, relays: list[RelayHarness]) -> None:
         for number, relay in enumerate(relays):
             await send(relay, f"attempt-{number}")
-            for address in network.watchers():
+            for address in network.addresses():
                 network.restart_keeper(address)
-            await anyio.sleep(0.05)
+            # Until each relay has renewed its subscription.
+            await anyio.sleep(1.2)
         assert count_crashed(servers) <= MAX_CRASHES
 
     run_world(servers, scenario, 6)
@@ -121,7 +122,7 @@
 
 
 def test_relay_asks_for_what_it_missed() -> None:
-    """Updates are lost while a relay is cut off from the watchers."""
+    """Updates are lost while a relay is cut off from the keepers."""
 
     async def main() -> None:
         network = CrashNetwork()
@@ -158,12 +159,12 @@
         await anyio.sleep(0.02)
         tables = [share.table for share in shares]
         tables += [keeper.table for keeper in network.keepers.values()]
-        assert [table.count(KEY) for table in tables] == [0] * 5
+        assert [table.count(KEY) for table in tables] == [0] * len(tables)
 
     anyio.run(main)
 
 
-def test_relays_without_watchers_count_for_themselves() -> None:
+def test_relays_without_keepers_count_for_themselves() -> None:
     """The members of the ledger are not known yet, so a crash is told to nobody."""
 
     async def main() -> None:
@@ -200,8 +201,8 @@
     crashes = [RequestCrashes(n.to_bytes(16, "big"), [n % 115]) for n in range(1400)]
     for start in range(0, len(crashes), 12):
         report = CrashReport(start + 1, crashes[start : start + 12])
-        assert keeper.receive(report, 0.0) is not None
-        assert keeper.next_update(0.0) is None
+        receivers = [to for to, _ in keeper.receive(f"r{start}", report, 0.0)]
+        assert set(receivers) == {f"r{start}"}
 
 
 @pytest.mark.parametrize(
@@ -215,7 +216,7 @@
 def test_damaged_entries_quarantine_nothing(entry: RequestCrashes) -> None:
     """Wrong keys, no servers, and one server many times."""
     keeper = CrashKeeper(CrashTable())
-    keeper.receive(CrashReport(1, [entry]), 0.0)
+    keeper.receive("r0", CrashReport(1, [entry]), 0.0)
     assert keeper.table.quarantined_count == 0
 
     async def main() -> None:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -25,6 +25,7 @@
 
 from tests.platform.standin_store import standin_store
 from tests.relay.harness import Caller, Reply
+from tests.soak.crashes import FATAL_PREFIX
 from tests.soak.customers import (
     API_KEYS,
     FLOODING_CUSTOMER,
@@ -78,6 +79,12 @@
 FLOODING_CALLER_COUNT: Final = 3
 FLOOD_PAUSE_S: Final = 0.03
 UNKNOWN_KEY_PAUSE_S: Final = 0.3
+# Callers whose requests crash servers, the attempts of each request, the pauses
+# between attempts, and the pause after the last one, in seconds.
+FATAL_CALLER_COUNT: Final = 2
+FATAL_ATTEMPTS: Final = 8
+FATAL_PAUSE_S: Final = (0.0, 0.4)
+FATAL_INTERVAL_S: Final = 2.0
 # Callers that read large responses slowly, their rates in bytes per second, and the
 # time after which they give up.  At the lowest rate they never read all of a response.
 SLOW_READER_COUNT: Final = 6
@@ -87,6 +94,13 @@
 SLOW_RECEIVE_BUFFER: Final = 8 * 1024
 
 
+class CrashCounts(NamedTuple):
+    """Crashes of servers, and answers of quarantines to innocent requests."""
+
+    crashes: int
+    innocents_quarantined: int
+
+
 class Result(NamedTuple):
     """Result of one seed.
 
@@ -107,6 +121,7 @@
     starved_count: int
     excused: list[str]
     violations: list[str]
+    crash_counts: CrashCounts
 
 
 class RelayConnection(NamedTuple):
@@ -252,6 +267,24 @@
         status = int(head.split(" ")[1])
         self._checker.record_response(request_id, status, body, True)
 
+    async def send_fatal(self, caller: str, rng: random.Random) -> None:
+        """Send requests that crash servers, each several times, until stopped."""
+        number = 0
+        while not self.stopped:
+            number += 1
+            body = f"{FATAL_PREFIX}{caller}-{number}"
+            name = rng.choice(("turn", "unsafe"))
+            for attempt in range(FATAL_ATTEMPTS):
+                if self.stopped:
+                    break
+                request_id = f"{body}-{attempt}"
+                self._checker.record_request(request_id, name)
+                auth = self._auth_header(request_id, assign_customer(body))
+                program = {"X_Program_Id": body, "X_Token_Usage": f"10,{MAX_TOKENS}"}
+                await self._send(name, request_id, body, **program, **auth)
+                await anyio.sleep(rng.uniform(*FATAL_PAUSE_S))
+            await anyio.sleep(FATAL_INTERVAL_S)
+
     async def _send_call(self, kind: str, customer: str) -> None:
         request_id = self._next_id(kind[0])
         self._checker.record_request(request_id, kind)
@@ -337,8 +370,17 @@
     variant: Variant | None = None,
     stops: bool = False,
     relays: int = 2,
+    crashes: bool = False,
 ) -> Result:
-    """Run one seed; with `stops` its faults are planned stops and concurrent faults."""
+    """Run one seed.
+
+    Parameters
+    ----------
+    stops : bool
+        Whether its faults are planned stops and concurrent faults.
+    crashes : bool
+        Whether some requests crash the servers that start them.
+    """
     rng = random.Random(f"{seed} callers and servers")
     # A separate generator makes the faults of a seed the same in each run.
     faults_rng = random.Random(f"{seed} faults")
@@ -371,6 +413,10 @@
                 for _ in range(FLOODING_CALLER_COUNT):
                     group.start_soon(callers.flood_requests)
                 group.start_soon(callers.send_unknown_key)
+                group.start_soon(deployment.replace_crashed_servers)
+                for number in range(FATAL_CALLER_COUNT if crashes else 0):
+                    fatal_rng = random.Random(f"{seed} fatal {number}")
+                    group.start_soon(callers.send_fatal, str(number), fatal_rng)
                 for _ in range(SLOW_READER_COUNT):
                     group.start_soon(callers.read_slowly)
                 if stops:
@@ -397,7 +443,18 @@
     violations = checker.find_violations()
     status_counts = dict(checker.status_counts)
     counts = (len(checker.stops), len(checker.starved_intervals))
-    return Result(seed, faults, status_counts, *counts, checker.excused, violations)
+    crash_counts = CrashCounts(
+        checker.crashes.crash_count(), checker.crashes.innocents_quarantined
+    )
+    return Result(
+        seed,
+        faults,
+        status_counts,
+        *counts,
+        checker.excused,
+        violations,
+        crash_counts,
+    )
 
 
 async def _wait_served(callers: Callers, program_prefix: str) -> bool:
@@ -416,18 +473,25 @@
     parser.add_argument("--count", type=int, default=20)
     parser.add_argument("--relays", type=int, default=2)
     parser.add_argument("--stops", action="store_true", help="play planned work")
+    parser.add_argument(
+        "--crashes", action="store_true", help="play requests that crash servers"
+    )
     args = parser.parse_args()
     failed = 0
     for seed in range(args.seed, args.seed + args.count):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        result = anyio.run(soak, seed, folder, None, args.stops, args.relays)
+        result = anyio.run(
+            soak, seed, folder, None, args.stops, args.relays, args.crashes
+        )
         status_counts = " ".join(
             f"{s}:{n}" for s, n in sorted(result.status_counts.items())
         )
         faults = ", ".join(result.faults)
         print(
             f"seed {seed}: {faults}; stops {result.stops}, held up "
-            f"{result.starved_count} times; answers {status_counts}",
+            f"{result.starved_count} times; crashes {result.crash_counts.crashes}, "
+            f"innocents quarantined {result.crash_counts.innocents_quarantined}; "
+            f"answers {status_counts}",
             flush=True,
         )
         for line in result.excused:
--- a/tests/soak/witness.py
+++ b/tests/soak/witness.py
@@ -14,6 +14,7 @@
 from contextlib import contextmanager
 from typing import Final, NamedTuple
 
+from tests.soak.crashes import FATAL_PREFIX, CrashChecker
 from tests.soak.customers import FLOODING_CUSTOMER, MAX_IN_A_WINDOW, WINDOW_S
 from tests.windows import max_in_a_window
 
@@ -110,6 +111,7 @@
 
     def __init__(self) -> None:
         self.violations: list[str] = []
+        self.crashes = CrashChecker()
         self.status_counts: dict[int, int] = defaultdict(int)
         self._kind_of_request: dict[str, str] = {}
         self._turns: dict[str, Turn] = {}
@@ -156,6 +158,11 @@
             self._rejected[request_id] = status
         if status == 401 and request_id in self._customer_of_request:
             self.violations.append(f"denied: {request_id} with a customer's key")
+        if status:
+            self.crashes.record_answer(request_id)
+        if status == 503 and b'"quarantined"' in body:
+            is_fatal = request_id.startswith(FATAL_PREFIX)
+            self.crashes.innocents_quarantined += not is_fatal
         turn = self._turns.get(request_id)
         if turn is None:
             if status == 200 and body != plain_answer(request_id).encode():
@@ -292,6 +299,8 @@
                     f"refused: {request_id} got {status} and has run"
                 )
         self._check_stops()
+        self.violations += self.crashes.find_violations()
+        self.excused += self.crashes.excused
         flood_count = max_in_a_window(self._flood_times, WINDOW_S)
         if flood_count > MAX_IN_A_WINDOW:
             self.violations.append(f"quota: {flood_count} requests in a window")
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -20,7 +20,8 @@
 
 from tests.platform.settings_file import write_settings
 from tests.platform.standin_store import StoreStandin
-from tests.relay.harness import Caller, Exchange, ScriptedServer
+from tests.relay.harness import Caller, Exchange, Script, ScriptedServer
+from tests.soak.crashes import FATAL_PREFIX
 from tests.soak.customers import tenants
 from tests.soak.witness import GuaranteeChecker, event_data, plain_answer
 from wisteriastair.standins.deployment import free_address
@@ -38,6 +39,13 @@
 GRACE_S: Final = 8.0
 # Interval of the checks whether a process has ended.
 EXIT_POLL_S: Final = 0.02
+# Servers; the first ones are engines.  The time after which a crashed server is
+# replaced, and the time after which the platform removes the entry of the old one, in
+# seconds.
+SERVER_COUNT: Final = 5
+ENGINE_COUNT: Final = 3
+REPLACEMENT_S: Final = (0.05, 0.8)
+ENTRY_REMOVAL_S: Final = 1.0
 # Interval in which the time that processes wait for a processor is sampled, and the
 # wait per interval above which a process counts as starved: half of ``lossSlackMs``,
 # and far shorter than the time after which keepers are considered failed.
@@ -144,6 +152,7 @@
         self._config_version = 0
         self._folder = folder
         self._rng = rng
+        self._crash_rng = random.Random(0)
         self._variant = variant
         self._ports = [int(free_address().rpartition(":")[2]) for _ in range(3)]
         # Concurrent soaks need different addresses.
@@ -165,26 +174,80 @@
         # the same relay could start it twice.
         self.relay_lock = anyio.Lock()
         self.servers = [
-            ScriptedServer(f"s{n}", self._engine if n < 3 else self._plain)
-            for n in range(5)
+            ScriptedServer(f"s{n}", self._script(n)) for n in range(SERVER_COUNT)
         ]
+        # When crashed servers are replaced, by their numbers.
+        self._replace_at: dict[int, float] = {}
+        self._remove_entry_at: dict[str, float] = {}
+        self._active: dict[int, set[str]] = {n: set() for n in range(SERVER_COUNT)}
 
     # Servers
 
     async def start_servers(self) -> None:
         """Start the servers, and write them and the configuration into the store."""
         self.configure()
-        for number, server in enumerate(self.servers):
-            await server.start()
-            service = "engines" if number < 3 else "plain"
-            entry = {
-                "service": service,
-                "address": server.address,
-                "zone": "z1",
-                "slots": 8,
-                "state": "ready",
-            }
-            self.store.put(f"servers/{server.id}", json.dumps(entry).encode())
+        for number in range(SERVER_COUNT):
+            await self._start_server(number)
+
+    async def _start_server(self, number: int) -> None:
+        server = self.servers[number]
+        await server.start()
+        entry = {
+            "service": "engines" if number < ENGINE_COUNT else "plain",
+            "address": server.address,
+            "zone": "z1",
+            "slots": 8,
+            "state": "ready",
+        }
+        self.store.put(f"servers/{server.id}", json.dumps(entry).encode())
+
+    def _script(self, number: int) -> Script:
+        serve = self._engine if number < ENGINE_COUNT else self._plain
+
+        async def run(exchange: Exchange) -> None:
+            request_id = exchange.header("X-Request-Id")
+            if request_id.startswith(FATAL_PREFIX):
+                self._crash_server(number, exchange)
+                return
+            self._active[number].add(request_id)
+            try:
+                await serve(exchange)
+            finally:
+                self._active[number].discard(request_id)
+
+        return run
+
+    def _crash_server(self, number: int, exchange: Exchange) -> None:
+        """Crash a server under a request, with all that it runs."""
+        server, now = self.servers[number], time.monotonic()
+        if server.has_crashed:
+            return
+        request_id = exchange.header("X-Request-Id")
+        body = exchange.body.decode()
+        self.checker.record_execution(request_id, body)
+        self.checker.crashes.record_crash(body, request_id, now)
+        for active_id in (request_id, *self._active[number]):
+            self.checker.record_reset(active_id)
+        server.crash()
+        self._replace_at[number] = now + self._crash_rng.uniform(*REPLACEMENT_S)
+        self._remove_entry_at[f"servers/{server.id}"] = now + ENTRY_REMOVAL_S
+
+    async def replace_crashed_servers(self) -> None:
+        """Replace crashed servers by others with new ids and addresses."""
+        while not self.stopped:
+            await anyio.sleep(EXIT_POLL_S)
+            now = time.monotonic()
+            for number, due in list(self._replace_at.items()):
+                if now >= due:
+                    del self._replace_at[number]
+                    server_id = f"{self.servers[number].id}x"
+                    script = self._script(number)
+                    self.servers[number] = ScriptedServer(server_id, script)
+                    await self._start_server(number)
+            for key, due in list(self._remove_entry_at.items()):
+                if now >= due:
+                    del self._remove_entry_at[key]
+                    self.store.remove(key)
 
     def configure(self, timeout_ms: int = 2000) -> None:
         """Write the next version of the configuration into the store."""
--- a/wisteriastair/core/ledgerwire.py
+++ b/wisteriastair/core/ledgerwire.py
@@ -454,7 +454,9 @@
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True, tag=17):
-    """Crashes that a relay found, to each watcher of the store, which replies to it.
+    """Crashes that a relay found, to some keepers, which reply to it.
+
+    Any report subscribes the relay to updates for some seconds.
 
     Attributes
     ----------
@@ -473,7 +475,7 @@
 
 
 class CrashUpdate(msgspec.Struct, frozen=True, array_like=True, tag=18):
-    """Requests that any relay may have to stop or to forget, from a watcher.
+    """Requests that any relay may have to stop or to forget, from a keeper.
 
     Attributes
     ----------
--- a/wisteriastair/core/watchers.py
+++ b/wisteriastair/core/watchers.py
@@ -75,6 +75,15 @@
     return spread_over_domains(order, max_failures + 1)
 
 
+def crash_keepers(view: View, max_failures: int) -> list[str]:
+    """Return the addresses of the keepers that sum crashes under requests.
+
+    There is one more than there are watchers, since relays adopt a view at different
+    times.  The first one in the list records quarantined requests in the store.
+    """
+    return [m.address for m in watchers_of(view, max_failures + 1)]
+
+
 def digest_keepers(view: View, max_failures: int) -> tuple[Member, ...]:
     """Choose the keepers that merge what relays report of servers.
 
@@ -148,18 +157,6 @@
         """Whether this process watches the store for the others."""
         return self._me in self._watchers
 
-    @property
-    def rank(self) -> int | None:
-        """Number of watchers before this process; None if it is none."""
-        if not self.is_watcher:
-            return None
-        return sorted(self._watchers).index(self._me)
-
-    @property
-    def watchers(self) -> list[str]:
-        """Addresses of the watchers, the nearest one first."""
-        return self._watchers
-
     def set_view(self, view: View, now: float) -> None:
         """Apply the member list from which the watchers are chosen.
 
@@ -289,11 +286,6 @@
         self._expire(now)
         return bool(self._expires_at)
 
-    def active(self, now: float) -> list[str]:
-        """Return the member ids of the subscribers."""
-        self._expire(now)
-        return list(self._expires_at)
-
     def make_updates(
         self, store_update: StoreUpdate, now: float
     ) -> list[tuple[str, StoreUpdate]]:
--- a/wisteriastair/keeper/crashes.py
+++ b/wisteriastair/keeper/crashes.py
@@ -1,4 +1,4 @@
-"""Sums of the crashes that relays find, on the keepers that watch the store.
+"""Sums of the crashes that relays find, on some keepers.
 
 Each relay reports to all of these keepers, so one of them is enough, and none holds the
 truth: relays keep what they know and tell it to a keeper that is new.  A keeper sends
@@ -17,6 +17,8 @@
 # Interval in seconds at which relays are told the revision while there is anything to
 # know, so that they notice a lost update.
 ANNOUNCE_INTERVAL_S: Final = 1.0
+# Seconds after its last report for which a relay gets updates: several of its reports.
+SUBSCRIPTION_S: Final = 4.0
 
 log = logging.getLogger(__name__)
 
@@ -38,13 +40,19 @@
         self._changed: set[bytes] = set()
         self._forgotten: set[bytes] = set()
         self._announced_at = 0.0
+        # Subscribed relays, by member id.
+        self._expires_at: dict[str, float] = {}
 
     @property
     def _min_shared(self) -> int:
         return max(1, self.table.limits.max_crashes - 1)
 
-    def receive(self, report: CrashReport, now: float) -> CrashUpdate | None:
-        """Add a report; return the reply to the relay, if it needs one."""
+    def receive(
+        self, sender: str, report: CrashReport, now: float
+    ) -> list[tuple[str, CrashUpdate]]:
+        """Add the report of a relay; return the messages to send, in order."""
+        is_new = sender not in self._expires_at
+        self._expires_at[sender] = now + SUBSCRIPTION_S
         known = []
         for entry in report.crashes[:MAX_ENTRIES]:
             if add_entry(self.table, entry, now):
@@ -52,17 +60,16 @@
             known.append(entry.key)
         for key in report.answered[:MAX_ENTRIES]:
             self.forget(key)
-        if report.wants_all:
-            return self.snapshot(now)
-        if not report.op:
-            return None
-        # The sums of the reported requests: the relay may complete a quarantine.
-        return CrashUpdate(
-            self._revision,
-            self._revision,
-            [make_entry(self.table, key, now) for key in known if key in self.table],
-            op=report.op,
-        )
+        # Other relays first: the reply releases the answer to the caller.
+        messages = self.next_updates(now)
+        if is_new or report.wants_all:
+            messages.append((sender, self._snapshot(now)))
+        if report.op:
+            # The sums of the reported requests: the relay may complete a quarantine.
+            entries = [make_entry(self.table, k, now) for k in known if k in self.table]
+            reply = CrashUpdate(self._revision, self._revision, entries, op=report.op)
+            messages.append((sender, reply))
+        return messages
 
     def _on_added(self, key: bytes) -> None:
         if self.table.count(key) < self._min_shared:
@@ -88,14 +95,18 @@
             self._changed.discard(key)
             self._forgotten.add(key)
 
-    def snapshot(self, now: float) -> CrashUpdate:
-        """Return all that relays have to know."""
+    def _snapshot(self, now: float) -> CrashUpdate:
         shared = [key for key in self._shared if key in self.table]
         entries = [make_entry(self.table, key, now) for key in shared]
         return CrashUpdate(0, self._revision, entries)
 
-    def next_update(self, now: float) -> CrashUpdate | None:
-        """Return the update to send to all relays now, if any."""
+    def next_updates(self, now: float) -> list[tuple[str, CrashUpdate]]:
+        """Return the updates to send to relays now."""
+        self._expires_at = {m: t for m, t in self._expires_at.items() if t >= now}
+        update = self._next_update(now)
+        return [(member, update) for member in self._expires_at if update is not None]
+
+    def _next_update(self, now: float) -> CrashUpdate | None:
         self.table.expire(now)
         for key in [key for key in self._shared if key not in self.table]:
             self.forget(key)
--- a/wisteriastair/keeper/daemon.py
+++ b/wisteriastair/keeper/daemon.py
@@ -33,7 +33,7 @@
 )
 from ..core.membership import Member, View, next_view
 from ..core.storetimes import make_store_timeouts
-from ..core.watchers import Subscribers, make_subscription
+from ..core.watchers import Subscribers, crash_keepers, make_subscription
 from ..logs import dropped_line_count
 from ..nodemetrics import KeeperMetrics, serve_metrics
 from ..nodeoptions import NodeOptions
@@ -213,11 +213,11 @@
             return
         if isinstance(message, Subscribe):
             store_update = self._mirror.store_update()
-            if self._subscribers.add(sender, message, time.monotonic()):
-                if store_update:
-                    self._transport.send(sender, store_update)
-                snapshot = self._crashes.snapshot(time.monotonic())
-                self._transport.send(sender, snapshot)
+            if (
+                self._subscribers.add(sender, message, time.monotonic())
+                and store_update
+            ):
+                self._transport.send(sender, store_update)
             return
         if isinstance(message, StoreUpdate):
             self._mirror.apply_update(sender, message)
@@ -226,10 +226,8 @@
             self._merge(sender, message)
             return
         if isinstance(message, CrashReport):
-            self._add_crashes(sender, message)
-            return
-        if isinstance(message, CrashUpdate):
-            # Sent to all subscribers; keepers need only the reports of relays.
+            now = time.monotonic()
+            self._send_crashes(self._crashes.receive(sender, message, now))
             return
         self._core.receive(sender, message, time.monotonic())
         self._send()
@@ -241,19 +239,9 @@
         for to, reply in replies:
             self._transport.send(to, reply)
 
-    def _add_crashes(self, sender: str, report: CrashReport) -> None:
-        reply = self._crashes.receive(report, time.monotonic())
-        # Other relays first: the reply releases the answer to the caller.
-        self._publish_crashes()
-        if reply is not None:
-            self._transport.send(sender, reply)
-
-    def _publish_crashes(self) -> None:
-        now = time.monotonic()
-        crash_update = self._crashes.next_update(now)
-        if crash_update is not None:
-            for member in self._subscribers.active(now):
-                self._transport.send(member, crash_update)
+    def _send_crashes(self, messages: list[tuple[str, CrashUpdate]]) -> None:
+        for member, crash_update in messages:
+            self._transport.send(member, crash_update)
 
     def _publish(self, store_update: StoreUpdate) -> None:
         for to, message in self._subscribers.make_updates(
@@ -272,7 +260,7 @@
             now = time.monotonic()
             self._core.tick(now)
             self._send()
-            self._publish_crashes()
+            self._send_crashes(self._crashes.next_updates(now))
             self._subscription.set_view(self._core.view, now)
             for address, message in self._subscription.due_subscriptions(now):
                 self._transport.send(address, message)
@@ -288,8 +276,9 @@
     async def _record_quarantine(self) -> None:
         while True:
             await anyio.sleep(RECORD_INTERVAL_S)
-            rank = self._subscription.rank
-            if rank is not None:
+            recorders = crash_keepers(self._core.view, self._cfg.max_failures)
+            if self._cfg.internal_address in recorders:
+                rank = recorders.index(self._cfg.internal_address)
                 await self._quarantine.sync(rank, time.monotonic())
 
     async def _save_documents(self) -> None:
--- a/wisteriastair/keeper/quarantine.py
+++ b/wisteriastair/keeper/quarantine.py
@@ -19,7 +19,7 @@
 from ..platform.store import MAX_TXN_ENTRIES, Store, StoreError
 from .crashes import CrashKeeper
 
-# Seconds that a watcher leaves to each one before it to write a record.
+# Seconds that a keeper leaves to each one before it to write a record.
 TAKEOVER_S: Final = 2.0
 # Longest pause after a failed call, in seconds; the first one is a second, and each
 # is twice as long as the last.
@@ -66,7 +66,7 @@
         Parameters
         ----------
         rank : int
-            Number of watchers that should do so before this one.
+            Number of keepers that should do so before this one.
         """
         table = self._crashes.table
         quarantined = set(table.quarantined_keys())
--- a/wisteriastair/relay/crashshare.py
+++ b/wisteriastair/relay/crashshare.py
@@ -1,10 +1,10 @@
 """Tells keepers of crashes under requests, and applies what other relays found.
 
 A caller's next attempt mostly reaches another relay, some milliseconds after the answer
-to the last one.  A relay therefore reports a crash to all watchers of the store before
-it answers, and a watcher tells all relays once a request is close to quarantine.
-Reports are repeated until each watcher has replied.  Without watchers a relay goes on
-with what it knows itself.
+to the last one.  A relay therefore reports a crash to some keepers before it answers,
+and a keeper tells all relays once a request is close to quarantine.  Reports are
+repeated until each of these keepers has replied.  Without keepers a relay goes on with
+what it knows itself.
 """
 
 from __future__ import annotations
@@ -20,9 +20,11 @@
 from ..scheduling.crashes import MAX_ENTRIES, CrashTable, add_entry, make_entry
 
 # Seconds after which a report without a reply is sent again, and how often.  A keeper
-# that is silent for longer has been replaced as a watcher, or learns all at its return.
+# that is silent for longer has left the view, or learns all at its return.
 RESEND_INTERVAL_S: Final = 0.2
 MAX_SENDS: Final = 20
+# Interval in seconds of the reports that renew the subscription to updates.
+RENEWAL_INTERVAL_S: Final = 1.0
 # Entries in one report.
 MAX_REPORTED: Final = 256
 
@@ -35,11 +37,11 @@
 
 
 class _OpenReport:
-    """A report that some watcher has not replied to."""
+    """A report that some keeper has not replied to."""
 
-    def __init__(self, report: CrashReport, watchers: set[str], now: float) -> None:
+    def __init__(self, report: CrashReport, keepers: set[str], now: float) -> None:
         self.report = report
-        self.waiting_for = watchers
+        self.waiting_for = keepers
         self.sent_at = now
         self.sends = 1
         # Set by the first reply.
@@ -47,24 +49,25 @@
 
 
 class CrashShare:
-    """Reports crashes to the watchers and applies their updates.
+    """Reports crashes to keepers and applies their updates.
 
     Parameters
     ----------
     table : CrashTable
         What this relay knows.
-    watchers : callable
-        Returns the addresses of the watchers of the store.
+    keepers : callable
+        Returns the addresses of the keepers that sum crashes.
     """
 
-    def __init__(self, table: CrashTable, watchers: Callable[[], list[str]]) -> None:
+    def __init__(self, table: CrashTable, keepers: Callable[[], list[str]]) -> None:
         self.table = table
-        self._watchers = watchers
+        self._keepers = keepers
         self._op = 0
         self._open: dict[int, _OpenReport] = {}
-        # Member id and last revision of each watcher that was heard, by address.
+        # Member id and last revision of each keeper that was heard, by address.
         self._members: dict[str, str] = {}
         self._revisions: dict[str, int] = {}
+        self._renewed_at = float("-inf")
         self._new: list[bytes] = []
         self._next_report: _OpenReport | None = None
         self._sender: MessageSender | None = None
@@ -76,7 +79,7 @@
     # Reports
 
     def report_crash(self, key: bytes) -> anyio.Event:
-        """Report a request to all watchers; the event is set by the first reply.
+        """Report a request to all keepers; the event is set by the first reply.
 
         All reports of one iteration of the event loop are one message: a server takes
         all its requests with it.
@@ -97,7 +100,7 @@
         self._send_report(opened, self._make_report(keys, now), now)
 
     def report_answer(self, key: bytes) -> None:
-        """Tell all watchers that a server has answered a remembered request."""
+        """Tell all keepers that a server has answered a remembered request."""
         now = asyncio.get_running_loop().time()
         opened = _OpenReport(CrashReport(0), set(), now)
         self._send_report(opened, CrashReport(0, answered=[key]), now)
@@ -109,22 +112,27 @@
     def _send_report(
         self, opened: _OpenReport, report: CrashReport, now: float
     ) -> None:
-        watchers = self._watchers()
-        if self._sender is None or not watchers:
+        keepers = self._keepers()
+        if self._sender is None or not keepers:
             opened.replied.set()
             return
         self._op += 1
         opened.report = CrashReport(self._op, report.crashes, report.answered)
-        opened.waiting_for = set(watchers)
+        opened.waiting_for = set(keepers)
         opened.sent_at = now
         self._open[self._op] = opened
-        for address in watchers:
+        for address in keepers:
             self._sender.send(address, opened.report)
 
     def sweep(self, now: float) -> None:
-        """Send reports again that watchers have not replied to."""
+        """Send reports again that keepers have not replied to; renew subscriptions."""
+        keepers = self._keepers()
+        if now - self._renewed_at >= RENEWAL_INTERVAL_S:
+            self._renewed_at = now
+            for address in keepers:
+                self._send(address, CrashReport(0))
         for op, opened in list(self._open.items()):
-            opened.waiting_for &= set(self._watchers())
+            opened.waiting_for &= set(keepers)
             if not opened.waiting_for or opened.sends >= MAX_SENDS:
                 del self._open[op]
                 opened.replied.set()
@@ -134,12 +142,11 @@
                 for address in opened.waiting_for:
                     self._send(address, opened.report)
 
-    # Watchers
+    # Keepers
 
-    def record_watcher(self, sender: str, now: float) -> None:
-        """Record a message of a keeper; tell it all if it is new or has restarted."""
-        address = address_of(sender)
-        if self._members.get(address) == sender or address not in self._watchers():
+    def _record_keeper(self, sender: str, address: str, now: float) -> None:
+        """Tell a keeper that is new or has restarted all that is known."""
+        if self._members.get(address) == sender:
             return
         self._members[address] = sender
         self._revisions.pop(address, None)
@@ -151,7 +158,7 @@
     def receive(self, sender: str, update: CrashUpdate, now: float) -> list[bytes]:
         """Apply an update; return the requests that it quarantines."""
         address = address_of(sender)
-        self.record_watcher(sender, now)
+        self._record_keeper(sender, address, now)
         quarantined = []
         for entry in update.crashes[:MAX_ENTRIES]:
             was_quarantined = self.table.is_quarantined(entry.key)
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -25,7 +25,7 @@
 from ..core.membership import View
 from ..core.stopping import Shutdown
 from ..core.storetimes import make_store_timeouts
-from ..core.watchers import make_subscription
+from ..core.watchers import crash_keepers, make_subscription
 from ..http1.caller import CallerConnection
 from ..logs import dropped_line_count
 from ..nodemetrics import RelayMetrics, serve_metrics
@@ -107,7 +107,8 @@
             has_memory_pressure=cfg.has_memory_pressure,
         )
         self._crash_share = CrashShare(
-            CrashTable(cfg.crash_limits), lambda: self._subscription.watchers
+            CrashTable(cfg.crash_limits),
+            lambda: crash_keepers(self._ledger.view, cfg.max_failures),
         )
         self._crashes = CrashMonitor(self._pool, self._metrics, self._crash_share)
         self._dispatcher = Dispatcher(
@@ -245,7 +246,6 @@
     def _on_message(self, sender: str, message: LedgerMessage) -> None:
         now = asyncio.get_running_loop().time()
         if isinstance(message, StoreUpdate):
-            self._crash_share.record_watcher(sender, now)
             if self._mirror.apply_update(sender, message):
                 self._transport.send(sender, DocumentsRequest())
         elif isinstance(message, PermitReply):
