A relay that starts subscribes to crash updates as soon as it knows keepers

It served callers for up to a second without knowing of quarantines.

Change: it subscribes when the keepers change, and when a view arrives from the store.

--- a/tests/relay/test_crashshare.py
+++ b/tests/relay/test_crashshare.py
@@ -121,6 +121,30 @@
     anyio.run(main)
 
 
+def test_relay_subscribes_as_soon_as_it_knows_keepers() -> None:
+    """A relay that starts learns the members of the ledger after its first sweep.
+
+    If it waited for the next renewal of its subscription, it would serve callers for a
+    second without knowing of quarantines.
+    """
+
+    async def main() -> None:
+        network = CrashNetwork()
+        share = network.add_relay("r0")
+        share.table.add(KEY, [1, 2, 3], anyio.current_time())
+        share.report_crash(KEY)
+        await anyio.sleep(0.02)
+        keepers = network.addresses()
+        network.addresses = list  # type: ignore[method-assign]
+        started = network.add_relay("r1")
+        network.addresses = lambda: keepers  # type: ignore[method-assign]
+        started.sweep(anyio.current_time())
+        await anyio.sleep(0.02)
+        assert started.table.is_quarantined(KEY)
+
+    anyio.run(main)
+
+
 def test_relay_asks_for_what_it_missed() -> None:
     """Updates are lost while a relay is cut off from the keepers."""
 
--- a/wisteriastair/relay/crashshare.py
+++ b/wisteriastair/relay/crashshare.py
@@ -68,6 +68,7 @@
         self._members: dict[str, str] = {}
         self._revisions: dict[str, int] = {}
         self._renewed_at = float("-inf")
+        self._subscribed_to: list[str] = []
         self._new: list[bytes] = []
         self._next_report: _OpenReport | None = None
         self._sender: MessageSender | None = None
@@ -127,8 +128,10 @@
     def sweep(self, now: float) -> None:
         """Send reports again that keepers have not replied to; renew subscriptions."""
         keepers = self._keepers()
-        if now - self._renewed_at >= RENEWAL_INTERVAL_S:
+        is_due = now - self._renewed_at >= RENEWAL_INTERVAL_S
+        if is_due or keepers != self._subscribed_to:
             self._renewed_at = now
+            self._subscribed_to = keepers
             for address in keepers:
                 self._send(address, CrashReport(0))
         for op, opened in list(self._open.items()):
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -332,6 +332,8 @@
     def _apply_view(self, value: bytes) -> None:
         try:
             self._ledger.adopt_view(msgspec.json.decode(value, type=View))
+            # Before callers are served, this relay needs to know what others found.
+            self._crash_share.sweep(asyncio.get_running_loop().time())
         except msgspec.DecodeError as exc:
             log.error(
                 "value in the store does not decode",
