A document or message that is nested too deeply ends no process

No caller has reported it.

Cause: the decoder raises RecursionError, which is no decode error, for a value nested 100,000 deep, also in a field that is skipped. A configuration, a server's entry, a record or a message between processes ended the relay or keeper that read it, and again after its restart, since all processes read the same documents. A port above 65535 in a server's entry raised in the same way, at each connection.

Change: one tuple of decode errors for all inputs that come from outside a process; the last valid document stays in force. Ports are checked.

--- a/tests/peers/test_transport.py
+++ b/tests/peers/test_transport.py
@@ -6,6 +6,7 @@
 
 import anyio
 import msgspec
+import pytest
 from anyio.abc import SocketStream
 
 from wisteriastair.core.wire import DocPull, Message
@@ -255,7 +256,7 @@
     anyio.run(send_from_other_deployment)
 
 
-async def send_with_unreadable_message() -> list[str]:
+async def send_with_unreadable_message(unreadable: str) -> list[str]:
     """Return the messages received from a frame with one unreadable message."""
     received: list[str] = []
     address = free_address()
@@ -263,7 +264,7 @@
         f"{address}#1",
         lambda sender, message: received.append(message),
         deployment="ours",
-        codec=Codec(str.encode, lambda data: msgspec.json.decode(data, type=str)),
+        codec=Codec(str.encode, lambda data: str(msgspec.json.decode(data))),
     )
     sender: Transport[str] = Transport(
         f"{free_address()}#1",
@@ -277,7 +278,7 @@
         group.start_soon(sender.run)
         with anyio.fail_after(LIMIT_S):
             while len(received) < 2:
-                for message in ('"first"', "not known here", '"last"'):
+                for message in ('"first"', unreadable, '"last"'):
                     sender.send(address, message)
                 await anyio.sleep(0.1)
         assert receiver.counts.malformed > 0
@@ -285,10 +286,14 @@
     return received
 
 
-def test_an_unreadable_message_does_not_affect_the_others_of_its_frame() -> None:
+@pytest.mark.parametrize("unreadable", ["not known here", "[" * 100_000])
+def test_an_unreadable_message_does_not_affect_the_others_of_its_frame(
+    unreadable: str,
+) -> None:
     """Turns are rejected while two versions run side by side.
 
     A keeper of the newer version sends a message that a relay cannot decode, in one
     frame with responses to reservations.  Guards against dropping the whole frame.
     """
-    assert anyio.run(send_with_unreadable_message)[:2] == ["first", "last"]
+    received = anyio.run(send_with_unreadable_message, unreadable)
+    assert received[:2] == ["first", "last"]
--- a/wisteriastair/callers/api.py
+++ b/wisteriastair/callers/api.py
@@ -28,6 +28,7 @@
 
 from ..core.entry import Accepted, CallerEvent, Done, OutputText, Refused, RequestSpec
 from ..core.wire import ProgramOutcome
+from ..decoding import DECODE_ERRORS
 from ..errors import Code, Failure, error_body, http_status
 from .auth import owner_of_token
 from .gateway import Gateway
@@ -206,7 +207,7 @@
         start = msgspec.json.decode(body, type=StartBody)
     except msgspec.ValidationError as exc:
         return Failure(Code.BAD_REQUEST, str(exc))
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except (*DECODE_ERRORS, UnicodeDecodeError) as exc:
         return Failure(Code.BAD_REQUEST, f"the body is not JSON: {exc}")
     if start.budget is not None and start.budget <= 0:
         return Failure(Code.BAD_REQUEST, "budget must be greater than 0")
--- a/wisteriastair/engines/client.py
+++ b/wisteriastair/engines/client.py
@@ -17,6 +17,7 @@
 from ..core.events import BackendEnded
 from ..core.records import Action
 from ..core.wire import CallId, GateCall
+from ..decoding import DECODE_ERRORS
 
 CONNECT_TIMEOUT_S: Final = 2.0
 STALL_TIMEOUT_S: Final = 5.0
@@ -115,7 +116,7 @@
             if exc.response.status_code == httpx.codes.TOO_MANY_REQUESTS:
                 return _make_result(call.call, "refused", "no", progress)
             return _make_result(call.call, "error", "yes", progress)
-        except (httpx.HTTPError, msgspec.DecodeError):
+        except (httpx.HTTPError, *DECODE_ERRORS):
             await self._resume(call.call, progress, emit)
         status = "ok" if progress.finish_reason else "lost"
         ran = "yes" if progress.finish_reason else "unknown"
@@ -152,7 +153,7 @@
                 await self._stream(request, progress, emit)
             except httpx.HTTPStatusError:
                 return
-            except (httpx.HTTPError, msgspec.DecodeError):
+            except (httpx.HTTPError, *DECODE_ERRORS):
                 continue
             if progress.finish_reason:
                 return
@@ -188,7 +189,7 @@
         try:
             response = await self._client.get("/v1/cache/programs")
             return _PROGRAMS_DECODER.decode(response.content)
-        except (httpx.HTTPError, msgspec.DecodeError):
+        except (httpx.HTTPError, *DECODE_ERRORS):
             return None
 
     async def close(self) -> None:
--- a/wisteriastair/keeper/daemon.py
+++ b/wisteriastair/keeper/daemon.py
@@ -55,6 +55,7 @@
     VIEW_KEY,
     InvalidDocument,
     decode_config,
+    decode_view,
 )
 from ..platform.mirror import Mirror
 from ..platform.store import Store, StoreError, StoreItem, Swapped
@@ -366,12 +367,11 @@
         )
 
     def _adopt_view(self, revision: int, value: bytes) -> None:
-        try:
-            view = msgspec.json.decode(value, type=View)
-        except msgspec.DecodeError as exc:
+        view = decode_view(value)
+        if isinstance(view, InvalidDocument):
             log.error(
                 "value in the store does not decode",
-                extra={"key": VIEW_KEY, "reason": str(exc)},
+                extra={"key": view.key, "reason": view.reason},
             )
             return
         now = time.monotonic()
--- a/wisteriastair/operators/api.py
+++ b/wisteriastair/operators/api.py
@@ -19,6 +19,7 @@
 from ..callers.api import read_body
 from ..callers.auth import owner_of_token
 from ..callers.gateway import Gateway
+from ..decoding import DECODE_ERRORS
 from ..errors import Code, Failure, error_body, http_status
 from .language import Edit, EditService, Explain, Show, build_change, parse
 from .tables import (
@@ -75,7 +76,7 @@
             return _error_response(body)
         try:
             command_body = msgspec.json.decode(body, type=CommandBody)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        except (*DECODE_ERRORS, UnicodeDecodeError) as exc:
             return _error_response(Failure(Code.BAD_REQUEST, str(exc)))
         command = parse(command_body.command)
         match command:
--- a/wisteriastair/peers/transport.py
+++ b/wisteriastair/peers/transport.py
@@ -24,6 +24,7 @@
 import msgspec
 
 from ..core.hashing import address_of
+from ..decoding import DECODE_ERRORS
 from .frames import FrameReader, FrameSender
 
 ACK_TIMEOUT_S: Final = 1.5
@@ -278,7 +279,7 @@
         """
         try:
             frame = _FRAME_DECODER.decode(data)
-        except msgspec.DecodeError:
+        except DECODE_ERRORS:
             self.counts.malformed += 1
             return
         if frame.deployment != self._deployment:
@@ -300,7 +301,7 @@
         for data in frame.messages:
             try:
                 messages.append(self._codec.decode(data))
-            except (msgspec.DecodeError, IndexError):
+            except (*DECODE_ERRORS, IndexError):
                 self.counts.malformed += 1
                 self._log_unreadable(frame.sender)
         return messages
--- a/wisteriastair/platform/credentials.py
+++ b/wisteriastair/platform/credentials.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from ..core.customers import digest_key
+from ..decoding import DECODE_ERRORS
 from ..http1.messages import Headers
 
 AUTHORIZATION: Final = b"authorization"
@@ -50,7 +51,7 @@
     """
     try:
         config = msgspec.json.decode(document)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return b""
     if not isinstance(config, dict):
         return b""
--- a/wisteriastair/platform/documents.py
+++ b/wisteriastair/platform/documents.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from ..core.customers import Customer, CustomerProblem, Customers, Quota
+from ..core.membership import View
 from ..core.routes import (
     CallerLimits,
     EngineSpec,
@@ -24,6 +25,7 @@
     Service,
     WeightedService,
 )
+from ..decoding import DECODE_ERRORS
 from ..scheduling.fleet import Server
 from .credentials import KEY_DIGESTS_FIELD
 
@@ -38,6 +40,7 @@
 SYSTEM_KEY_PREFIX: Final = "wisteriastair/"
 VIEW_KEY: Final = SYSTEM_KEY_PREFIX + "ledger-view"
 MS_PER_S: Final = 1000.0
+MAX_PORT: Final = 65_535
 DEFAULT_RETENTION_S: Final = 60.0
 
 
@@ -137,7 +140,7 @@
     try:
         raw = msgspec.json.decode(value, type=_Config)
         routes = tuple(_route(r) for r in raw.routes)
-    except (msgspec.DecodeError, ValueError) as exc:
+    except (*DECODE_ERRORS, ValueError) as exc:
         return InvalidDocument(CONFIG_KEY, str(exc))
     services = {s.name: _service(s) for s in raw.services}
     limits = CallerLimits(
@@ -209,14 +212,23 @@
     return Service(raw.name, raw.max_conns, engine)
 
 
+def decode_view(value: bytes) -> View | InvalidDocument:
+    """Decode the members of the ledger."""
+    try:
+        return msgspec.json.decode(value, type=View)
+    except DECODE_ERRORS as exc:
+        return InvalidDocument(VIEW_KEY, str(exc))
+
+
 def decode_server(key: str, value: bytes) -> Server | InvalidDocument:
     """Decode the entry of a backend server, whose id is the last part of the key."""
     try:
         raw = msgspec.json.decode(value, type=_Server)
-    except msgspec.DecodeError as exc:
+    except DECODE_ERRORS as exc:
         return InvalidDocument(key, str(exc))
     host, _, port = raw.address.rpartition(":")
-    if not host or not port.isascii() or not port.isdigit():
+    is_number = port.isascii() and port.isdigit()
+    if not host or not is_number or not 0 < int(port[:6]) <= MAX_PORT:
         return InvalidDocument(key, f"no address: {raw.address!r}")
     return Server(
         id=key.removeprefix(SERVER_KEY_PREFIX),
--- a/wisteriastair/platform/instances.py
+++ b/wisteriastair/platform/instances.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ..core.events import Instance
+from ..decoding import DECODE_ERRORS
 
 CALL_TIMEOUT_S: Final = 2.0
 
@@ -50,7 +51,7 @@
             if response.status_code != httpx.codes.OK:
                 return None
             rows = _ROWS_DECODER.decode(response.content)
-        except (httpx.HTTPError, msgspec.DecodeError):
+        except (httpx.HTTPError, *DECODE_ERRORS):
             return None
         return tuple(
             Instance(r.name, r.role, r.address, r.domain, r.leaving, r.servers)
--- a/wisteriastair/platform/kv.py
+++ b/wisteriastair/platform/kv.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from ..core.events import KvConflict, KvUnknown, KvValue, KvWritten
+from ..decoding import DECODE_ERRORS
 
 # Seconds within which a configuration must be in force in all processes.
 CHANGE_DEADLINE_S: Final = 8.0
@@ -83,7 +84,7 @@
             if response.status_code != httpx.codes.OK:
                 return KvUnknown(key, False)
             body = msgspec.json.decode(response.content, type=_ReadResponse)
-        except (httpx.HTTPError, msgspec.DecodeError):
+        except (httpx.HTTPError, *DECODE_ERRORS):
             return KvUnknown(key, False)
         return KvValue(key, body.revision, body.value)
 
@@ -100,7 +101,7 @@
             if response.status_code != httpx.codes.OK:
                 return KvUnknown(key, True)
             body = msgspec.json.decode(response.content, type=_WriteResponse)
-        except (httpx.HTTPError, msgspec.DecodeError):
+        except (httpx.HTTPError, *DECODE_ERRORS):
             return KvUnknown(key, True)
         return KvWritten(key, body.revision, value)
 
@@ -115,7 +116,7 @@
             if response.status_code != httpx.codes.OK:
                 return None
             items = _ITEMS_DECODER.decode(response.content)
-        except (httpx.HTTPError, msgspec.DecodeError):
+        except (httpx.HTTPError, *DECODE_ERRORS):
             return None
         return [KvValue(item.key, item.revision, item.value) for item in items]
 
--- a/wisteriastair/platform/quarantine.py
+++ b/wisteriastair/platform/quarantine.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from ..decoding import DECODE_ERRORS
 from ..scheduling.crashes import KEY_BYTES, CrashTable
 from .documents import QUARANTINE_KEY_PREFIX
 
@@ -71,7 +72,7 @@
     else:
         try:
             record = msgspec.json.decode(value, type=QuarantineRecord)
-        except msgspec.DecodeError as exc:
+        except DECODE_ERRORS as exc:
             _log_invalid(key, str(exc))
             return
         quarantine_s = table.limits.quarantine_s
--- a/wisteriastair/platform/store.py
+++ b/wisteriastair/platform/store.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from ..core.storetimes import StoreTimeouts
+from ..decoding import DECODE_ERRORS
 from ..sockets import SOCKET_OPTIONS
 from .credentials import replace_keys_with_digests
 from .documents import CONFIG_KEY
@@ -296,5 +297,5 @@
         return StoreError(f"status {response.status_code}", False)
     try:
         return msgspec.json.decode(response.content, type=response_type)
-    except msgspec.DecodeError as exc:
+    except DECODE_ERRORS as exc:
         return StoreError(f"response does not decode: {exc}", False)
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -10,7 +10,6 @@
 from typing import Final
 
 import anyio
-import msgspec
 from anyio.abc import TaskGroup
 
 from ..core.ledgerwire import (
@@ -22,7 +21,6 @@
     PictureUpdate,
     StoreUpdate,
 )
-from ..core.membership import View
 from ..core.stopping import Shutdown
 from ..core.storetimes import make_store_timeouts
 from ..core.watchers import crash_keepers, make_subscription
@@ -45,6 +43,7 @@
     InvalidDocument,
     decode_config,
     decode_server,
+    decode_view,
 )
 from ..platform.mirror import Mirror
 from ..platform.quarantine import apply_record
@@ -330,15 +329,13 @@
             )
 
     def _apply_view(self, value: bytes) -> None:
-        try:
-            self._ledger.adopt_view(msgspec.json.decode(value, type=View))
-            # Before callers are served, this relay needs to know what others found.
-            self._crash_share.sweep(asyncio.get_running_loop().time())
-        except msgspec.DecodeError as exc:
-            log.error(
-                "value in the store does not decode",
-                extra={"key": VIEW_KEY, "reason": str(exc)},
-            )
+        view = decode_view(value)
+        if isinstance(view, InvalidDocument):
+            self._log_invalid(view)
+            return
+        self._ledger.adopt_view(view)
+        # Before callers are served, this relay needs to know what others found.
+        self._crash_share.sweep(asyncio.get_running_loop().time())
 
     def _apply_server(self, item: StoreItem) -> None:
         now = asyncio.get_running_loop().time()
