A server's entry with an invalid host is a server that cannot be reached

What callers saw: the connection closed without an answer.

Cause: the host is encoded as a name before it is resolved, which raises UnicodeError; the pool expected errors of the system only. A probe after a crash would have ended the relay.

Result: the new test raised before and passes now.

--- a/tests/relay/test_pool.py
+++ b/tests/relay/test_pool.py
@@ -6,7 +6,7 @@
 
 from tests.relay.harness import Exchange, ScriptedServer
 from wisteriastair.http1.server import ServerConnection
-from wisteriastair.relay.pool import ConnectionPool
+from wisteriastair.relay.pool import ConnectionPool, ProbeResult
 from wisteriastair.scheduling.fleet import Server
 
 
@@ -37,3 +37,15 @@
         listener.stop()
 
     anyio.run(main)
+
+
+def test_server_with_an_invalid_host_cannot_be_reached() -> None:
+    """The entry of a server has an address that is no host; callers got no answer."""
+
+    async def main() -> None:
+        pool = ConnectionPool(lambda server_id: None)
+        server = Server("s1", "svc", "..:80", "d", 8, False, 0.0)
+        assert isinstance(await pool.acquire(server), str)
+        assert await pool.probe(server) is ProbeResult.NO_ANSWER
+
+    anyio.run(main)
--- a/wisteriastair/relay/pool.py
+++ b/wisteriastair/relay/pool.py
@@ -137,11 +137,13 @@
                 )
         except TimeoutError:
             return _ConnectFailure("no connection in time")
-        except OSError as exc:
+        except (OSError, UnicodeError) as exc:
+            # A host that is no address and no valid name raises `UnicodeError`.
             is_refused = isinstance(exc, ConnectionRefusedError)
             if is_refused:
                 self.on_refused(server.incarnation)
-            reason = f"no connection: {exc.strerror or exc!r}"
+            text = exc.strerror if isinstance(exc, OSError) else ""
+            reason = f"no connection: {text or repr(exc)}"
             return _ConnectFailure(reason, is_refused)
         set_options(transport.get_extra_info("socket"))
         return server_conn
