A page that many callers request is not quarantined for the crashes of others

Cause: requests without a program that many callers send alike have one key. Some of them run at each server that another request crashes, and while few servers are left none is answered in between, so the page was quarantined for ten minutes.

Change: a request without a program whose like was answered here in the last ten seconds is not counted, and a relay that hears of such a suspect tells the keepers to forget it. A page that crashes servers itself gets no answers and is counted after that time.

--- a/tests/relay/test_crashes.py
+++ b/tests/relay/test_crashes.py
@@ -269,3 +269,42 @@
         assert reply.body == b"id: 1\ndata: x\n\nid: 2\ndata: y\n\n"
 
     run_scenario(servers, scenario)
+
+
+def test_page_that_many_callers_request_is_not_quarantined() -> None:
+    """Requests for one page run at each server that another request crashes."""
+    servers = make_servers(6)
+    release = asyncio.Event()
+
+    def make_script(server: ScriptedServer) -> Script:
+        async def serve(exchange: Exchange) -> None:
+            if exchange.body:
+                server.crash()
+                return
+            if exchange.header("X-Request-Id").startswith("slow"):
+                await release.wait()
+            await answer_ok(exchange)
+
+        return serve
+
+    for server in servers:
+        server.script = make_script(server)
+
+    async def send(harness: RelayHarness, request_id: str, body: str) -> Reply:
+        caller = await harness.open()
+        await caller.send("unsafe", request_id, body)
+        return await caller.read()
+
+    async def scenario(harness: RelayHarness) -> None:
+        async with anyio.create_task_group() as group:
+            for number in range(24):
+                group.start_soon(send, harness, f"slow-{number}", "")
+            await asyncio.sleep(0.1)
+            assert (await send(harness, "quick", "")).status == 200
+            for attempt in range(6):
+                await send(harness, f"fatal-{attempt}", FATAL_BODY)
+            assert count_crashed(servers) == MAX_CRASHES
+            assert (await send(harness, "another", "")).status == 200
+            release.set()
+
+    run_scenario(servers, scenario)
--- a/wisteriastair/relay/crashes.py
+++ b/wisteriastair/relay/crashes.py
@@ -18,6 +18,7 @@
 
 from ..errors import Code, Failure
 from ..nodemetrics import RelayMetrics
+from ..scheduling.crashes import AnsweredRequests
 from ..scheduling.digest import server_key
 from ..scheduling.fleet import Server, ServerState
 from .crashshare import CrashShare
@@ -100,9 +101,11 @@
         self._interrupted: dict[str, list[_Interrupted]] = {}
         self._interrupted_count = 0
         self._probing: set[str] = set()
+        self._answered = AnsweredRequests()
         self._lines = LineLimit()
         self._group: TaskGroup
         pool.on_refused = self._on_refused
+        share.on_suspect = self._on_suspect
 
     def start(self, group: TaskGroup) -> None:
         """Set the task group for probes."""
@@ -155,11 +158,20 @@
 
     def record_answer(self, job: Job) -> None:
         """Forget a request that a server has answered completely."""
+        now = job.now()
         job.sent_to = None
+        self._answered.add(job.identity, now)
         key = self.table.find(job.identity)
         if key is not None:
-            self.table.forget(key)
-            self._share.report_answer(key)
+            self._forget(key)
+
+    def _forget(self, key: bytes) -> None:
+        self.table.forget(key)
+        self._share.report_answer(key)
+
+    def _on_suspect(self, key: bytes, now: float) -> None:
+        if self._answered.is_recent(key, now):
+            self._forget(key)
 
     def _add_interrupted(self, job: Job, state: ServerState) -> _Interrupted | None:
         """Remember an interrupted request; None if its server is leaving."""
@@ -224,13 +236,19 @@
             if interrupted.expires_at < now:
                 continue
             interrupted.has_crashed = True
-            servers = [server_key(incarnation)]
-            if self.table.add(interrupted.key, servers, now, interrupted.description):
-                interrupted.shared = self._share.report_crash(interrupted.key)
-                self._metrics.server_crashes.labels(evidence.value).inc()
-                self._log_crash(interrupted, evidence, now)
+            if not self._answered.is_recent(interrupted.key, now):
+                self._count_crash(interrupted, evidence, now)
             interrupted.decided.set()
 
+    def _count_crash(
+        self, interrupted: _Interrupted, evidence: Evidence, now: float
+    ) -> None:
+        servers = [server_key(interrupted.server.incarnation)]
+        if self.table.add(interrupted.key, servers, now, interrupted.description):
+            interrupted.shared = self._share.report_crash(interrupted.key)
+            self._metrics.server_crashes.labels(evidence.value).inc()
+            self._log_crash(interrupted, evidence, now)
+
     def _log_crash(
         self, interrupted: _Interrupted, evidence: Evidence, now: float
     ) -> None:
--- a/wisteriastair/relay/crashshare.py
+++ b/wisteriastair/relay/crashshare.py
@@ -61,6 +61,8 @@
 
     def __init__(self, table: CrashTable, keepers: Callable[[], list[str]]) -> None:
         self.table = table
+        # Called with each request of which other relays have found more.
+        self.on_suspect: Callable[[bytes, float], None] = lambda key, now: None
         self._keepers = keepers
         self._op = 0
         self._open: dict[int, _OpenReport] = {}
@@ -158,17 +160,13 @@
             part = keys[start : start + MAX_REPORTED]
             self._send(sender, self._make_report(part, now))
 
-    def receive(self, sender: str, update: CrashUpdate, now: float) -> list[bytes]:
-        """Apply an update; return the requests that it quarantines."""
+    def receive(self, sender: str, update: CrashUpdate, now: float) -> None:
+        """Apply an update."""
         address = address_of(sender)
         self._record_keeper(sender, address, now)
-        quarantined = []
         for entry in update.crashes[:MAX_ENTRIES]:
-            was_quarantined = self.table.is_quarantined(entry.key)
-            if not add_entry(self.table, entry, now):
-                continue
-            if not was_quarantined and self.table.is_quarantined(entry.key):
-                quarantined.append(entry.key)
+            if add_entry(self.table, entry, now):
+                self.on_suspect(entry.key, now)
         for key in update.forgotten[:MAX_ENTRIES]:
             self.table.forget(key)
         opened = self._open.get(update.op)
@@ -178,7 +176,6 @@
             if not opened.waiting_for:
                 del self._open[update.op]
         self._check_revision(sender, address, update)
-        return quarantined
 
     def _check_revision(self, sender: str, address: str, update: CrashUpdate) -> None:
         """Ask for the whole table if an update was missed."""
--- a/wisteriastair/scheduling/crashes.py
+++ b/wisteriastair/scheduling/crashes.py
@@ -10,6 +10,7 @@
 was the cause. They are served by the next server, and a request that any server has
 answered is forgotten. An innocent request is quarantined only if it shared each of the
 servers with the cause, or lost them to other faults, without an answer in between.
+Requests that many callers send alike are not counted while others are answered.
 """
 
 from __future__ import annotations
@@ -33,6 +34,13 @@
 # Bytes of each half of a request key.
 DIGEST_BYTES: Final = 8
 KEY_BYTES: Final = 2 * DIGEST_BYTES
+# Seconds for which the answer to a request without a program is remembered. A page
+# that begins to crash servers is counted after this time.
+ANSWERED_AGE_S: Final = 10.0
+# Answers that are remembered, and the largest request for which that is done: the
+# digest of a larger body costs more than it tells.
+MAX_ANSWERED: Final = 2048
+MAX_ANSWERED_BODY: Final = 4096
 # Characters that describe a request to operators.
 MAX_DESCRIPTION: Final = 200
 # Entries of one message that are read.
@@ -105,6 +113,34 @@
     return blake2b(data, digest_size=DIGEST_BYTES).digest()
 
 
+class AnsweredRequests:
+    """Requests without a program that servers have answered in the last seconds.
+
+    Many callers ask for the same page, and their requests have the same key. On a busy
+    page some are running at each server that crashes, whatever the cause. That others
+    are answered shows that the page is not the cause.
+    """
+
+    def __init__(self) -> None:
+        # In the order of their answers.
+        self._answered_at: dict[bytes, float] = {}
+
+    def add(self, identity: RequestIdentity, now: float) -> None:
+        """Record an answer, unless the request is one of a program or is large."""
+        if identity.program or len(identity.body) > MAX_ANSWERED_BODY:
+            return
+        key = identity.key()
+        self._answered_at.pop(key, None)
+        self._answered_at[key] = now
+        if len(self._answered_at) > MAX_ANSWERED:
+            del self._answered_at[next(iter(self._answered_at))]
+
+    def is_recent(self, key: bytes, now: float) -> bool:
+        """Return whether a request was answered a short time ago."""
+        answered_at = self._answered_at.get(key)
+        return answered_at is not None and now - answered_at <= ANSWERED_AGE_S
+
+
 class _Crashes:
     """Servers that crashed under one request."""
 
