A server that answers after a silent request has not crashed under it

Cause: a request that ended at its deadline waited ten seconds for evidence of a crash, so one that its server had dropped long ago was counted when that server crashed later.

Change: an answer of the server, more than 0.2 s after the end of such a request, shows that it was alive and drops the request.

Result: the new test counted a crash before and none now.

--- a/tests/relay/test_crashes.py
+++ b/tests/relay/test_crashes.py
@@ -308,3 +308,26 @@
             release.set()
 
     run_scenario(servers, scenario)
+
+
+def test_server_that_answers_later_has_not_crashed_under_a_silent_request() -> None:
+    """A request ends at its deadline; its server works on, and crashes later."""
+
+    async def serve(exchange: Exchange) -> None:
+        if exchange.header("X-Request-Id") == "late":
+            await asyncio.sleep(0.15)
+        await answer_ok(exchange)
+
+    server = ScriptedServer("s0", serve)
+
+    async def scenario(harness: RelayHarness) -> None:
+        caller = await harness.open()
+        await caller.send("unsafe", "late", "body", X_Deadline_Ms="50")
+        assert (await caller.read()).status == 504
+        await asyncio.sleep(0.3)
+        assert (await harness.request("unsafe", "next")).status == 200
+        server.crash()
+        await harness.request("unsafe", "after")
+        assert len(harness.dispatcher.crashes.table) == 0
+
+    run_scenario([server], scenario)
--- a/wisteriastair/relay/crashes.py
+++ b/wisteriastair/relay/crashes.py
@@ -37,6 +37,8 @@
 EVIDENCE_WAIT_S: Final = 10.0
 # The same for a server that listens: time for the entry of its next incarnation.
 RESTART_WAIT_S: Final = 1.0
+# Seconds for which answers of a server may still arrive after it has crashed.
+LAST_ANSWERS_S: Final = 0.2
 # Interrupted requests that wait for evidence.
 MAX_INTERRUPTED: Final = 4096
 
@@ -159,7 +161,9 @@
     def record_answer(self, job: Job) -> None:
         """Forget a request that a server has answered completely."""
         now = job.now()
-        job.sent_to = None
+        if job.sent_to is not None:
+            self._record_alive(job.sent_to.incarnation, now)
+            job.sent_to = None
         self._answered.add(job.identity, now)
         key = self.table.find(job.identity)
         if key is not None:
@@ -221,6 +225,18 @@
         if server.incarnation in self._interrupted:
             self._group.start_soon(self._probe_removed, server)
 
+    def _record_alive(self, incarnation: str, now: float) -> None:
+        """Drop requests that ended before a server answered another one."""
+        waiting = self._interrupted.get(incarnation)
+        if waiting is None:
+            return
+        kept = [one for one in waiting if now - one.at <= LAST_ANSWERS_S]
+        self._interrupted_count -= len(waiting) - len(kept)
+        if kept:
+            self._interrupted[incarnation] = kept
+        else:
+            del self._interrupted[incarnation]
+
     def _record_listening(self, incarnation: str) -> None:
         now = asyncio.get_running_loop().time()
         for interrupted in self._interrupted.get(incarnation, ()):
