--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,7 +9,11 @@
 import pytest
 
 from tests.soak.run import soak
-from tests.soak.world import ACCEPTS_UNTIL_END, SKIPS_LOG_REPLAY
+from tests.soak.world import (
+    ACCEPTS_UNTIL_END,
+    KEEPS_CRASHES_SECRET,
+    SKIPS_LOG_REPLAY,
+)
 
 
 @pytest.mark.parametrize("seed", [1])
@@ -63,3 +67,30 @@
         if any(line.startswith("cut: ") for line in violations):
             return
     pytest.fail("three seeds did not detect it")
+
+
+@pytest.mark.parametrize("seed", [5000, 5002])
+def test_a_request_crashes_no_more_servers_than_allowed(
+    seed: int, tmp_path: Path
+) -> None:
+    """Callers repeat requests that crash servers, beside all faults of a soak.
+
+    5000: a keeper that was the only one known at the start freezes.  5002: a relay
+    restarts while a request is quarantined.
+    """
+    result = anyio.run(partial(soak, crashes=True), seed, tmp_path)
+    assert result.violations == []
+    assert result.crash_counts.crashes > 0
+
+
+def test_a_relay_that_tells_nobody_of_crashes_is_detected(tmp_path: Path) -> None:
+    """Attempts at different relays add up; the soak must report it."""
+    for seed in range(200, 203):
+        folder = tmp_path / str(seed)
+        folder.mkdir()
+        violations = anyio.run(
+            partial(soak, crashes=True), seed, folder, KEEPS_CRASHES_SECRET
+        ).violations
+        if any(line.startswith("crashes: ") for line in violations):
+            return
+    pytest.fail("three seeds did not detect it")
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -82,6 +82,17 @@
 """,
 )
 
+# A relay that tells nobody of crashes under a request.
+KEEPS_CRASHES_SECRET: Final = Variant(
+    "relay",
+    """
+from wisteriastair.main import main
+from wisteriastair.relay.crashshare import CrashShare
+CrashShare.start = lambda self, sender: None
+raise SystemExit(main())
+""",
+)
+
 
 # With this limit a relay has the least budget, little more than a large response.
 PRESSURE_MEMORY_MB: Final = 60
