--- a/wisteriastair/scheduling/__init__.py
+++ b/wisteriastair/scheduling/__init__.py
@@ -56,6 +56,8 @@
     One byte budget for what a relay holds for callers and servers.
 ``relay_load``
     Overload of a relay: lag of its event loop, and use of its link.
+``crashes``
+    Servers that crashed under a request, and quarantined requests.
 ``reach``
     Reachability of a set of peers.
 """
--- a/wisteriastair/scheduling/crashes.py
+++ b/wisteriastair/scheduling/crashes.py
@@ -26,7 +26,7 @@
 # Seconds after the last crash for which a request is remembered: far longer than the
 # retries of a caller and its program, short enough that a repaired service is used.
 MAX_AGE_S: Final = 600.0
-# Requests that are remembered; about 300 bytes each. When a failure domain ends, each
+# Requests that are remembered; some 500 bytes each. When a failure domain ends, each
 # request that was running there is counted once.
 MAX_REQUESTS: Final = 4096
 # Quarantined requests that are remembered in addition.
