A request without a program is quarantined for 30 s

Cause: such a request is sent alike by many callers, and was refused for ten minutes, far longer than the retries of the caller whose attempts are to be bounded.

Change: entries carry the time at which they end; 30 s without a program. Bodies are not kept with interrupted requests.

--- a/wisteriastair/core/ledgerwire.py
+++ b/wisteriastair/core/ledgerwire.py
@@ -441,15 +441,15 @@
         Key of the request, the same for all of its attempts.
     servers : list of int
         Keys of the servers' incarnations.
-    age_ms : int
-        Milliseconds since the last crash.
+    remaining_ms : int
+        Milliseconds until the request is forgotten.
     description : str
         What operators are told of the request.
     """
 
     key: bytes
     servers: list[int]
-    age_ms: int = 0
+    remaining_ms: int
     description: str = ""
 
 
--- a/wisteriastair/nodes.py
+++ b/wisteriastair/nodes.py
@@ -17,7 +17,7 @@
 from .logs import set_up_daemon_logs
 from .nodeoptions import BadNodeSetting, NodeOptions, check_crash_limits
 from .platform.settings import SETTINGS_VARIABLE, load_settings
-from .scheduling.crashes import MAX_AGE_S, MAX_CRASHES, CrashLimits
+from .scheduling.crashes import MAX_CRASHES, QUARANTINE_S, CrashLimits
 
 EXIT_BAD_SETTING: Final = 2
 # Allocations between two garbage collections of the youngest generation.  The default
@@ -31,7 +31,7 @@
     settings: str = "",
     log_level: str = "info",
     max_crashes: int = MAX_CRASHES,
-    quarantine_s: float = MAX_AGE_S,
+    quarantine_s: float = QUARANTINE_S,
 ) -> int:
     """Run a relay, which forwards callers' requests to backend servers.
 
@@ -44,7 +44,8 @@
     max_crashes : int
         Servers that may crash under one request; the same in every process.
     quarantine_s : float
-        Seconds after the last of them for which it is not sent again.
+        Seconds after the last of them for which it is not sent again; at most 30
+        for a request without a program.
     """
     limits = CrashLimits(max_crashes, quarantine_s)
     return _start(settings, log_level, limits, _run_relay)
@@ -55,7 +56,7 @@
     settings: str = "",
     log_level: str = "info",
     max_crashes: int = MAX_CRASHES,
-    quarantine_s: float = MAX_AGE_S,
+    quarantine_s: float = QUARANTINE_S,
 ) -> int:
     """Run a keeper, which stores a replica of the ledger on an instance with a disk.
 
@@ -68,7 +69,8 @@
     max_crashes : int
         Servers that may crash under one request; the same in every process.
     quarantine_s : float
-        Seconds after the last of them for which it is not sent again.
+        Seconds after the last of them for which it is not sent again; at most 30
+        for a request without a program.
     """
     limits = CrashLimits(max_crashes, quarantine_s)
     return _start(settings, log_level, limits, _run_keeper)
--- a/wisteriastair/platform/quarantine.py
+++ b/wisteriastair/platform/quarantine.py
@@ -52,12 +52,10 @@
 
 def make_record(table: CrashTable, request_key: bytes, now: float) -> bytes:
     """Return the record of a quarantined request."""
-    elapsed_s = now - table.last_at(request_key)
-    remaining_s = table.limits.quarantine_s - elapsed_s
     record = QuarantineRecord(
         table.description(request_key),
         sorted(table.servers(request_key)),
-        round(time.time() + remaining_s, 3),
+        round(time.time() + table.remaining_s(request_key, now), 3),
     )
     return msgspec.json.encode(record)
 
@@ -75,10 +73,10 @@
         except DECODE_ERRORS as exc:
             _log_invalid(key, str(exc))
             return
-        quarantine_s = table.limits.quarantine_s
-        remaining_s = min(quarantine_s, max(0.0, record.until - time.time()))
-        last_at = now - quarantine_s + remaining_s
-        table.add(request_key, record.servers, last_at, record.request)
+        remaining_s = min(table.limits.quarantine_s, record.until - time.time())
+        if remaining_s > 0:
+            expires_at = now + remaining_s
+            table.add(request_key, record.servers, expires_at, record.request)
 
 
 def _log_invalid(key: str, reason: str) -> None:
--- a/wisteriastair/relay/crashes.py
+++ b/wisteriastair/relay/crashes.py
@@ -65,8 +65,10 @@
     """
 
     def __init__(self, job: Job, server: Server) -> None:
-        self.key = job.identity.key()
-        self.description = job.identity.description()
+        identity = job.identity
+        self.key = identity.key()
+        # A body may be large.
+        self.identity = identity._replace(body=b"")
         self.request = job.caller_req.id
         self.program = job.caller_req.program
         self.server = server
@@ -260,7 +262,10 @@
         self, interrupted: _Interrupted, evidence: Evidence, now: float
     ) -> None:
         servers = [server_key(interrupted.server.incarnation)]
-        if self.table.add(interrupted.key, servers, now, interrupted.description):
+        identity = interrupted.identity
+        expires_at = now + self.table.limits.duration_s(identity)
+        description = identity.description()
+        if self.table.add(interrupted.key, servers, expires_at, description):
             interrupted.shared = self._share.report_crash(interrupted.key)
             self._metrics.server_crashes.labels(evidence.value).inc()
             self._log_crash(interrupted, evidence, now)
--- a/wisteriastair/scheduling/crashes.py
+++ b/wisteriastair/scheduling/crashes.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from hashlib import blake2b
 from typing import Final, NamedTuple
@@ -24,8 +25,11 @@
 # Servers that may crash under one request.
 MAX_CRASHES: Final = 3
 # Seconds after the last crash for which a request is remembered: far longer than the
-# retries of a caller and its program, short enough that a repaired service is used.
-MAX_AGE_S: Final = 600.0
+# retries of a program, short enough that a repaired service is used.
+QUARANTINE_S: Final = 600.0
+# The same for a request without a program, longer than the retries of its caller. Other
+# callers send the same request and would be refused for as long.
+SINGLE_QUARANTINE_S: Final = 30.0
 # Requests that are remembered; some 500 bytes each. When a failure domain ends, each
 # request that was running there is counted once.
 MAX_REQUESTS: Final = 4096
@@ -56,11 +60,18 @@
     max_crashes : int
         Servers that may crash under one request.
     quarantine_s : float
-        Seconds after its last crash for which a request is remembered.
+        Seconds after its last crash for which a request is remembered; at most
+        `SINGLE_QUARANTINE_S` for one without a program.
     """
 
     max_crashes: int = MAX_CRASHES
-    quarantine_s: float = MAX_AGE_S
+    quarantine_s: float = QUARANTINE_S
+
+    def duration_s(self, identity: RequestIdentity) -> float:
+        """Return the seconds for which a request is remembered after a crash."""
+        if identity.program:
+            return self.quarantine_s
+        return min(SINGLE_QUARANTINE_S, self.quarantine_s)
 
 
 DEFAULT_LIMITS: Final = CrashLimits()
@@ -146,7 +157,7 @@
 
     def __init__(self) -> None:
         self.servers: set[int] = set()
-        self.last_at = 0.0
+        self.expires_at = 0.0
         self.description = ""
 
 
@@ -167,6 +178,8 @@
         # Number of remembered requests by the digest of their envelopes. Digesting a
         # large body for each request would cost more than choosing its server.
         self._envelopes: dict[bytes, int] = {}
+        # No request expires earlier.
+        self._next_expiry = math.inf
 
     def __len__(self) -> int:
         return len(self._suspects) + len(self._quarantined)
@@ -198,10 +211,10 @@
         crashes = self._quarantined.get(key) or self._suspects.get(key)
         return frozenset(crashes.servers) if crashes else frozenset()
 
-    def last_at(self, key: bytes) -> float:
-        """Return the time of the last crash under a remembered request."""
+    def remaining_s(self, key: bytes, now: float) -> float:
+        """Return the seconds until a remembered request is forgotten."""
         crashes = self._quarantined.get(key) or self._suspects[key]
-        return crashes.last_at
+        return max(0.0, crashes.expires_at - now)
 
     def description(self, key: bytes) -> str:
         """Return what is known of a remembered request."""
@@ -221,11 +234,20 @@
         return key in self._quarantined
 
     def add(
-        self, key: bytes, servers: Iterable[int], now: float, description: str = ""
+        self,
+        key: bytes,
+        servers: Iterable[int],
+        expires_at: float,
+        description: str = "",
     ) -> bool:
         """Add servers that crashed under a request; return whether any is new.
 
         Invalid keys are ignored, and servers beyond the limit say nothing more.
+
+        Parameters
+        ----------
+        expires_at : float
+            Time at which the request is forgotten, unless it is added again.
         """
         if len(key) != KEY_BYTES:
             return False
@@ -236,7 +258,8 @@
             return False
         crashes = self._take(key) or _Crashes()
         crashes.servers.update(new)
-        crashes.last_at = now
+        crashes.expires_at = max(crashes.expires_at, expires_at)
+        self._next_expiry = min(self._next_expiry, crashes.expires_at)
         crashes.description = description[:MAX_DESCRIPTION] or crashes.description
         is_quarantined = len(crashes.servers) >= self.limits.max_crashes
         entries = self._quarantined if is_quarantined else self._suspects
@@ -252,18 +275,17 @@
         """Forget a request; return whether it was remembered."""
         return self._take(key) is not None
 
-    def expire(self, now: float) -> list[bytes]:
-        """Forget requests without a crash for long; return the quarantined ones."""
-        lifted = []
+    def expire(self, now: float) -> None:
+        """Forget the requests whose time is over."""
+        if now < self._next_expiry:
+            return
+        self._next_expiry = math.inf
         for entries in (self._suspects, self._quarantined):
-            while entries:
-                key, crashes = next(iter(entries.items()))
-                if now - crashes.last_at <= self.limits.quarantine_s:
-                    break
-                if key in self._quarantined:
-                    lifted.append(key)
-                self.forget(key)
-        return lifted
+            for key, crashes in list(entries.items()):
+                if crashes.expires_at <= now:
+                    self.forget(key)
+                else:
+                    self._next_expiry = min(self._next_expiry, crashes.expires_at)
 
     def _take(self, key: bytes) -> _Crashes | None:
         crashes = self._suspects.pop(key, None) or self._quarantined.pop(key, None)
@@ -277,14 +299,15 @@
 
 def make_entry(table: CrashTable, key: bytes, now: float) -> RequestCrashes:
     """Return what a table knows of a request, as part of a message."""
-    age_ms = int(max(0.0, now - table.last_at(key)) * MS_PER_S)
+    remaining_ms = int(table.remaining_s(key, now) * MS_PER_S)
     return RequestCrashes(
-        key, sorted(table.servers(key)), age_ms, table.description(key)
+        key, sorted(table.servers(key)), remaining_ms, table.description(key)
     )
 
 
 def add_entry(table: CrashTable, entry: RequestCrashes, now: float) -> bool:
     """Add an entry of a message to a table; return whether a server is new."""
-    age_s = max(0.0, entry.age_ms / MS_PER_S)
-    last_at = now - min(table.limits.quarantine_s, age_s)
-    return table.add(entry.key, entry.servers, last_at, entry.description)
+    remaining_s = min(table.limits.quarantine_s, entry.remaining_ms / MS_PER_S)
+    if remaining_s <= 0:
+        return False
+    return table.add(entry.key, entry.servers, now + remaining_s, entry.description)
