Soak: a crashed server resets the connections it had just accepted

Trace: the stand-in served a connection on that was accepted just before its crash, and a fatal request on it crashed the next server of the same number, which nobody had sent it to. A process that has crashed does neither. The check is unchanged: the stand-in's requests now crash the server that reads them, and late connections are reset.

--- a/tests/relay/harness.py
+++ b/tests/relay/harness.py
@@ -151,6 +151,10 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections_accepted += 1
+        if self.has_crashed:
+            # Accepted just before the crash.
+            reset_connection(writer)
+            return
         self._writers.add(writer)
         try:
             while True:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -20,7 +20,7 @@
 
 from tests.platform.settings_file import write_settings
 from tests.platform.standin_store import StoreStandin
-from tests.relay.harness import Caller, Exchange, Script, ScriptedServer
+from tests.relay.harness import Caller, Exchange, ScriptedServer
 from tests.soak.crashes import FATAL_PREFIX
 from tests.soak.customers import tenants
 from tests.soak.witness import GuaranteeChecker, event_data, plain_answer
@@ -184,13 +184,10 @@
         # Held while relays are ended and restarted.  Without it, two faults that end
         # the same relay could start it twice.
         self.relay_lock = anyio.Lock()
-        self.servers = [
-            ScriptedServer(f"s{n}", self._script(n)) for n in range(SERVER_COUNT)
-        ]
+        self.servers = [self._make_server(f"s{n}", n) for n in range(SERVER_COUNT)]
         # When crashed servers are replaced, by their numbers.
         self._replace_at: dict[int, float] = {}
         self._remove_entry_at: dict[str, float] = {}
-        self._active: dict[int, set[str]] = {n: set() for n in range(SERVER_COUNT)}
 
     # Servers
 
@@ -212,32 +209,40 @@
         }
         self.store.put(f"servers/{server.id}", json.dumps(entry).encode())
 
-    def _script(self, number: int) -> Script:
+    def _make_server(self, server_id: str, number: int) -> ScriptedServer:
         serve = self._engine if number < ENGINE_COUNT else self._plain
+        active: set[str] = set()
 
         async def run(exchange: Exchange) -> None:
             request_id = exchange.header("X-Request-Id")
             if request_id.startswith(FATAL_PREFIX):
-                self._crash_server(number, exchange)
+                self._crash_server(server, number, exchange, active)
                 return
-            self._active[number].add(request_id)
+            active.add(request_id)
             try:
                 await serve(exchange)
             finally:
-                self._active[number].discard(request_id)
+                active.discard(request_id)
 
-        return run
+        server = ScriptedServer(server_id, run)
+        return server
 
-    def _crash_server(self, number: int, exchange: Exchange) -> None:
+    def _crash_server(
+        self,
+        server: ScriptedServer,
+        number: int,
+        exchange: Exchange,
+        active: set[str],
+    ) -> None:
         """Crash a server under a request, with all that it runs."""
-        server, now = self.servers[number], time.monotonic()
         if server.has_crashed:
             return
+        now = time.monotonic()
         request_id = exchange.header("X-Request-Id")
         body = exchange.body.decode()
         self.checker.record_execution(request_id, body)
         self.checker.crashes.record_crash(body, request_id, now)
-        for active_id in (request_id, *self._active[number]):
+        for active_id in (request_id, *active):
             self.checker.record_reset(active_id)
         server.crash()
         self._replace_at[number] = now + self._crash_rng.uniform(*REPLACEMENT_S)
@@ -252,8 +257,7 @@
                 if now >= due:
                     del self._replace_at[number]
                     server_id = f"{self.servers[number].id}x"
-                    script = self._script(number)
-                    self.servers[number] = ScriptedServer(server_id, script)
+                    self.servers[number] = self._make_server(server_id, number)
                     await self._start_server(number)
             for key, due in list(self._remove_entry_at.items()):
                 if now >= due:
