Test of a stopping relay: the grace period covers a slow start of keepers

Cause: the keepers are started again 3.5 s after the signal, and the relay ends by force at 7.3 s. Keepers that need longer than that to start leave the tokens reserved, as documented for the end of the grace period.

Change: a grace period of 20 s for this test, and timeouts of the routes that make the relay refuse requests at the same 2.5 s as before.

--- a/tests/platform/settings_file.py
+++ b/tests/platform/settings_file.py
@@ -20,6 +20,7 @@
     ready: str = "",
     memory_mb: int = 150,
     contracts: tuple[str, ...] = (),
+    grace_s: int = 8,
 ) -> Path:
     """Write a settings file and return its path.
 
@@ -49,7 +50,7 @@
 
 [bounds]
 drainMs = 2000
-graceS = 8
+graceS = {grace_s}
 quotaWindowS = 5
 quotaOver = 0.1
 quotaSlack = 20
--- a/tests/relay/machines.py
+++ b/tests/relay/machines.py
@@ -63,6 +63,7 @@
         self.front = free_port()
         self.ready = free_port()
         self.contracts: tuple[str, ...] = ()
+        self.grace_s = 8
         self._internal = free_port()
         self._folder = folder
         self._store = store
@@ -81,6 +82,7 @@
             front=f"{ip}:{self.front}",
             ready=f"{ip}:{self.ready}",
             contracts=self.contracts,
+            grace_s=self.grace_s,
         )
 
     @asynccontextmanager
--- a/tests/relay/test_daemon.py
+++ b/tests/relay/test_daemon.py
@@ -28,6 +28,10 @@
 
 # Time until a new configuration is in force (``configMs``).
 CHANGE_S = 2.0
+# Grace period, and timeout of the routes, with which a stopping relay accepts requests
+# until `REROUTE_S` only and then has time for settlements.
+GRACE_S = 20
+TIMEOUT_MS = 17_000
 
 
 def test_planned_stop_finishes_active_requests_and_exits(
@@ -138,6 +142,11 @@
     async def scenario(
         deployment: Deployment, store: StoreStandin, stack: AsyncExitStack
     ) -> None:
+        # Keepers start slowly on a busy machine.  The grace period covers that, and the
+        # routes' timeouts keep the relay from accepting requests for longer.
+        deployment.grace_s = GRACE_S
+        routes = [r | {"timeoutMs": TIMEOUT_MS} for r in CONFIG["routes"]]
+        store.put("op/config", json.dumps(CONFIG | {"routes": routes}).encode())
         keeper_ips = (KEEPER_IP, OTHER_KEEPER_IP)
         keepers = [
             await stack.enter_async_context(deployment.run("keeper", ip))
