Soak: more seeds to detect a relay that accepts requests until its end

Cause: a cut during which some process waited for a processor is excused, and on a busy machine that may be all cuts of a seed. The check and the excuse stay; three seeds join, and the search ends at the first one that detects it.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -56,9 +56,10 @@
     """Stopping relays accept requests until the end of their grace period.
 
     They cut the active requests when the stop ends by force.  The soak must report it;
-    these seeds have detected the fault before.
+    these seeds have detected the fault before.  On a busy machine a seed may excuse all
+    cuts, because a process was waiting for a processor.
     """
-    for seed in (902, 951, 952):
+    for seed in (951, 952, 954, 902, 953, 955):
         folder = tmp_path / str(seed)
         folder.mkdir()
         violations = anyio.run(
@@ -66,7 +67,7 @@
         ).violations
         if any(line.startswith("cut: ") for line in violations):
             return
-    pytest.fail("three seeds did not detect it")
+    pytest.fail("six seeds did not detect it")
 
 
 @pytest.mark.parametrize("seed", [5000, 5002])
