Soak: servers reject requests that name another server

Trace: a server that replaced a crashed one was given the port of another crashed one by the kernel, and ran a request that named that one in X-Expect-Instance. Servers of the platform answer 421 to it; the stand-in now does too.

--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -215,6 +215,13 @@
 
         async def run(exchange: Exchange) -> None:
             request_id = exchange.header("X-Request-Id")
+            if exchange.header("X-Expect-Instance") not in ("", server_id):
+                # This server has the address of another one that has crashed.
+                await exchange.write_text(
+                    "HTTP/1.1 421 Misdirected Request\nX-Not-Executed: 1\n"
+                    "Content-Length: 0\n\n"
+                )
+                return
             if request_id.startswith(FATAL_PREFIX):
                 self._crash_server(server, number, exchange, active)
                 return
