--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -499,7 +499,9 @@
         for line in result.violations:
             print(f"  BROKEN {line}; logs in {folder}", flush=True)
         failed += bool(result.violations)
-        if not result.violations:
+        if result.crash_counts.innocents_quarantined and not result.violations:
+            print(f"  logs in {folder}", flush=True)
+        elif not result.violations:
             shutil.rmtree(folder)
     print(f"{args.count} seeds, {failed} with a broken promise")
     return 1 if failed else 0
