A server that answered unusably has not crashed under the request later

Cause: an answer without a stamp, one that ended inside an event, or one that this relay broke off for its memory left the request waiting ten seconds for evidence, so it was counted when that server crashed for another reason in that time.

Change: only requests without any answer wait for evidence of a crash.

--- a/tests/relay/test_crashes.py
+++ b/tests/relay/test_crashes.py
@@ -331,3 +331,24 @@
         assert len(harness.dispatcher.crashes.table) == 0
 
     run_scenario([server], scenario)
+
+
+@pytest.mark.parametrize("name", ["unsafe", "talk"])
+def test_server_that_spoiled_its_answer_has_not_crashed_under_it(name: str) -> None:
+    """A server answers without its stamp, and crashes later for another reason."""
+
+    async def spoil(exchange: Exchange) -> None:
+        request_id = exchange.header("X-Request-Id")
+        await exchange.write_text(
+            f"HTTP/1.1 200 OK\nX-Request-Id: {request_id}\nContent-Length: 0\n\n"
+        )
+
+    server = ScriptedServer("s0", spoil)
+
+    async def scenario(harness: RelayHarness) -> None:
+        assert (await harness.request(name)).status == 502
+        server.crash()
+        await harness.request(name, "next")
+        assert len(harness.dispatcher.crashes.table) == 0
+
+    run_scenario([server], scenario)
--- a/wisteriastair/relay/plain.py
+++ b/wisteriastair/relay/plain.py
@@ -132,8 +132,9 @@
             dispatcher.record_failure(state)
         if result.is_disconnected:
             await dispatcher.crashes.examine(job, state)
-        else:
+        elif not isinstance(outcome, ResponseStarted) and result.is_server_fault:
             dispatcher.crashes.record_silence(job, state)
+        job.sent_to = None
         if not job.route.repeatable or possible_runs >= job.route.max_servers:
             return Failure(Code.SERVER_LOST, result.reason, "unknown")
         retry_policy.record_retry()
--- a/wisteriastair/relay/streams.py
+++ b/wisteriastair/relay/streams.py
@@ -263,6 +263,8 @@
                 job, state
             ):
                 run_on.discard(error.server)
+            # The server answered, though not usably, or this process broke it off.
+            job.sent_to = None
             if not _can_resume(turn) or resume_count >= MAX_RESUMES:
                 return Failure(Code.SERVER_LOST, error.reason, "unknown")
             # Prefer the same server: it has the prompt in its cache, and a run on
