--- a/tests/relay/crash_network.py
+++ b/tests/relay/crash_network.py
@@ -4,14 +4,9 @@
 
 import asyncio
 
+from wisteriastair.core.crashwire import CrashReport, CrashUpdate
 from wisteriastair.core.hashing import address_of
-from wisteriastair.core.ledgerwire import (
-    CrashReport,
-    CrashUpdate,
-    LedgerMessage,
-    decode_ledger,
-    encode_ledger,
-)
+from wisteriastair.core.ledgerwire import LedgerMessage, decode_ledger, encode_ledger
 from wisteriastair.keeper.crashes import CrashKeeper
 from wisteriastair.relay.crashshare import CrashShare
 from wisteriastair.scheduling.crashes import DEFAULT_LIMITS, CrashLimits, CrashTable
--- a/tests/relay/test_crashshare.py
+++ b/tests/relay/test_crashshare.py
@@ -16,11 +16,7 @@
     count_crashed,
     make_servers,
 )
-from wisteriastair.core.ledgerwire import (
-    CrashReport,
-    CrashUpdate,
-    RequestCrashes,
-)
+from wisteriastair.core.crashwire import CrashReport, CrashUpdate, RequestCrashes
 from wisteriastair.keeper.crashes import CrashKeeper
 from wisteriastair.relay.crashshare import CrashShare
 from wisteriastair.scheduling.crashes import CrashLimits, CrashTable
--- a/wisteriastair/core/ledgerwire.py
+++ b/wisteriastair/core/ledgerwire.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from .crashwire import CrashReport, CrashUpdate
 from .ledger import Attempt, Entry, Turn
 from .membership import View
 from .quota import Permit
@@ -432,69 +433,6 @@
     weights: Weights = Weights()
 
 
-class RequestCrashes(msgspec.Struct, frozen=True, array_like=True):
-    """Servers that crashed under a request.
-
-    Attributes
-    ----------
-    key : bytes
-        Key of the request, the same for all of its attempts.
-    servers : list of int
-        Keys of the servers' incarnations.
-    remaining_ms : int
-        Milliseconds until the request is forgotten.
-    description : str
-        What operators are told of the request.
-    """
-
-    key: bytes
-    servers: list[int]
-    remaining_ms: int
-    description: str = ""
-
-
-class CrashReport(msgspec.Struct, frozen=True, array_like=True, tag=17):
-    """Crashes that a relay found, to some keepers, which reply to it.
-
-    Any report subscribes the relay to updates for some seconds.
-
-    Attributes
-    ----------
-    op : int
-        Number of the report; 0 if no reply is needed.
-    answered : list of bytes
-        Keys of remembered requests that a server has answered.
-    wants_all : bool
-        Whether the relay has missed an update.
-    """
-
-    op: int
-    crashes: list[RequestCrashes] = []
-    answered: list[bytes] = []
-    wants_all: bool = False
-
-
-class CrashUpdate(msgspec.Struct, frozen=True, array_like=True, tag=18):
-    """Requests that any relay may have to stop or to forget, from a keeper.
-
-    Attributes
-    ----------
-    base, revision : int
-        Revisions of the sender's table before and after the changes; a base of 0 means
-        that the message has the whole table.
-    forgotten : list of bytes
-        Keys of requests that are forgotten.
-    op : int
-        Report that this replies to; 0 for none.
-    """
-
-    base: int
-    revision: int
-    crashes: list[RequestCrashes] = []
-    forgotten: list[bytes] = []
-    op: int = 0
-
-
 LedgerMessage = (
     Write
     | FanOutWrite
--- a/wisteriastair/keeper/crashes.py
+++ b/wisteriastair/keeper/crashes.py
@@ -11,7 +11,7 @@
 import logging
 from typing import Final
 
-from ..core.ledgerwire import CrashReport, CrashUpdate
+from ..core.crashwire import CrashReport, CrashUpdate
 from ..scheduling.crashes import MAX_ENTRIES, CrashTable, add_entry, make_entry
 
 # Interval in seconds at which relays are told the revision while there is anything to
--- a/wisteriastair/keeper/daemon.py
+++ b/wisteriastair/keeper/daemon.py
@@ -18,10 +18,9 @@
 import msgspec
 from anyio.abc import TaskGroup
 
+from ..core.crashwire import CrashReport, CrashUpdate
 from ..core.keeper import KeeperCore
 from ..core.ledgerwire import (
-    CrashReport,
-    CrashUpdate,
     Document,
     DocumentsReply,
     DocumentsRequest,
--- a/wisteriastair/relay/crashshare.py
+++ b/wisteriastair/relay/crashshare.py
@@ -15,8 +15,9 @@
 
 import anyio
 
+from ..core.crashwire import CrashReport, CrashUpdate
 from ..core.hashing import address_of
-from ..core.ledgerwire import CrashReport, CrashUpdate, LedgerMessage
+from ..core.ledgerwire import LedgerMessage
 from ..scheduling.crashes import MAX_ENTRIES, CrashTable, add_entry, make_entry
 
 # Seconds after which a report without a reply is sent again, and how often.  A keeper
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -12,8 +12,8 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from ..core.crashwire import CrashUpdate
 from ..core.ledgerwire import (
-    CrashUpdate,
     DocumentsReply,
     DocumentsRequest,
     LedgerMessage,
--- a/wisteriastair/scheduling/crashes.py
+++ b/wisteriastair/scheduling/crashes.py
@@ -20,7 +20,7 @@
 from hashlib import blake2b
 from typing import Final, NamedTuple
 
-from ..core.ledgerwire import RequestCrashes
+from ..core.crashwire import RequestCrashes
 
 # Servers that may crash under one request.
 MAX_CRASHES: Final = 3
