A quarantine that an operator ends is not recorded again

Cause: a keeper notes which records exist from its own writes and from the watch. If the watch reported a record before the response to its write, the note was toggled off; the removal by the operator was then ignored as that of an unknown record, and the keeper wrote it again.

Change: the notes are set, not toggled, and any removal ends the quarantine.

--- a/tests/keeper/test_quarantine.py
+++ b/tests/keeper/test_quarantine.py
@@ -95,6 +95,28 @@
     run_scenario(scenario)
 
 
+def test_removal_by_an_operator_ends_an_unknown_record() -> None:
+    """The watch reports the record before the write is answered, then its removal."""
+
+    async def scenario(
+        table: CrashTable, records: QuarantineRecords, standin: StoreStandin
+    ) -> None:
+        key = quarantine(table, 1)
+        async with anyio.create_task_group() as group:
+            group.start_soon(records.sync, 0, 0.0)
+            while not standin.items:
+                await anyio.sleep(0)
+            (name,) = standin.items
+            records.apply(name, b'{"request":"r","servers":[1,2,3],"until":9e99}', 0.0)
+        standin.remove(name)
+        records.apply(name, None, 1.0)
+        assert key not in table
+        await records.sync(0, 2.0)
+        assert standin.items == {}
+
+    run_scenario(scenario)
+
+
 def test_lost_response_of_the_store_is_repeated() -> None:
     """The write takes effect, and its response is lost."""
 
--- a/wisteriastair/keeper/quarantine.py
+++ b/wisteriastair/keeper/quarantine.py
@@ -56,7 +56,8 @@
         if value is not None:
             self._recorded.add(request)
             apply_record(self._crashes.table, key, value, now)
-        elif request in self._recorded:
+        else:
+            # Also if the record was removed before this process knew of it.
             self._recorded.discard(request)
             self._crashes.forget(request)
 
@@ -89,4 +90,6 @@
             self._retry_s = min(MAX_RETRY_S, 2 * self._retry_s)
             return
         self._retry_s = 1.0
-        self._recorded.symmetric_difference_update(batch)
+        # The watch may have reported the change before the response arrived.
+        self._recorded.update(key for key in batch if key in quarantined)
+        self._recorded.difference_update(key for key in batch if key not in quarantined)
