--- a/review/lab.py
+++ b/review/lab.py
@@ -229,7 +229,7 @@
 
     async def stream(self, events: list[str], gap_s: float) -> None:
         """Send events with ids from 1 on."""
-        framing = "Transfer-Encoding: chunked"
+        framing = "Transfer-Encoding: chunked\r\nX-Weight-Versions: 1"
         self._writer.write(self._head("200 OK", framing, "text/event-stream"))
         for number, data in enumerate(events, start=1):
             await asyncio.sleep(gap_s)
@@ -285,8 +285,8 @@
                 run = Run(first, headers, body, writer)
                 if headers.get("x-expect-instance") not in (None, self.id):
                     writer.write(
-                        b"HTTP/1.1 421 Misdirected\r\nX-Not-Executed: 1\r\n"
-                        b"Content-Length: 0\r\n\r\n"
+                        f"HTTP/1.1 421 Misdirected\r\nX-Request-Id: {run.id}\r\n"
+                        "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode()
                     )
                     continue
                 self._record.write(f"run      {run.id} at {self.id}")
@@ -636,6 +636,9 @@
         record.write(f"can't run: {exc}")
     except TimeoutError:
         record.write("can't run: the time is over")
+    except Exception as exc:
+        # An error of the script says nothing of the rule.
+        record.write(f"can't run: {exc!r}")
     finally:
         for deployment in deployments:
             deployment.end()
