A caller that leaves before its last response no longer ends the process

Cause: the answer is written to a peer that has closed, whose system replies with a reset. `write_eof` then shuts down a socket that is no longer connected, and raises OSError (ENOTCONN). It is called in the task that serves the connection, outside of the guard for handlers, and that task belongs to the task group of the whole process. On loopback the reset arrives within the call that sends the answer, so the event loop can't have reported it before.

Change: a failed shutdown of the socket aborts that connection, as the loop does when it reports a reset itself. Only OSError of this call is handled; other exceptions in the task still end the process, since they are errors of the program.

--- a/wisteriastair/http1/caller.py
+++ b/wisteriastair/http1/caller.py
@@ -476,7 +476,12 @@
         if not self.closed and not self._transport.is_closing():
             self._finishing = True
             self._phase_started_at = self._loop.time()
-            self._transport.write_eof()
+            try:
+                self._transport.write_eof()
+            except OSError:
+                # The caller has closed the connection, and its system has answered the
+                # response with a reset that the event loop has not reported yet.
+                self.abort()
 
 
 def _framing_error(headers: Headers) -> str:
