Connections to the ready and metrics ports have timeouts

What a peer could do: connections to the ready and metrics ports were never closed by the process. A peer that leaves them open (idle, in the middle of a request, or after a rejected one) takes descriptors of the process for good, and callers and servers share these.

Cause: `CallerConnection.enforce_timeouts` is called for the connections of callers only.

Change: `http1/listener.py` serves both ports and calls it once a second.

--- a/tests/http1/test_leaving_callers.py
+++ b/tests/http1/test_leaving_callers.py
@@ -16,7 +16,8 @@
 
 from tests.relay.harness import HOST, Caller, Exchange, ScriptedServer, run_harness
 from wisteriastair.core.stopping import Shutdown
-from wisteriastair.http1.caller import CallerConnection, Handler
+from wisteriastair.http1.caller import Handler
+from wisteriastair.http1.listener import listen
 from wisteriastair.nodemetrics import MetricsHandler
 from wisteriastair.relay.handler import ReadyHandler
 
@@ -98,11 +99,8 @@
 @asynccontextmanager
 async def serve(handler: Handler) -> AsyncIterator[int]:
     """Serve a handler on a port until the block ends."""
-    caller_conns: set[CallerConnection] = set()
     async with anyio.create_task_group() as group:
-        listener = await asyncio.get_running_loop().create_server(
-            lambda: CallerConnection(handler, group, caller_conns), HOST, 0
-        )
+        listener = await listen(handler, HOST, 0, group)
         yield listener.sockets[0].getsockname()[1]
         listener.close()
         group.cancel_scope.cancel()
--- a/wisteriastair/nodemetrics.py
+++ b/wisteriastair/nodemetrics.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 from typing import Final
 
@@ -17,6 +16,7 @@
 
 from .core.routes import CallerLimits
 from .http1.caller import CallerConnection, Handler
+from .http1.listener import listen
 from .http1.messages import BadRequest, Request
 
 # deploy/system.toml contains the same port.
@@ -240,13 +240,7 @@
     address: str, registry: CollectorRegistry, group: TaskGroup
 ) -> None:
     """Listen for scrapes; if the port is in use, metrics are not served."""
-    caller_conns: set[CallerConnection] = set()
-    handler = MetricsHandler(registry)
     try:
-        await asyncio.get_running_loop().create_server(
-            lambda: CallerConnection(handler, group, caller_conns),
-            address,
-            METRICS_PORT,
-        )
+        await listen(MetricsHandler(registry), address, METRICS_PORT, group)
     except OSError as exc:
         log.warning("no metrics", extra={"reason": str(exc), "port": METRICS_PORT})
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -25,6 +25,7 @@
 from ..core.storetimes import make_store_timeouts
 from ..core.watchers import crash_keepers, make_subscription
 from ..http1.caller import CallerConnection
+from ..http1.listener import listen
 from ..logs import dropped_line_count
 from ..nodemetrics import RelayMetrics, serve_metrics
 from ..nodeoptions import NodeOptions
@@ -184,7 +185,6 @@
 
     async def _serve(self, group: TaskGroup) -> None:
         loop = asyncio.get_running_loop()
-        ready_conns: set[CallerConnection] = set()
         listeners = [
             await loop.create_server(
                 lambda: CallerConnection(
@@ -193,10 +193,7 @@
                 *_host_and_port(self._cfg.caller_address),
                 backlog=LISTEN_BACKLOG,
             ),
-            await loop.create_server(
-                lambda: CallerConnection(self._ready, group, ready_conns),
-                *_host_and_port(self._cfg.ready_address),
-            ),
+            await listen(self._ready, *_host_and_port(self._cfg.ready_address), group),
         ]
         await self._shutdown_requested.wait()
         assert self._handler.shutdown is not None, "set together with the event"
