A caller that reads nothing is disconnected, and can't collect responses

What a peer could do: send any number of requests on one connection and read nothing. Each response was added to the send buffer of the process: without the contract `pressure`, and on the ready and metrics ports always, nothing waited for the peer, so memory grew with each request. After a last response that it doesn't read, or after the idle timeout, the connection and its buffer were kept until the process ended: closing a transport waits until its buffer is written.

Cause: the wait for a writable connection between pipelined requests stood in the branch for connections with a byte budget, and a timeout closed a connection where only an abort frees it.

A peer that reads slowly is not affected: each byte that it reads counts.

--- a/tests/http1/test_listener.py
+++ b/tests/http1/test_listener.py
@@ -11,7 +11,7 @@
 
 from wisteriastair.core.routes import CallerLimits
 from wisteriastair.http1 import listener
-from wisteriastair.http1.caller import CallerConnection, Handler
+from wisteriastair.http1.caller import WRITE_BUFFER_BYTES, CallerConnection, Handler
 from wisteriastair.http1.listener import listen
 from wisteriastair.http1.messages import BadRequest, Request
 
@@ -101,3 +101,58 @@
                     await anyio.sleep(CHECK_INTERVAL_S)
 
     run(scenario, monkeypatch)
+
+
+@pytest.mark.parametrize("data", [REQUEST, LAST_REQUEST], ids=["kept", "last"])
+def test_a_peer_that_reads_nothing_is_disconnected(
+    data: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against responses that are held for peers that never read them."""
+
+    async def scenario(handler: LargeBody, sock: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        for _ in range(8):
+            # Together larger than the buffers of the operating system.
+            await loop.sock_sendall(sock, REQUEST)
+        await loop.sock_sendall(sock, data)
+        await anyio.sleep(LIMITS.idle_timeout_s * 3)
+        with pytest.raises(ConnectionError):
+            await loop.sock_sendall(sock, REQUEST)
+            await anyio.sleep(CHECK_INTERVAL_S)
+            await loop.sock_sendall(sock, REQUEST)
+
+    run(scenario, monkeypatch)
+
+
+def test_responses_to_pipelined_requests_wait_until_the_peer_reads(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a send buffer that grows with each pipelined request."""
+
+    async def scenario(handler: LargeBody, sock: socket.socket) -> None:
+        await asyncio.get_running_loop().sock_sendall(
+            sock, REQUEST * PIPELINED_REQUESTS
+        )
+        await anyio.sleep(LIMITS.idle_timeout_s / 2)
+        # What the operating system buffers, and one response above the write buffer.
+        system_bytes = 16 * 1024 * 1024
+        most_bytes = system_bytes + WRITE_BUFFER_BYTES + len(BODY)
+        assert handler.answered * len(BODY) < most_bytes
+
+    run(scenario, monkeypatch)
+
+
+def test_a_peer_that_reads_slowly_gets_all(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a timeout that ends a response while its peer reads."""
+
+    async def scenario(handler: LargeBody, sock: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16 * 1024)
+        await loop.sock_sendall(sock, REQUEST * SLOWLY_READ_RESPONSES)
+        size = 0
+        with anyio.fail_after(9):
+            while size < SLOWLY_READ_RESPONSES * len(BODY):
+                await anyio.sleep(LIMITS.idle_timeout_s / 40)
+                size += len(await loop.sock_recv(sock, 1 << 16))
+
+    run(scenario, monkeypatch)
--- a/wisteriastair/http1/caller.py
+++ b/wisteriastair/http1/caller.py
@@ -122,6 +122,10 @@
         self._response_complete = False
         self._keep_alive = True
         self._phase_started_at = self._loop.time()
+        self._written_bytes = 0
+        # Bytes that the caller had read at the last check, and when it read them.
+        self._read_bytes = 0
+        self._read_at = self._phase_started_at
         self._reset_request()
 
     # Connection
@@ -187,6 +191,10 @@
         """
         limits = self._handler.limits()
         elapsed_s = now - self._phase_started_at
+        if self._has_stalled(now, limits.idle_timeout_s):
+            # Closing would wait for the caller to read.
+            self._disconnect("stalled")
+            return
         if self.busy or self._queue:
             return
         if self._finishing:
@@ -201,6 +209,15 @@
             self._reject(408, "the request did not arrive in time")
             self._serve_next()
 
+    def _has_stalled(self, now: float, timeout_s: float) -> bool:
+        """Return whether the caller has read nothing of its responses for some time."""
+        unsent_bytes = self._transport.get_write_buffer_size()
+        read_bytes = self._written_bytes - unsent_bytes
+        if unsent_bytes == 0 or read_bytes > self._read_bytes:
+            self._read_bytes = read_bytes
+            self._read_at = now
+        return now - self._read_at > timeout_s
+
     def close_if_idle(self) -> None:
         """Close the connection if it has no request.
 
@@ -316,8 +333,11 @@
                     self._close_write_side()
                     return
                 await self._serve_request(req)
-                if self._account is not None:
-                    await self._finish_metered_request(req)
+                self._free_request(req)
+                if self._queue and not self._writable.is_set():
+                    # A caller that reads nothing could otherwise collect the responses
+                    # to any number of requests in its send buffer.
+                    await self._writable.wait()
                 self._resume_reading()
         finally:
             self.busy = False
@@ -429,6 +449,7 @@
 
     def _write(self, data: bytes) -> None:
         self._transport.write(data)
+        self._written_bytes += len(data)
         if self._account is None or self._meter is None:
             return
         self._meter.traffic.sent_bytes += len(data)
@@ -436,16 +457,9 @@
             self._account, len(data), self._transport.get_write_buffer_size()
         )
 
-    async def _finish_metered_request(self, req: Request) -> None:
-        """Return the bytes of a request, and wait for the caller to read.
-
-        A caller that reads nothing could otherwise collect the responses to any number
-        of requests in its send buffer.
-        """
+    def _free_request(self, req: Request) -> None:
         if self._account is not None and self._meter is not None:
             self._meter.buffers.free(self._account, len(req.body))
-        if self._queue and not self._writable.is_set():
-            await self._writable.wait()
 
     def _disconnect(self, reason: str) -> None:
         """Reset the connection to free what is held for it."""
