Requests whose framing has no end are rejected

What a caller could do: after a complete head, send a chunk extension or trailers without end. A trailer value was collected by the parser, in memory that grew until the idle timeout (15 s); a body in chunks of one byte was kept as a list of parts that took eight times its size.

Cause: the limit for headers was checked only while the head was incomplete, and the limit for bodies counts body data alone.

Change: what arrives besides body data is limited for the whole message, with eight bytes of framing for each byte of a body, and trailers have the limit of the head.

--- a/wisteriastair/http1/caller.py
+++ b/wisteriastair/http1/caller.py
@@ -36,6 +36,7 @@
     header,
 )
 from .metering import ConnectionMeter
+from .reading import FramingLimit, SmallReadsProtocol
 
 # Number of queued pipelined requests at which reading pauses.
 MAX_PIPELINED_REQUESTS: Final = 8
@@ -76,7 +77,7 @@
         """Whether connections are to be closed after their next response."""
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(SmallReadsProtocol):
     """A connection of a caller.
 
     Parameters
@@ -126,6 +127,7 @@
         # Bytes that the caller had read at the last check, and when it read them.
         self._read_bytes = 0
         self._read_at = self._phase_started_at
+        self._framing = FramingLimit()
         self._reset_request()
 
     # Connection
@@ -165,23 +167,24 @@
         """Note that the write buffer has capacity again."""
         self._writable.set()
 
-    def data_received(self, data: bytes) -> None:
+    def data_received(self, data: bytes | memoryview) -> None:
         """Parse data from the caller."""
         if self._meter is not None:
             self._meter.traffic.received_bytes += len(data)
         if self._finishing:
             return
-        if not self._head_complete:
-            self._head_bytes += len(data)
+        self._framing.received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._reject(400, "upgrade is not offered")
         except httptools.HttpParserError as exc:
             self._reject(400, f"not HTTP: {exc}")
-        limits = self._handler.limits()
-        if not self._head_complete and self._head_bytes > limits.max_header_bytes:
-            self._reject(431, f"headers over {limits.max_header_bytes} bytes")
+        max_bytes = self._handler.limits().max_header_bytes
+        # Trailers have the same limit as the head.
+        allowed_bytes = 2 * max_bytes if self._head_complete else max_bytes
+        if self._framing.is_exceeded(allowed_bytes):
+            self._reject(431, f"headers or framing over {max_bytes} bytes")
         self._serve_next()
 
     def enforce_timeouts(self, now: float) -> None:
@@ -233,9 +236,8 @@
     def _reset_request(self) -> None:
         self._url = b""
         self._headers: Headers = []
-        self._body_parts: list[bytes] = []
-        self._body_bytes = 0
-        self._head_bytes = 0
+        self._body = bytearray()
+        self._framing.reset()
         self._head_complete = False
         self._request_started = False
 
@@ -280,13 +282,13 @@
         """Store a part of the body."""
         if self._finishing:
             return
-        self._body_bytes += len(body)
-        if self._body_bytes > self._handler.limits().max_body_bytes:
+        self._framing.body_bytes += len(body)
+        if self._framing.body_bytes > self._handler.limits().max_body_bytes:
             self._reject(
                 413, f"body over {self._handler.limits().max_body_bytes} bytes"
             )
             return
-        self._body_parts.append(body)
+        self._body += body
         if self._account is not None and self._meter is not None:
             self._meter.buffers.keep(self._account, len(body))
 
@@ -298,7 +300,7 @@
             self._parser.get_method().decode("ascii"),
             self._url.decode("latin-1"),
             self._headers,
-            b"".join(self._body_parts),
+            bytes(self._body),
             self._parser.should_keep_alive(),
             self._received_at,
         )
