Calls to services, engines and the store are limited in size and time

What users saw, or would see: a service whose answer names a charset such as `hex`, `idna` or `undefined` ended the side process beside it, with all calls and programs it carried. httpx decodes the text, and what it raises there (AssertionError, UnicodeError, ValueError) is no HTTP error; the call runs in the task group of the whole process. A server or store that sends a body without end filled the memory of its client; one that sends some bytes now and then held the call for as long as it liked, since the timeouts of httpx apply to each read; and chunks of single bytes, or interim responses, held the event loop.

Cause: `response.text`, and reads of whole bodies with per-read timeouts, in all five clients (services, engines, key-value service, instance list, store).

Change: `http1/fetch.py` reads responses with a maximum size and a total time, lets other tasks run, asks for no content coding and decodes none, and decodes text in some known charsets, otherwise as UTF-8. Calls to a gate's server end with the timeout that the gate has for them. A watch whose changes are too large is followed by reading all keys, which come in pages.

--- a/tests/relay/flooding.py
+++ b/tests/relay/flooding.py
@@ -1,7 +1,7 @@
 """A backend server whose response to some requests has no end, in a process of its own.
 
-A head or a body of each form is sent as fast as the relay reads, until it closes the
-connection.  Requests whose id does not begin with ``flood`` are answered at once.
+A head or a body of each form is sent as fast as the caller reads, until it closes the
+connection.  Requests are answered at once if their id does not begin with ``flood``.
 """
 
 from __future__ import annotations
@@ -112,7 +112,7 @@
                 data += received
             head, _, data = data.partition(b"\r\n\r\n")
             request_id = _header(head, b"x-request-id")
-            if request_id.startswith(FLOOD_PREFIX.encode()):
+            if not request_id or request_id.startswith(FLOOD_PREFIX.encode()):
                 _flood(sock, form, request_id, trickle)
                 return
             answer = HEAD.replace(b"{id}", request_id)
--- a/wisteriastair/engines/client.py
+++ b/wisteriastair/engines/client.py
@@ -11,6 +11,7 @@
 from collections.abc import AsyncIterator, Callable
 from typing import Any, Final
 
+import anyio
 import httpx
 import msgspec
 
@@ -18,12 +19,22 @@
 from ..core.records import Action
 from ..core.wire import CallId, GateCall
 from ..decoding import DECODE_ERRORS
+from ..http1.fetch import (
+    DEFAULT_HEADERS,
+    Fetched,
+    FetchError,
+    TooLarge,
+    fetch,
+    read_lines,
+)
 
 CONNECT_TIMEOUT_S: Final = 2.0
 STALL_TIMEOUT_S: Final = 5.0
 MAX_RESUMES: Final = 3
-DATA_PREFIX: Final = "data: "
-END_OF_STREAM: Final = "[DONE]"
+MAX_LINE_BYTES: Final = 1024 * 1024
+MAX_RESPONSE_BYTES: Final = 64 * 1024 * 1024
+DATA_PREFIX: Final = b"data: "
+END_OF_STREAM: Final = b"[DONE]"
 
 EmitText = Callable[[str], None]
 
@@ -103,11 +114,20 @@
     def __init__(self, url: str) -> None:
         timeout = httpx.Timeout(STALL_TIMEOUT_S, connect=CONNECT_TIMEOUT_S)
         limits = httpx.Limits(max_connections=None, max_keepalive_connections=16)
-        self._client = httpx.AsyncClient(base_url=url, timeout=timeout, limits=limits)
+        self._client = httpx.AsyncClient(
+            base_url=url, timeout=timeout, limits=limits, headers=DEFAULT_HEADERS
+        )
 
     async def run(self, call: GateCall, emit: EmitText) -> BackendEnded:
         """Run a call; resume over a new connection if the stream breaks or stalls."""
         progress = _Progress()
+        with anyio.move_on_after(call.timeout_s):
+            return await self._run(call, progress, emit)
+        return _make_result(call.call, "lost", "unknown", progress)
+
+    async def _run(
+        self, call: GateCall, progress: _Progress, emit: EmitText
+    ) -> BackendEnded:
         try:
             await self._stream(self._build_request(call), progress, emit)
         except httpx.ConnectError:
@@ -171,34 +191,46 @@
 
     async def cancel(self, call: CallId) -> None:
         """Cancel a running call; a lost request is ignored, since the lease expires."""
-        try:
-            await self._client.post(f"/v1/requests/{request_id(call)}/cancel")
-        except httpx.HTTPError:
-            return
+        await self._fetch("POST", f"/v1/requests/{request_id(call)}/cancel")
 
     async def release(self, programs: tuple[str, ...]) -> bool:
         """Release the cached memory of programs."""
-        try:
-            response = await self._client.post("/v1/cache/release", json=list(programs))
-        except httpx.HTTPError:
-            return False
-        return response.status_code == httpx.codes.OK
+        response = await self._fetch("POST", "/v1/cache/release", json=list(programs))
+        return isinstance(response, Fetched) and response.status == httpx.codes.OK
 
     async def cached_programs(self) -> tuple[str, ...] | None:
         """Return the programs with cached memory."""
+        response = await self._fetch("GET", "/v1/cache/programs")
+        if isinstance(response, FetchError):
+            return None
         try:
-            response = await self._client.get("/v1/cache/programs")
-            return _PROGRAMS_DECODER.decode(response.content)
-        except (httpx.HTTPError, *DECODE_ERRORS):
+            return _PROGRAMS_DECODER.decode(response.body)
+        except DECODE_ERRORS:
             return None
 
+    async def _fetch(
+        self, method: str, path: str, *, json: list[str] | None = None
+    ) -> Fetched | FetchError:
+        request = self._client.build_request(method, path, json=json)
+        return await fetch(
+            self._client,
+            request,
+            max_bytes=MAX_RESPONSE_BYTES,
+            timeout_s=STALL_TIMEOUT_S,
+        )
+
     async def close(self) -> None:
         """Close connections."""
         await self._client.aclose()
 
 
 async def _chunks(response: httpx.Response) -> AsyncIterator[_Chunk]:
-    async for line in response.aiter_lines():
+    lines = read_lines(
+        response, max_line_bytes=MAX_LINE_BYTES, max_bytes=MAX_RESPONSE_BYTES
+    )
+    async for line in lines:
+        if isinstance(line, TooLarge):
+            return
         if not line.startswith(DATA_PREFIX):
             continue
         data = line[len(DATA_PREFIX) :]
--- a/wisteriastair/platform/instances.py
+++ b/wisteriastair/platform/instances.py
@@ -10,8 +10,10 @@
 
 from ..core.events import Instance
 from ..decoding import DECODE_ERRORS
+from ..http1.fetch import DEFAULT_HEADERS, FetchError, fetch
 
 CALL_TIMEOUT_S: Final = 2.0
+MAX_RESPONSE_BYTES: Final = 16 * 1024 * 1024
 
 
 class InstanceList(ABC):
@@ -42,16 +44,23 @@
     """Client of the instance list over HTTP."""
 
     def __init__(self, url: str) -> None:
-        self._client = httpx.AsyncClient(base_url=url, timeout=CALL_TIMEOUT_S)
+        self._client = httpx.AsyncClient(
+            base_url=url, timeout=CALL_TIMEOUT_S, headers=DEFAULT_HEADERS
+        )
 
     async def read(self) -> tuple[Instance, ...] | None:
         """Return the list."""
+        response = await fetch(
+            self._client,
+            self._client.build_request("GET", "/v1/instances"),
+            max_bytes=MAX_RESPONSE_BYTES,
+            timeout_s=CALL_TIMEOUT_S,
+        )
+        if isinstance(response, FetchError) or response.status != httpx.codes.OK:
+            return None
         try:
-            response = await self._client.get("/v1/instances")
-            if response.status_code != httpx.codes.OK:
-                return None
-            rows = _ROWS_DECODER.decode(response.content)
-        except (httpx.HTTPError, *DECODE_ERRORS):
+            rows = _ROWS_DECODER.decode(response.body)
+        except DECODE_ERRORS:
             return None
         return tuple(
             Instance(r.name, r.role, r.address, r.domain, r.leaving, r.servers)
--- a/wisteriastair/platform/kv.py
+++ b/wisteriastair/platform/kv.py
@@ -14,10 +14,12 @@
 
 from ..core.events import KvConflict, KvUnknown, KvValue, KvWritten
 from ..decoding import DECODE_ERRORS
+from ..http1.fetch import DEFAULT_HEADERS, Fetched, FetchError, fetch
 
 # Seconds within which a configuration must be in force in all processes.
 CHANGE_DEADLINE_S: Final = 8.0
 CALL_TIMEOUT_S: Final = 2.0
+MAX_RESPONSE_BYTES: Final = 16 * 1024 * 1024
 # A watch sent while the service is unresponsive never gets a response.  Its timeout,
 # the time for its response, the pause after it and the time for a change to reach all
 # other processes must add up to at most `CHANGE_DEADLINE_S`.
@@ -73,18 +75,20 @@
     """Client of the key-value service over HTTP."""
 
     def __init__(self, url: str) -> None:
-        self._client = httpx.AsyncClient(base_url=url, timeout=CALL_TIMEOUT_S)
+        self._client = httpx.AsyncClient(base_url=url, headers=DEFAULT_HEADERS)
 
     async def read(self, key: str) -> KvValue | KvUnknown:
         """Read a key."""
+        response = await self._fetch("GET", f"/v1/kv/{key}")
+        if isinstance(response, FetchError):
+            return KvUnknown(key, False)
+        if response.status == httpx.codes.NOT_FOUND:
+            return KvValue(key, 0, b"")
+        if response.status != httpx.codes.OK:
+            return KvUnknown(key, False)
         try:
-            response = await self._client.get(f"/v1/kv/{key}")
-            if response.status_code == httpx.codes.NOT_FOUND:
-                return KvValue(key, 0, b"")
-            if response.status_code != httpx.codes.OK:
-                return KvUnknown(key, False)
-            body = msgspec.json.decode(response.content, type=_ReadResponse)
-        except (httpx.HTTPError, *DECODE_ERRORS):
+            body = msgspec.json.decode(response.body, type=_ReadResponse)
+        except DECODE_ERRORS:
             return KvUnknown(key, False)
         return KvValue(key, body.revision, body.value)
 
@@ -92,34 +96,53 @@
         self, key: str, revision: int, value: bytes
     ) -> KvWritten | KvConflict | KvUnknown:
         """Write a key by compare-and-swap."""
+        response = await self._fetch(
+            "PUT", f"/v1/kv/{key}", params={"revision": revision}, content=value
+        )
+        if isinstance(response, FetchError):
+            return KvUnknown(key, True)
+        if response.status == httpx.codes.CONFLICT:
+            return KvConflict(key)
+        if response.status != httpx.codes.OK:
+            return KvUnknown(key, True)
         try:
-            response = await self._client.put(
-                f"/v1/kv/{key}", params={"revision": revision}, content=value
-            )
-            if response.status_code == httpx.codes.CONFLICT:
-                return KvConflict(key)
-            if response.status_code != httpx.codes.OK:
-                return KvUnknown(key, True)
-            body = msgspec.json.decode(response.content, type=_WriteResponse)
-        except (httpx.HTTPError, *DECODE_ERRORS):
+            body = msgspec.json.decode(response.body, type=_WriteResponse)
+        except DECODE_ERRORS:
             return KvUnknown(key, True)
         return KvWritten(key, body.revision, value)
 
     async def watch(self, after: int) -> list[KvValue] | None:
         """Wait for changes by long poll."""
+        response = await self._fetch(
+            "GET",
+            "/v1/watch",
+            params={"after": after, "wait": WATCH_TIMEOUT_S},
+            timeout_s=WATCH_TIMEOUT_S + CALL_TIMEOUT_S,
+        )
+        if isinstance(response, FetchError) or response.status != httpx.codes.OK:
+            return None
         try:
-            response = await self._client.get(
-                "/v1/watch",
-                params={"after": after, "wait": WATCH_TIMEOUT_S},
-                timeout=WATCH_TIMEOUT_S + CALL_TIMEOUT_S,
-            )
-            if response.status_code != httpx.codes.OK:
-                return None
-            items = _ITEMS_DECODER.decode(response.content)
-        except (httpx.HTTPError, *DECODE_ERRORS):
+            items = _ITEMS_DECODER.decode(response.body)
+        except DECODE_ERRORS:
             return None
         return [KvValue(item.key, item.revision, item.value) for item in items]
 
+    async def _fetch(
+        self,
+        method: str,
+        path: str,
+        *,
+        params: dict[str, float] | None = None,
+        content: bytes | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Fetched | FetchError:
+        request = self._client.build_request(
+            method, path, params=params, content=content, timeout=timeout_s
+        )
+        return await fetch(
+            self._client, request, max_bytes=MAX_RESPONSE_BYTES, timeout_s=timeout_s
+        )
+
     async def close(self) -> None:
         """Close the connections."""
         await self._client.aclose()
--- a/wisteriastair/platform/store.py
+++ b/wisteriastair/platform/store.py
@@ -21,11 +21,16 @@
 
 from ..core.storetimes import StoreTimeouts
 from ..decoding import DECODE_ERRORS
+from ..http1.fetch import DEFAULT_HEADERS, Fetched, FetchError, fetch
 from ..sockets import SOCKET_OPTIONS
 from .credentials import replace_keys_with_digests
 from .documents import CONFIG_KEY
 
 CONNECT_TIMEOUT_S: Final = 0.7
+# Maximum size of a response; a page of keys has about 1 MB.
+MAX_RESPONSE_BYTES: Final = 16 * 1024 * 1024
+# Time for the rest of a response after its first bytes, in seconds.
+MAX_TRANSFER_S: Final = 4.0
 MS_PER_S: Final = 1000
 # Keys that one call may write and remove.
 MAX_TXN_ENTRIES: Final = 32
@@ -77,10 +82,13 @@
     had_no_effect : bool
         True if the call certainly had no effect: the store was not reached, or it
         rejected the call.
+    is_too_large : bool
+        Whether the response is larger than allowed.
     """
 
     reason: str
     had_no_effect: bool
+    is_too_large: bool = False
 
 
 class _ItemData(msgspec.Struct):
@@ -135,7 +143,10 @@
         )
         timeout = httpx.Timeout(times.call_timeout_s, connect=CONNECT_TIMEOUT_S)
         self._client = httpx.AsyncClient(
-            base_url=f"http://{address}", transport=transport, timeout=timeout
+            base_url=f"http://{address}",
+            transport=transport,
+            timeout=timeout,
+            headers=DEFAULT_HEADERS,
         )
 
     async def list_all(self, prefix: str) -> Snapshot | StoreError:
@@ -180,8 +191,9 @@
             "GET", "/v1/kv-watch", params=params, timeout=timeout
         )
         if isinstance(response, StoreError):
-            return response
-        if response.status_code == httpx.codes.GONE:
+            # Pages of all keys are smaller than that many changes.
+            return HistoryExpired() if response.is_too_large else response
+        if response.status == httpx.codes.GONE:
             return HistoryExpired()
         events = _decode_response(response, _WatchResponse)
         if isinstance(events, StoreError):
@@ -225,7 +237,7 @@
         response = await self._call("POST", "/v1/kv-txn", json=body)
         if isinstance(response, StoreError):
             return response
-        if response.status_code == httpx.codes.PRECONDITION_FAILED:
+        if response.status == httpx.codes.PRECONDITION_FAILED:
             return SwapConflict()
         written = _decode_response(response, _WriteResponse)
         if isinstance(written, StoreError):
@@ -244,25 +256,28 @@
         params: dict[str, str] | None = None,
         json: object = None,
         timeout: httpx.Timeout | None = None,
-    ) -> httpx.Response | StoreError:
+    ) -> Fetched | StoreError:
         self.call_count += 1
+        timeout = timeout or self._client.timeout
         request = self._client.build_request(
             method,
             path,
             params=params,
             json=json,
-            timeout=timeout or self._client.timeout,
+            timeout=timeout,
+        )
+        response = await fetch(
+            self._client,
+            request,
+            max_bytes=MAX_RESPONSE_BYTES,
+            timeout_s=(timeout.read or 0.0) + MAX_TRANSFER_S,
         )
-        try:
-            response = await self._client.send(request)
-        except httpx.ConnectError as exc:
-            return StoreError(f"no connection: {exc!r}", True)
-        except httpx.ConnectTimeout:
-            return StoreError("no connection in time", True)
-        except httpx.HTTPError as exc:
-            return StoreError(repr(exc), False)
-        if response.status_code in _NO_EFFECT_STATUSES:
-            return StoreError(f"status {response.status_code}", True)
+        if isinstance(response, FetchError):
+            return StoreError(
+                response.reason, not response.was_sent, response.is_too_large
+            )
+        if response.status in _NO_EFFECT_STATUSES:
+            return StoreError(f"status {response.status}", True)
         return response
 
 
@@ -290,12 +305,10 @@
         return text
 
 
-def _decode_response(
-    response: httpx.Response, response_type: type[_T]
-) -> _T | StoreError:
-    if response.status_code != httpx.codes.OK:
-        return StoreError(f"status {response.status_code}", False)
+def _decode_response(response: Fetched, response_type: type[_T]) -> _T | StoreError:
+    if response.status != httpx.codes.OK:
+        return StoreError(f"status {response.status}", False)
     try:
-        return msgspec.json.decode(response.content, type=response_type)
+        return msgspec.json.decode(response.body, type=response_type)
     except DECODE_ERRORS as exc:
         return StoreError(f"response does not decode: {exc}", False)
--- a/wisteriastair/services/client.py
+++ b/wisteriastair/services/client.py
@@ -9,8 +9,10 @@
 
 from ..core.events import BackendEnded
 from ..core.wire import CallId, GateCall
+from ..http1.fetch import DEFAULT_HEADERS, FetchError, fetch
 
 CONNECT_TIMEOUT_S: Final = 2.0
+MAX_RESPONSE_BYTES: Final = 8 * 1024 * 1024
 
 
 class PlainService(ABC):
@@ -33,7 +35,9 @@
         # It is then unknown whether the request ran.  With a new connection for each
         # call, this happens only on real failures.
         limits = httpx.Limits(max_connections=None, max_keepalive_connections=0)
-        self._client = httpx.AsyncClient(base_url=url, limits=limits)
+        self._client = httpx.AsyncClient(
+            base_url=url, limits=limits, headers=DEFAULT_HEADERS
+        )
 
     async def run(self, call: GateCall) -> BackendEnded:
         """Run a call."""
@@ -43,22 +47,27 @@
         }
         if call.trace:
             headers["traceparent"] = call.trace
-        timeout = httpx.Timeout(call.timeout_s, connect=CONNECT_TIMEOUT_S)
-        try:
-            response = await self._client.post(
-                f"/{call.name}",
-                content=call.body.encode(),
-                headers=headers,
-                timeout=timeout,
-            )
-        except (httpx.ConnectError, httpx.ConnectTimeout):
-            return _make_result(call.call, "refused", "no", "")
-        except httpx.HTTPError:
+        request = self._client.build_request(
+            "POST",
+            f"/{call.name}",
+            content=call.body.encode(),
+            headers=headers,
+            timeout=httpx.Timeout(call.timeout_s, connect=CONNECT_TIMEOUT_S),
+        )
+        response = await fetch(
+            self._client,
+            request,
+            max_bytes=MAX_RESPONSE_BYTES,
+            timeout_s=call.timeout_s,
+        )
+        if isinstance(response, FetchError):
+            if not response.was_sent:
+                return _make_result(call.call, "refused", "no", "")
             return _make_result(call.call, "lost", "unknown", "")
-        if response.status_code >= httpx.codes.INTERNAL_SERVER_ERROR:
+        if response.status >= httpx.codes.INTERNAL_SERVER_ERROR:
             return _make_result(call.call, "error", "unknown", "")
-        if response.is_client_error:
-            text = f"error {response.status_code}: {response.text}"
+        if response.status >= httpx.codes.BAD_REQUEST:
+            text = f"error {response.status}: {response.text}"
             return _make_result(call.call, "ok", "yes", text)
         return _make_result(call.call, "ok", "yes", response.text)
 
