Soak: peers that leave at any step, responses without end, and processes that end

The soak restarted a process that had ended by itself and counted it as nothing, so a caller that ends a relay could show at most as refused requests. Now it is a violation. Peers close, reset, half-close or stop reading at any step, on the ports for callers, probes, scrapes and other processes, and some requests get a response without end. A process that has just started may end by a reload signal before its handlers are installed, as for planned stops.

--- a/tests/http1/test_leaving_callers.py
+++ b/tests/http1/test_leaving_callers.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import socket
-import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from typing import Any
@@ -14,6 +12,7 @@
 import pytest
 from prometheus_client import CollectorRegistry, Gauge
 
+from tests.http1.leaving import LEAVE, parts_of_request
 from tests.relay.harness import HOST, Caller, Exchange, ScriptedServer, run_harness
 from wisteriastair.core.stopping import Shutdown
 from wisteriastair.http1.caller import Handler
@@ -24,46 +23,9 @@
 # Each way to leave is tried this often: where the reset meets the response depends on
 # the scheduling of both ends.
 REPEATS = 8
-HEAD = "{method} {path} HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\n"
 TEST_TIMEOUT_S = 20.0
 
 
-def close(sock: socket.socket) -> None:
-    sock.close()
-
-
-def reset(sock: socket.socket) -> None:
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    sock.close()
-
-
-def half_close(sock: socket.socket) -> None:
-    with contextlib.suppress(OSError):
-        sock.shutdown(socket.SHUT_WR)
-
-
-def stop_reading(sock: socket.socket) -> None:
-    """Leave the connection open."""
-
-
-LEAVE = {f.__name__: f for f in (close, reset, half_close, stop_reading)}
-
-
-def parts_of_request(path: str) -> dict[str, str]:
-    """Return what a caller has sent when it leaves, by the step that it reached."""
-    head = HEAD.format(method="GET", path=path)
-    post = HEAD.format(method="POST", path=path) + "Content-Length: 4\r\n"
-    return {
-        "connected": "",
-        "in-head": head,
-        "in-body": post + "\r\nab",
-        "sent": head + "\r\n",
-        "last-request": head + "Connection: close\r\n\r\n",
-        "not-http": "?!\r\n\r\n",
-        "pipelined": (head + "\r\n") * 12,
-    }
-
-
 STEPS = tuple(parts_of_request(""))
 
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -4,7 +4,8 @@
 that misbehave.  Callers run programs against the relays while faults are injected.
 With ``--stops`` the faults are planned stops, in series and overlapping, and callers
 reuse their connections.  Some callers read large responses slowly; with an even seed,
-relays have a budget for what they hold and little memory.  At the end everything must
+relays have a budget for what they hold and little memory.  Peers leave at any step on
+each port of each process, and some responses have no end.  At the end everything must
 be served again.  If a seed breaks a guarantee or is not served at the end, its
 violations are printed and its folder with the logs is retained.
 """
@@ -33,6 +34,7 @@
     assign_customer,
 )
 from tests.soak.faults import inject_faults
+from tests.soak.leavers import ENDLESS_INTERVAL_S, ENDLESS_PREFIX, Leavers
 from tests.soak.stops import inject_stops
 from tests.soak.witness import (
     LARGE_PREFIX,
@@ -285,6 +287,33 @@
                 await anyio.sleep(rng.uniform(*FATAL_PAUSE_S))
             await anyio.sleep(FATAL_INTERVAL_S)
 
+    async def send_endless(self) -> None:
+        """Send requests whose response has no end, until stopped."""
+        relays = self._deployment.relay_names
+        number = 0
+        while not self.stopped:
+            number += 1
+            request_id = f"{ENDLESS_PREFIX}-{number}"
+            caller = await self._deployment.open_connection(
+                relays[number % len(relays)]
+            )
+            if caller is not None:
+                with anyio.move_on_after(CALLER_TIMEOUT_S):
+                    await self._send_endless_once(caller, request_id)
+                caller.writer.close()
+            await anyio.sleep(ENDLESS_INTERVAL_S)
+
+    async def _send_endless_once(self, caller: Caller, request_id: str) -> None:
+        auth = self._auth_header(request_id, assign_customer(request_id))
+        try:
+            await caller.send("unsafe", request_id, **auth)
+            reply = await caller.read()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            # The relay ended with the connection.
+            return
+        if reply.status == 200:
+            self._checker.violations.append(f"endless: {request_id} was answered")
+
     async def _send_call(self, kind: str, customer: str) -> None:
         request_id = self._next_id(kind[0])
         self._checker.record_request(request_id, kind)
@@ -401,6 +430,7 @@
         for name in deployment.machines:
             deployment.start(name)
         callers = Callers(deployment, checker, rng, reuse_connections=stops)
+        leavers = Leavers(deployment.targets(), random.Random(f"{seed} leavers"))
         caller_count = (
             min(max(CALLER_COUNT, 2 * relays + 4), MAX_CALLERS)
             if stops
@@ -413,6 +443,8 @@
                 for _ in range(FLOODING_CALLER_COUNT):
                     group.start_soon(callers.flood_requests)
                 group.start_soon(callers.send_unknown_key)
+                group.start_soon(callers.send_endless)
+                group.start_soon(leavers.run)
                 group.start_soon(deployment.replace_crashed_servers)
                 for number in range(FATAL_CALLER_COUNT if crashes else 0):
                     fatal_rng = random.Random(f"{seed} fatal {number}")
@@ -429,7 +461,7 @@
                     faults = await inject_faults(deployment, faults_rng, FAULT_COUNT)
                 served = await _wait_served(callers, "end")
                 await anyio.sleep(LAST_RESUMPTION_S)
-                callers.stopped = True
+                callers.stopped = leavers.stopped = True
                 deployment.stopped = True
             if not served:
                 checker.violations.append(
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,6 +11,7 @@
 from tests.soak.run import soak
 from tests.soak.world import (
     ACCEPTS_UNTIL_END,
+    ENDS_WITH_ITS_CALLERS,
     KEEPS_CRASHES_SECRET,
     SKIPS_LOG_REPLAY,
 )
@@ -70,6 +71,17 @@
     pytest.fail("six seeds did not detect it")
 
 
+def test_a_relay_that_ends_with_its_callers_is_detected(tmp_path: Path) -> None:
+    """A relay ends if the caller of a last response has left; it must be reported."""
+    for seed in (3, 2, 4):
+        folder = tmp_path / str(seed)
+        folder.mkdir()
+        violations = anyio.run(soak, seed, folder, ENDS_WITH_ITS_CALLERS).violations
+        if any(line.startswith("ended: relay-") for line in violations):
+            return
+    pytest.fail("three seeds did not detect it")
+
+
 @pytest.mark.parametrize("seed", [5000, 5002])
 def test_a_request_crashes_no_more_servers_than_allowed(
     seed: int, tmp_path: Path
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -23,6 +23,13 @@
 from tests.relay.harness import Caller, Exchange, ScriptedServer
 from tests.soak.crashes import FATAL_PREFIX
 from tests.soak.customers import tenants
+from tests.soak.leavers import (
+    ENDLESS_PREFIX,
+    Target,
+    keeper_targets,
+    relay_targets,
+    respond_without_end,
+)
 from tests.soak.witness import GuaranteeChecker, event_data, plain_answer
 from wisteriastair.standins.deployment import free_address
 
@@ -34,6 +41,8 @@
 CONFIG_KEY: Final = "op/config"
 # The platform restarts an ended process after this delay.
 RESTART_S: Final = 0.2
+# Time within which a process has installed its signal handlers, on a busy machine.
+STARTUP_S: Final = 3.0
 # The platform kills a process this long after its SIGTERM: ``graceS`` in the settings
 # of the processes.
 GRACE_S: Final = 8.0
@@ -82,6 +91,22 @@
 """,
 )
 
+# A relay that ends if the caller of a last response has left.
+ENDS_WITH_ITS_CALLERS: Final = Variant(
+    "relay",
+    """
+from wisteriastair.http1.caller import CallerConnection
+from wisteriastair.main import main
+def close_write_side(self):
+    self._queue.clear()
+    if not self.closed and not self._transport.is_closing():
+        self._finishing = True
+        self._transport.write_eof()
+CallerConnection._close_write_side = close_write_side
+raise SystemExit(main())
+""",
+)
+
 # A relay that tells nobody of crashes under a request.
 KEEPS_CRASHES_SECRET: Final = Variant(
     "relay",
@@ -177,6 +202,7 @@
         }
         self.stopped = False
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._started_at: dict[str, float] = {}
         # Processes that were signalled to stop and have not ended.
         self.stopping: dict[str, subprocess.Popen[bytes]] = {}
         # Held during a planned stop of a keeper: only one may be down at a time.
@@ -225,6 +251,9 @@
             if request_id.startswith(FATAL_PREFIX):
                 self._crash_server(server, number, exchange, active)
                 return
+            if request_id.startswith(ENDLESS_PREFIX):
+                await respond_without_end(exchange)
+                return
             active.add(request_id)
             try:
                 await serve(exchange)
@@ -344,6 +373,7 @@
         args = ["-m", "wisteriastair"]
         if self._variant is not None and self._variant.role == machine.role:
             args = ["-c", self._variant.code]
+        self._started_at[name] = time.monotonic()
         log = open(self._folder / f"{name}.log", "ab")  # noqa: SIM115
         self._processes[name] = subprocess.Popen(
             [sys.executable, *args, machine.role],
@@ -425,11 +455,30 @@
             await anyio.sleep(RESTART_S)
 
     def restart_ended(self) -> None:
-        """Restart each process that has ended without a request to stop."""
+        """Restart each process that has ended without a request to stop.
+
+        Only a reload signal before its handlers are installed may end a process.
+        """
         for name, process in list(self._processes.items()):
-            if process.poll() is not None:
-                del self._processes[name]
-                self.start(name)
+            code = process.poll()
+            if code is None:
+                continue
+            is_starting = time.monotonic() - self._started_at[name] < STARTUP_S
+            if not (code == -signal.SIGHUP and is_starting):
+                self.checker.violations.append(f"ended: {name} by itself with {code}")
+            del self._processes[name]
+            self.start(name)
+
+    def targets(self) -> list[Target]:
+        """Return the ports of all processes."""
+        internal, front, ready = self._ports
+        targets: list[Target] = []
+        for machine in self.machines.values():
+            if machine.role == "relay":
+                targets += relay_targets(machine.ip, front, ready, internal)
+            else:
+                targets += keeper_targets(machine.ip, internal)
+        return targets
 
     def describe_processes(self) -> str:
         """Describe which processes run, and how the others ended."""
