A request that offers an upgrade runs with its body

Cause: the parser ends such a request at its head, calls `on_message_complete` and raises `HttpParserUpgrade`. The request was queued in that callback, before the exception was turned into a rejection, and its body was discarded as data after a last request.

Change: a request with an offer is not queued in the callback. Its head is parsed again without the `Upgrade` header, which belongs to one connection and is not forwarded anyway, and its body follows. CONNECT, which the parser treats alike, is rejected with 400.

--- a/tests/http1/test_caller.py
+++ b/tests/http1/test_caller.py
@@ -171,3 +171,55 @@
         assert len(body) == length
 
     run_scenario([ScriptedServer("s1", send_long_response)], scenario)
+
+
+UPGRADE = (
+    "Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAM\r\n"
+)
+BODY = "what was ordered"
+POST = "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {id}\r\n"
+FRAMED_BODIES = {
+    "length": f"Content-Length: {len(BODY)}\r\n\r\n{BODY}",
+    "chunks": f"Transfer-Encoding: chunked\r\n\r\n{len(BODY):x}\r\n{BODY}\r\n0\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("part_bytes", [1, 50, 10_000])
+@pytest.mark.parametrize("framing", FRAMED_BODIES)
+def test_a_request_that_offers_an_upgrade_runs_with_its_body(
+    framing: str, part_bytes: int
+) -> None:
+    """Guards against a request that runs without the body that its caller sent."""
+    bodies: list[bytes] = []
+
+    async def script(exchange: Exchange) -> None:
+        bodies.append(exchange.body)
+        assert exchange.header("Upgrade") == ""
+        await exchange.answer("fine")
+
+    async def scenario(harness: RelayHarness) -> None:
+        caller = await harness.open()
+        request = POST + UPGRADE + FRAMED_BODIES[framing]
+        data = request.format(id="a") + request.format(id="b")
+        for position in range(0, len(data), part_bytes):
+            await caller.send_raw(data[position : position + part_bytes])
+            await anyio.sleep(0)
+        for _ in range(2):
+            reply = await caller.read()
+            assert (reply.status, reply.body) == (200, b"fine")
+        assert bodies == [BODY.encode()] * 2
+
+    run_scenario([ScriptedServer("s1", script)], scenario)
+
+
+def test_a_tunnel_is_rejected() -> None:
+    """Guards against running a request that asks for a tunnel."""
+    server = ScriptedServer("s1", answer_ok)
+
+    async def scenario(harness: RelayHarness) -> None:
+        caller = await harness.open()
+        await caller.send_raw("CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n?")
+        assert (await caller.read()).status == 400
+        assert not server.exchanges
+
+    run_scenario([server], scenario)
--- a/wisteriastair/http1/caller.py
+++ b/wisteriastair/http1/caller.py
@@ -175,9 +175,7 @@
             return
         self._framing.received_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(400, "upgrade is not offered")
+            self._parse(data)
         except httptools.HttpParserError as exc:
             self._reject(400, f"not HTTP: {exc}")
         max_bytes = self._handler.limits().max_header_bytes
@@ -187,6 +185,32 @@
             self._reject(431, f"headers or framing over {max_bytes} bytes")
         self._serve_next()
 
+    def _parse(self, data: bytes | memoryview) -> None:
+        """Parse data; a request that offers an upgrade is parsed without the offer.
+
+        The parser ends such a request at its head, as if the upgrade were accepted, and
+        leaves its body unread.
+        """
+        while True:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as exc:
+                (end_of_head,) = exc.args
+                if self._parser.get_method() == b"CONNECT":
+                    self._reject(400, "CONNECT is not offered")
+                if self._finishing:
+                    return
+                data = self._head_without_upgrade() + bytes(data[end_of_head:])
+            self._parser = httptools.HttpRequestParser(self)
+            self._reset_request()
+
+    def _head_without_upgrade(self) -> bytes:
+        method, version = self._parser.get_method(), self._parser.get_http_version()
+        first_line = b"%b %b HTTP/%b" % (method, self._url, version.encode())
+        headers = [(n, v) for n, v in self._headers if n.lower() != b"upgrade"]
+        return encode_head(first_line, headers)
+
     def enforce_timeouts(self, now: float) -> None:
         """Close the connection, or reject its request, after a timeout.
 
@@ -294,7 +318,7 @@
 
     def on_message_complete(self) -> None:
         """Queue a complete request."""
-        if self._finishing:
+        if self._finishing or self._parser.should_upgrade():
             return
         req = Request(
             self._parser.get_method().decode("ascii"),
