The response to a HEAD request has no body

A HEAD request on a route of streams was answered with the last chunk of a body.

Cause: `CallerConnection` wrote the body whatever the method was.

Change: the connection knows the method of the request that it answers, also of one that was rejected while it arrived, and writes heads only.

--- a/tests/http1/test_caller.py
+++ b/tests/http1/test_caller.py
@@ -10,12 +10,15 @@
 import pytest
 
 from tests.relay.harness import (
+    STAMP,
     Exchange,
     RelayHarness,
     ScriptedServer,
     answer_ok,
+    route,
     run_scenario,
 )
+from wisteriastair.core.routes import CallerLimits, RequestKind, RouteTable
 from wisteriastair.core.stopping import Shutdown
 from wisteriastair.http1.caller import LINGER_TIMEOUT_S
 
@@ -223,3 +226,52 @@
         assert not server.exchanges
 
     run_scenario([server], scenario)
+
+
+@pytest.mark.parametrize(
+    "path, headers, status",
+    [
+        ("/none/x", "", 404),
+        ("/unsafe/x", "", 200),
+        ("/turn/x", "", 200),
+        ("/failing/x", "", 502),
+        ("/unsafe/x", "X-Deadline-Ms: soon\r\n", 400),
+        ("/unsafe/x", "X: " + "x" * 20_000 + "\r\n", 431),
+        ("/unsafe/x", "Host: other\r\n", 400),
+    ],
+    ids=["unknown", "plain", "stream", "failed", "header", "large", "framing"],
+)
+def test_the_response_to_a_head_request_has_no_body(
+    path: str, headers: str, status: int
+) -> None:
+    """Guards against bytes on a connection that belong to no response."""
+
+    async def script(exchange: Exchange) -> None:
+        if "failing" in exchange.head:
+            exchange.reset()
+            return
+        request_id = exchange.header("X-Request-Id")
+        await exchange.write_text(
+            f"HTTP/1.1 200 OK\nX-Request-Id: {request_id}\n{STAMP}\n"
+            f"Content-Length: {4 if exchange.head.startswith('HEAD') else 0}\n\n"
+        )
+
+    async def scenario(harness: RelayHarness) -> None:
+        table = harness.handler.table
+        assert table is not None
+        failing = route("failing", RequestKind.UNSAFE)
+        harness.handler.table = RouteTable(
+            1, (*table.routes, failing), table.services, CallerLimits()
+        )
+        caller = await harness.open()
+        start = f"HEAD {path} HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\n"
+        await caller.send_raw(start + headers + "\r\n")
+        head = (await caller.reader.readuntil(b"\r\n\r\n")).decode()
+        assert int(head.split(" ")[1]) == status
+        if "Connection: close" in head:
+            assert await caller.reader.read() == b""
+            return
+        await caller.send_raw(PIPELINED.format(id="b", more="Connection: close\r\n"))
+        assert (await caller.reader.read()).startswith(b"HTTP/1.1 200 OK\r\n")
+
+    run_scenario([ScriptedServer("s1", script)], scenario)
--- a/wisteriastair/http1/caller.py
+++ b/wisteriastair/http1/caller.py
@@ -51,6 +51,7 @@
 SLOW_CALLER: Final = "the caller reads too slowly"
 # Interval at which a caller above its share is measured while its server waits.
 SHARE_POLL_S: Final = 0.02
+HEAD_METHOD: Final = "HEAD"
 CONTINUE_RESPONSE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -121,6 +122,8 @@
         self._finishing = False
         self._streaming = False
         self._response_complete = False
+        # The response to a HEAD request ends with its head.
+        self._sends_body = True
         self._keep_alive = True
         self._phase_started_at = self._loop.time()
         self._written_bytes = 0
@@ -340,7 +343,11 @@
             self._finishing = True
             self._phase_started_at = self._loop.time()
             request_id = header(self._headers, b"x-request-id")
-            self._queue.append(BadRequest(status, reason, retry_after_s, request_id))
+            # Before the target has arrived, the parser reports some other method.
+            method = self._parser.get_method().decode("ascii") if self._url else ""
+            self._queue.append(
+                BadRequest(status, reason, retry_after_s, request_id, method)
+            )
 
     # Responses
 
@@ -355,6 +362,7 @@
             while self._queue and not self.closed:
                 req = self._queue.popleft()
                 if isinstance(req, BadRequest):
+                    self._sends_body = req.method != HEAD_METHOD
                     self._handler.refuse(req, self)
                     self._close_write_side()
                     return
@@ -372,6 +380,7 @@
     async def _serve_request(self, req: Request) -> None:
         self._response_complete = False
         self._streaming = False
+        self._sends_body = req.method != HEAD_METHOD
         self._keep_alive = req.keep_alive
         with anyio.CancelScope() as scope:
             self._request_scope = scope
@@ -413,9 +422,8 @@
         if self.closed:
             return
         all_headers = [*headers, (b"Content-Length", str(len(body)).encode())]
-        self._write(
-            self._encode_response_head(ResponseHead(status, all_headers)) + body
-        )
+        head = self._encode_response_head(ResponseHead(status, all_headers))
+        self._write(head + body if self._sends_body else head)
         self._response_complete = True
 
     def begin(self, head: ResponseHead, first_chunk: bytes = b"") -> None:
@@ -424,19 +432,22 @@
             return
         headers = [*head.headers, (b"Transfer-Encoding", b"chunked")]
         data = self._encode_response_head(ResponseHead(head.status, headers))
-        self._write(data + (encode_chunk(first_chunk) if first_chunk else b""))
+        self._write(data)
         self._streaming = True
+        self.send(first_chunk)
 
     def send(self, data: bytes) -> None:
         """Send a chunk of the body after `begin`."""
-        if data and not self.closed:
+        if data and self._sends_body and not self.closed:
             self._write(encode_chunk(data))
 
     def end(self) -> None:
         """Send the last chunk of the body after `begin`."""
-        if not self.closed:
+        if self.closed:
+            return
+        if self._sends_body:
             self._write(LAST_CHUNK)
-            self._response_complete = True
+        self._response_complete = True
 
     def abort(self) -> None:
         """Reset the connection, so that the response is seen to be incomplete."""
--- a/wisteriastair/http1/messages.py
+++ b/wisteriastair/http1/messages.py
@@ -62,12 +62,15 @@
         Seconds to wait before a retry; 0 if a retry is of no use.
     request_id : str
         Id that the caller sent, if it is known by then.
+    method : str
+        Method of the request, if it is known by then.
     """
 
     status: int
     reason: str
     retry_after_s: float = 0.0
     request_id: str = ""
+    method: str = ""
 
 
 class ResponseHead(NamedTuple):
