A body is asked for after all earlier responses

What a caller saw that pipelines a request with `Expect: 100-continue` behind another one: the interim response was written at once, into the middle of the response that was under way, so bytes of no chunk stood between the chunks of a stream (seen in a trial on loopback).

Cause: `on_headers_complete` writes it whenever a head is complete.

Change: it is written when no earlier request waits for its response, and not at all if the body has come by then.

Result: a test in tests/http1/test_caller.py failed before and passes now.

--- a/tests/http1/test_caller.py
+++ b/tests/http1/test_caller.py
@@ -275,3 +275,31 @@
         assert (await caller.reader.read()).startswith(b"HTTP/1.1 200 OK\r\n")
 
     run_scenario([ScriptedServer("s1", script)], scenario)
+
+
+def test_a_body_is_asked_for_after_the_earlier_responses() -> None:
+    """Guards against an interim response in the middle of another response.
+
+    A caller has pipelined a request that holds back its body.
+    """
+
+    async def script(exchange: Exchange) -> None:
+        if exchange.header("X-Request-Id") == "a":
+            await exchange.stream("data: 1\n\n", "data: 2\n\n", gap_s=0.1)
+        else:
+            await exchange.answer(exchange.body.decode())
+
+    async def scenario(harness: RelayHarness) -> None:
+        caller = await harness.open()
+        await caller.send("talk", "a")
+        second = PIPELINED.format(id="b", more="Expect: 100-continue\r\n")
+        await caller.send_raw(second.replace("Length: 0", "Length: 2"))
+        reply = await caller.read()
+        assert (reply.whole, reply.body) == (True, b"data: 1\n\ndata: 2\n\n")
+        interim = await caller.reader.readuntil(b"\r\n\r\n")
+        assert interim.startswith(b"HTTP/1.1 100 ")
+        await caller.send_raw("ab")
+        reply = await caller.read()
+        assert (reply.status, reply.body) == (200, b"ab")
+
+    run_scenario([ScriptedServer("s1", script)], scenario)
--- a/wisteriastair/http1/caller.py
+++ b/wisteriastair/http1/caller.py
@@ -266,6 +266,7 @@
         self._body = bytearray()
         self._framing.reset()
         self._head_complete = False
+        self._expects_continue = False
         self._request_started = False
 
     def on_message_begin(self) -> None:
@@ -303,7 +304,14 @@
             # Nothing is read or reserved for the request, so another relay can run it.
             self._reject(503, BUFFERS_FULL, OVERLOAD_RETRY_S)
         elif header(self._headers, b"expect").lower() == "100-continue":
-            self._transport.write(CONTINUE_RESPONSE)
+            self._expects_continue = True
+            self._send_continue()
+
+    def _send_continue(self) -> None:
+        """Ask for the body that a caller holds back, after all earlier responses."""
+        if self._expects_continue and not self.busy and not self._queue:
+            self._expects_continue = False
+            self._write(CONTINUE_RESPONSE)
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
@@ -376,6 +384,8 @@
         finally:
             self.busy = False
             self._phase_started_at = self._loop.time()
+        if not self.closed and not self._finishing:
+            self._send_continue()
 
     async def _serve_request(self, req: Request) -> None:
         self._response_complete = False
