--- a/tests/relay/test_picture_processes.py
+++ b/tests/relay/test_picture_processes.py
@@ -14,8 +14,11 @@
 from tests.relay.machines import Deployment, run_scenario
 from wisteriastair.nodemetrics import METRICS_PATH, METRICS_PORT
 
-# Addresses of their own, since the port of the metrics is fixed.
-RELAY, OTHER_RELAY, KEEPER = "127.0.0.41", "127.0.0.42", "127.0.0.43"
+# The port of the metrics is fixed, and tests may run at the same time.
+ADDRESSES = {
+    ("pressure",): ("127.0.0.41", "127.0.0.42", "127.0.0.43"),
+    (): ("127.0.0.51", "127.0.0.52", "127.0.0.53"),
+}
 POLL_S = 0.1
 
 
@@ -41,28 +44,29 @@
     await exchange.answer("fine")
 
 
-@pytest.mark.parametrize("contracts", [("pressure",), ()])
+@pytest.mark.parametrize("contracts", ADDRESSES)
 def test_relays_share_a_picture_only_under_memory_pressure(
     tmp_path: Path, contracts: tuple[str, ...]
 ) -> None:
     """Without the contract, no process sends one byte of it."""
+    relay, other_relay, keeper = ADDRESSES[contracts]
 
     async def scenario(
         deployment: Deployment, store: StoreStandin, stack: AsyncExitStack
     ) -> None:
         deployment.contracts = contracts
-        for role, ip in (("keeper", KEEPER), ("relay", RELAY), ("relay", OTHER_RELAY)):
+        for role, ip in (("keeper", keeper), ("relay", relay), ("relay", other_relay)):
             await stack.enter_async_context(deployment.run(role, ip))
-        while await metric(OTHER_RELAY, "servers_known") < 1:
+        while await metric(other_relay, "servers_known") < 1:
             await anyio.sleep(POLL_S)
-        while contracts and await metric(KEEPER, "picture_bytes_sent") <= 0:
+        while contracts and await metric(keeper, "picture_bytes_sent") <= 0:
             await anyio.sleep(POLL_S)
-        while contracts and not 0 <= await metric(RELAY, "picture_age_seconds") < 2:
+        while contracts and not 0 <= await metric(relay, "picture_age_seconds") < 2:
             await anyio.sleep(POLL_S)
         if not contracts:
             await anyio.sleep(2.0)
-            assert await metric(RELAY, "picture_age_seconds") == -1
-            assert await metric(RELAY, "picture_bytes_sent") == 0
-            assert await metric(KEEPER, "picture_bytes_sent") == 0
+            assert await metric(relay, "picture_age_seconds") == -1
+            assert await metric(relay, "picture_bytes_sent") == 0
+            assert await metric(keeper, "picture_bytes_sent") == 0
 
     run_scenario(ScriptedServer("s1", answer_late), tmp_path, scenario)
