--- a/wisteriastair/relay/events.py
+++ b/wisteriastair/relay/events.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterator
 from typing import Final
 
 EVENT_TERMINATORS: Final = (b"\n\n", b"\r\n\r\n")
@@ -60,6 +59,21 @@
         """
         if self.has_too_many:
             return b""
+        self.waiting_bytes += len(data)
+        # Servers mostly write whole events.
+        if self.partial or not data.endswith(b"\n\n"):
+            data = self._take_complete(data)
+        if b"\r" in data:
+            return self._add_mixed_events(data)
+        position = 0
+        for event in data.split(b"\n\n"):
+            if event and not self._add_event(event):
+                return self._drop_rest(data[:position])
+            position += len(event) + 2
+        return data
+
+    def _take_complete(self, data: bytes) -> bytes:
+        """Add bytes to the incomplete event; remove and return complete events."""
         # The rest of the incomplete event has been searched before.
         start = max(0, len(self.partial) - MAX_TERMINATOR_BYTES + 1)
         self.partial += data
@@ -67,24 +81,29 @@
             _end_of_last(self.partial, terminator, start)
             for terminator in EVENT_TERMINATORS
         )
-        self.waiting_bytes += len(data)
         if end == 0:
             return b""
         complete_events = bytes(self.partial[:end])
         del self.partial[:end]
-        position = 0
-        for event, next_position in _split(complete_events):
-            if not self._add_event(event):
-                self.has_too_many = True
-                self.partial.clear()
-                return complete_events[:position]
-            position = next_position
         return complete_events
 
+    def _add_mixed_events(self, data: bytes) -> bytes:
+        """Add events whose lines may end with a carriage return and a line feed."""
+        position = 0
+        for match in EMPTY_LINES.finditer(data):
+            event = data[position : match.start()].replace(b"\r\n", b"\n")
+            if event and not self._add_event(event):
+                return self._drop_rest(data[:position])
+            position = match.end()
+        return data
+
+    def _drop_rest(self, kept: bytes) -> bytes:
+        self.has_too_many = True
+        self.partial.clear()
+        return kept
+
     def _add_event(self, event: bytes) -> bool:
         """Add an event; return False if there are too many."""
-        if not event:
-            return True
         last_id = self.last_id
         has_fields = False
         lines: list[bytes] = []
@@ -111,21 +130,6 @@
         return True
 
 
-def _split(data: bytes) -> Iterator[tuple[bytes, int]]:
-    """Yield each event, with line feeds only, and the position behind it."""
-    if b"\r" in data:
-        position = 0
-        for match in EMPTY_LINES.finditer(data):
-            event = data[position : match.start()]
-            yield event.replace(b"\r\n", b"\n"), match.end()
-            position = match.end()
-        return
-    position = 0
-    for event in data.split(b"\n\n"):
-        position += len(event) + 2
-        yield event, position
-
-
 def _end_of_last(data: bytearray, terminator: bytes, start: int) -> int:
     position = data.rfind(terminator, start)
     return 0 if position < 0 else position + len(terminator)
