A server's state is looked at again when the request is written

Callers saw: requests reached a server after it had said that it leaves.

Cause: a server is chosen, then the request waits for memory, a permit or up to 0.5 s for a connection. Nothing looked at the server's state again, so the wait came on top of the delay with which the relay learns of entries.

The last server of a service stays in use for the time that `available_servers` allows.

--- a/wisteriastair/relay/dispatch.py
+++ b/wisteriastair/relay/dispatch.py
@@ -291,6 +291,10 @@
                 succeeded = False
                 yield NotRun(server.id, server_conn, is_gone=True)
                 return
+            if not self.fleet.may_send(state, self._now()):
+                # Its entry changed while the request waited.
+                yield NotRun(server.id, "the server is leaving")
+                return
             exchange = Exchange(request_id, req.method)
             first_line = f"{req.method} {req.target} HTTP/1.1".encode("latin-1")
             server_conn.send_request(exchange, encode_head(first_line, headers) + body)
--- a/wisteriastair/scheduling/fleet.py
+++ b/wisteriastair/scheduling/fleet.py
@@ -376,6 +376,14 @@
         available, removed = self._partition(service)
         return self._add_removed(available, removed, now) if removed else available
 
+    def may_send(self, state: ServerState, now: float) -> bool:
+        """Return whether a server that was chosen before may still get the request."""
+        if self._servers.get(state.server.id) is not state:
+            return False
+        if state.accepts_requests():
+            return True
+        return state in self.available_servers(state.server.service, now)
+
     def _partition(self, service: str) -> _Partition:
         partition = self._partitions.get(service)
         if partition is None:
