Updates of the store are as old as what they say, not as their arrival

Callers saw: requests reached a server after it had said that it leaves.

Cause: a relay trusted an update of a watching keeper for a second from its arrival. Nothing bounded the time that the update had spent at the keeper, in its send queue or on the link, so a watcher whose connection is held up kept relays from asking the store themselves, while all that it said was old.

Change: a subscriber stamps its subscriptions with its own boot clock; an update returns the last stamp, how long ago the watcher received it, and the age of what it says at the watcher. The difference bounds the age from end to end, whatever the delay and without comparing clocks. Validity starts there. A watcher that reports changes of unknown age confirms them soon after; an update that was overtaken by a newer one takes nothing back; a relay that watches by itself waits no longer than an update is valid for. Older builds send no stamp and are trusted as before. Metrics: `entries_age_seconds` and `entries_age_at_send_seconds`.

--- a/tests/platform/fleet_of_mirrors.py
+++ b/tests/platform/fleet_of_mirrors.py
@@ -16,6 +16,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from wisteriastair.clocks import stamp_ms
 from wisteriastair.core.ledgerwire import LedgerMessage, StoreUpdate, Subscribe
 from wisteriastair.core.membership import Member, View
 from wisteriastair.core.storetimes import make_store_timeouts
@@ -113,6 +114,8 @@
         self.busy_store = False
         self.drops_received = False
         self.drops_sent = False
+        # Delay of everything that this process sends, in seconds.
+        self.sends_late_s = 0.0
         self.undisturbed_since = 0.0
         self.deferred: list[Callable[[], None]] = []
         self.applied: dict[str, StoreItem] = {}
@@ -164,11 +167,10 @@
     def receive(self, sender: str, message: LedgerMessage) -> None:
         if isinstance(message, Subscribe):
             store_update = self.mirror.store_update()
-            if (
-                self.subscribers.add(sender, message, anyio.current_time())
-                and store_update
-            ):
-                self._fleet.send(self, sender, store_update)
+            now = anyio.current_time()
+            if self.subscribers.add(sender, message, now) and store_update:
+                stamped = self.subscribers.stamp(sender, store_update, now)
+                self._fleet.send(self, sender, stamped)
         elif isinstance(message, StoreUpdate):
             self.mirror.apply_update(sender, message)
 
@@ -196,7 +198,7 @@
         while True:
             if not self.frozen:
                 for to, subscription_message in self.subscription.due_subscriptions(
-                    anyio.current_time()
+                    anyio.current_time(), stamp_ms()
                 ):
                     self._fleet.send(self, to, subscription_message)
             await anyio.sleep(TICK_INTERVAL_S)
@@ -299,7 +301,8 @@
         is_lost = self.loses_messages and self.rng.random() < 0.3
         if sender.drops_sent or target.drops_received or is_lost:
             return
-        deliver = partial(self._deliver, sender.member, target, to, message)
+        late_s = sender.sends_late_s
+        deliver = partial(self._deliver, sender.member, target, to, message, late_s)
         if sender.frozen:
             sender.deferred.append(lambda: _start(self._group, deliver))
         else:
@@ -312,9 +315,14 @@
             target.receive(sender, message)
 
     async def _deliver(
-        self, sender: str, target: Process, to: str, message: LedgerMessage
+        self,
+        sender: str,
+        target: Process,
+        to: str,
+        message: LedgerMessage,
+        late_s: float,
     ) -> None:
-        await anyio.sleep(self.rng.uniform(0.001, 0.005))
+        await anyio.sleep(late_s + self.rng.uniform(0.001, 0.005))
         if target.frozen:
             target.deferred.append(
                 partial(self._deliver_now, sender, target, to, message)
--- a/tests/platform/test_mirror_watchers.py
+++ b/tests/platform/test_mirror_watchers.py
@@ -80,6 +80,44 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("late_s", [0.8, 1.5, 3.0, 6.0])
+def test_updates_that_were_held_up_on_their_way_are_as_old_as_their_state(
+    late_s: float,
+) -> None:
+    """A server leaves and still gets requests: updates from before keep arriving.
+
+    The connections of the watchers deliver everything, seconds late.
+    """
+
+    async def scenario(fleet: Fleet) -> None:
+        for process in watching_processes(fleet):
+            process.sends_late_s = late_s
+        await anyio.sleep(late_s + 2.0)
+        fleet.store.change("servers/1", b"draining")
+        await anyio.sleep(8.0)
+        assert fleet.max_delay_s <= 1.5
+
+    run_scenario(scenario)
+
+
+def test_age_of_the_state_of_each_process_is_bounded() -> None:
+    """What a relay sends requests by is at most as old as an update is valid for."""
+
+    async def scenario(fleet: Fleet) -> None:
+        validity_s = make_watch_times(2.0).validity_s
+        for number in range(100):
+            fleet.rng.choice(watching_processes(fleet)).sends_late_s = fleet.rng.choice(
+                [0.0, 0.0, 0.3, 2.0]
+            )
+            fleet.store.change("servers/1", str(number).encode())
+            await anyio.sleep(fleet.rng.uniform(0.02, 0.3))
+            for process in fleet.processes:
+                # Its own call after that takes some milliseconds.
+                assert process.mirror.age_s() <= validity_s + 0.1
+
+    run_scenario(scenario)
+
+
 def test_a_change_that_was_lost_in_the_network_is_requested() -> None:
     """A relay has an old configuration because the message with the new one was lost.
 
--- a/wisteriastair/core/ledgerwire.py
+++ b/wisteriastair/core/ledgerwire.py
@@ -195,9 +195,12 @@
     ----------
     with_values : bool
         Whether to send the changes themselves, or only their revisions.
+    stamp_ms : int
+        Time on the subscriber's clock, which updates return to it; 0 for none.
     """
 
     with_values: bool
+    stamp_ms: int = 0
 
 
 class StoreUpdate(msgspec.Struct, frozen=True, array_like=True, tag=11):
@@ -211,12 +214,21 @@
         None if there are changes that this message does not contain.
     store_reachable : bool
         False if the store does not answer; the other fields are then unchanged.
+    age_ms : int
+        Milliseconds since the store was in this state at the latest, when this was
+        made.
+    stamp_ms, held_ms : int
+        Last stamp of the subscriber, and milliseconds between its arrival and this
+        update; a stamp of 0 for none.
     """
 
     base: int
     revision: int
     changes: list[Change] | None = []
     store_reachable: bool = True
+    age_ms: int = 0
+    stamp_ms: int = 0
+    held_ms: int = 0
 
 
 class PermitRequest(msgspec.Struct, frozen=True, array_like=True, tag=12):
--- a/wisteriastair/core/watchers.py
+++ b/wisteriastair/core/watchers.py
@@ -11,6 +11,12 @@
 only. A process that no watcher has confirmed as up to date watches by itself until one
 does. Each update states the revision after which its changes start. A process that has
 missed a change, or learns of a newer revision, notices this and watches by itself too.
+
+An update may wait at the watcher, in a queue or on a link. Its validity therefore
+starts when the store was in that state, not when the update arrives. A subscriber
+stamps its subscriptions with its own clock, and an update returns the last stamp, how
+long ago the watcher received it, and the age of what it says. This gives a bound of the
+age that depends on no other clock and includes every delay on the way.
 """
 
 from __future__ import annotations
@@ -47,6 +53,7 @@
 # Keepers of its own domain to which a relay may report.
 MAX_LOCAL_RECEIVERS: Final = 2
 NEVER: Final = -math.inf
+MS_PER_S: Final = 1000.0
 
 
 class WatchTimes(NamedTuple):
@@ -113,7 +120,13 @@
 
 
 class _LastUpdate(NamedTuple):
-    """Last update from a watcher."""
+    """Last update from a watcher.
+
+    Attributes
+    ----------
+    at : float
+        Time at which the store was in this state, or later.
+    """
 
     at: float
     revision: int
@@ -177,11 +190,18 @@
         self._watchers = [m.address for m in sort_local_first(chosen, self._domain)]
         self._renew_at = NEVER
 
-    def due_subscriptions(self, now: float) -> list[tuple[str, Subscribe]]:
+    def due_subscriptions(
+        self, now: float, stamp_ms: int = 0
+    ) -> list[tuple[str, Subscribe]]:
         """Return the subscriptions to send now.
 
         Values are requested from one watcher only. A large configuration from each of
         three watchers would saturate a slow link.
+
+        Parameters
+        ----------
+        stamp_ms : int
+            Time that updates return, see `StoreUpdate`.
         """
         source = self._choose_source(now)
         if source == self._source and now < self._renew_at:
@@ -189,19 +209,36 @@
         self._source = source
         self._renew_at = now + RENEWAL_INTERVAL_S
         others = [address for address in self._watchers if address != self._me]
-        return [(address, Subscribe(address == source)) for address in others]
+        return [(a, Subscribe(a == source, stamp_ms)) for a in others]
 
     def _choose_source(self, now: float) -> str:
         fresh = [a for a in self._watchers if self._is_fresh(a, now)]
         return next(iter(fresh or self._watchers), "")
 
-    def on_update(self, sender: str, store_update: StoreUpdate, now: float) -> None:
-        """Record an update from a watcher."""
+    def on_update(
+        self,
+        sender: str,
+        store_update: StoreUpdate,
+        now: float,
+        age_s: float = 0.0,
+    ) -> None:
+        """Record an update from a watcher.
+
+        Parameters
+        ----------
+        age_s : float
+            Seconds since the store was in this state, at most.
+        """
         address = address_of(sender)
         if address not in self._watchers:
             return
+        at, revision = now - age_s, store_update.revision
+        last = self._last_updates.get(address)
+        if last is not None and last.store_reachable and store_update.store_reachable:
+            # A stamp may have been delayed, and an update overtaken by the next one.
+            at, revision = max(at, last.at), max(revision, last.revision)
         self._last_updates[address] = _LastUpdate(
-            now, store_update.revision, store_update.store_reachable
+            at, revision, store_update.store_reachable
         )
         oldest = now - self.times.validity_s
         self._last_updates = {
@@ -273,12 +310,21 @@
     def __init__(self) -> None:
         self._expires_at: dict[str, float] = {}
         self._wants_values: dict[str, bool] = {}
+        # Last stamp of each subscriber, and when it arrived.
+        self._stamps: dict[str, tuple[int, float]] = {}
 
     def add(self, sender: str, request: Subscribe, now: float) -> bool:
-        """Add or renew a subscription; return whether it is new."""
+        """Add or renew a subscription; return whether it is new.
+
+        Parameters
+        ----------
+        now : float
+            Seconds on a clock that also counts the time in suspend.
+        """
         is_new = sender not in self._expires_at
         self._expires_at[sender] = now + SUBSCRIPTION_LEASE_S
         self._wants_values[sender] = request.with_values
+        self._stamps[sender] = (request.stamp_ms, now)
         return is_new
 
     def has_active(self, now: float) -> bool:
@@ -297,11 +343,27 @@
             else store_update
         )
         return [
-            (member, store_update if self._wants_values[member] else without_values)
+            (
+                member,
+                self.stamp(
+                    member,
+                    store_update if self._wants_values[member] else without_values,
+                    now,
+                ),
+            )
             for member in self._expires_at
         ]
 
+    def stamp(self, member: str, store_update: StoreUpdate, now: float) -> StoreUpdate:
+        """Return an update with the last stamp of a subscriber."""
+        stamp_ms, received_at = self._stamps[member]
+        if not stamp_ms:
+            return store_update
+        held_ms = int((now - received_at) * MS_PER_S)
+        return msgspec.structs.replace(store_update, stamp_ms=stamp_ms, held_ms=held_ms)
+
     def _expire(self, now: float) -> None:
         for member in [m for m, until in self._expires_at.items() if until < now]:
             del self._expires_at[member]
             del self._wants_values[member]
+            del self._stamps[member]
--- a/wisteriastair/keeper/daemon.py
+++ b/wisteriastair/keeper/daemon.py
@@ -18,6 +18,7 @@
 import msgspec
 from anyio.abc import TaskGroup
 
+from ..clocks import boot_clock, stamp_ms
 from ..core.crashwire import CrashReport, CrashUpdate
 from ..core.keeper import KeeperCore
 from ..core.ledgerwire import (
@@ -104,7 +105,7 @@
             self._on_listed,
             subscription=self._subscription,
             on_update=self._publish,
-            has_subscribers=lambda: self._subscribers.has_active(time.monotonic()),
+            has_subscribers=lambda: self._subscribers.has_active(boot_clock()),
         )
         self._picture = PictureKeeper(
             cfg.internal_address, cfg.max_failures, time.monotonic()
@@ -213,11 +214,10 @@
             return
         if isinstance(message, Subscribe):
             store_update = self._mirror.store_update()
-            if (
-                self._subscribers.add(sender, message, time.monotonic())
-                and store_update
-            ):
-                self._transport.send(sender, store_update)
+            now = boot_clock()
+            if self._subscribers.add(sender, message, now) and store_update:
+                stamped = self._subscribers.stamp(sender, store_update, now)
+                self._transport.send(sender, stamped)
             return
         if isinstance(message, StoreUpdate):
             self._mirror.apply_update(sender, message)
@@ -244,9 +244,7 @@
             self._transport.send(member, crash_update)
 
     def _publish(self, store_update: StoreUpdate) -> None:
-        for to, message in self._subscribers.make_updates(
-            store_update, time.monotonic()
-        ):
+        for to, message in self._subscribers.make_updates(store_update, boot_clock()):
             self._transport.send(to, message)
 
     def _send(self) -> None:
@@ -262,7 +260,9 @@
             self._send()
             self._send_crashes(self._crashes.next_updates(now))
             self._subscription.set_view(self._core.view, now)
-            for address, message in self._subscription.due_subscriptions(now):
+            for address, message in self._subscription.due_subscriptions(
+                now, stamp_ms()
+            ):
                 self._transport.send(address, message)
             await anyio.sleep(TICK_INTERVAL_S)
 
--- a/wisteriastair/nodemetrics.py
+++ b/wisteriastair/nodemetrics.py
@@ -26,6 +26,8 @@
 LATENCY_BUCKETS: Final = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0)
 # In seconds, from one sync of a disk to the timeout of a reservation.
 LEDGER_BUCKETS: Final = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 1.0)
+# In seconds, from an update by a watcher to the time that a leaving server serves on.
+ENTRIES_AGE_BUCKETS: Final = (0.1, 0.25, 0.5, 0.75, 1.0, 1.25, 1.5, 2.0, 3.0, 10.0)
 
 # Maximum number of customers that have a label of their own.
 MAX_CUSTOMERS: Final = 200
@@ -65,6 +67,12 @@
             buckets=LEDGER_BUCKETS,
             registry=self.registry,
         )
+        self.entries_age = Histogram(
+            "wisteriastair_entries_age_at_send_seconds",
+            "Age of what is known of the servers when a request is written to one",
+            buckets=ENTRIES_AGE_BUCKETS,
+            registry=self.registry,
+        )
         self.customer_requests = Counter(
             "wisteriastair_customer_requests",
             "Requests ended, by customer and what became of them",
@@ -139,6 +147,7 @@
                 ("store_calls", "Calls to the platform's store since start"),
                 ("store_revision", "Revision up to which changes are known"),
                 ("store_watched", "1 if this process watches the store itself"),
+                ("entries_age_seconds", "Age of the copy of the store, at most"),
                 ("ledger_resent", "Ledger requests sent again since start"),
                 ("chain_bytes", "Bytes of cached chains"),
                 ("held_bytes", "Bytes held for callers and servers"),
--- a/wisteriastair/platform/mirror.py
+++ b/wisteriastair/platform/mirror.py
@@ -32,6 +32,8 @@
 # Wait of the first watch after a time without own calls, in seconds.  It is short,
 # since only its response shows whether the store can be reached.
 FIRST_WATCH_WAIT_S: Final = 0.02
+# Time for the calls and messages of a confirmation, in seconds.
+CONFIRM_MARGIN_S: Final = 0.1
 ALL_KEYS_PREFIX: Final = ""
 
 OnChange = Callable[[StoreItem], None]
@@ -99,6 +101,13 @@
         self._disconnected_at = float("-inf")
         self._last_call_at = float("-inf")
         self._update_received = anyio.Event()
+        # Time on the boot clock at which the store was in the state of this copy, or
+        # later.
+        self._as_of = float("-inf")
+
+    def age_s(self) -> float:
+        """Seconds since the store was in the state of this copy, at most."""
+        return boot_clock() - self._as_of
 
     async def run(self) -> None:
         """Update the copy until cancelled."""
@@ -131,8 +140,10 @@
             self._apply_changes(
                 store_update.base, store_update.revision, store_update.changes
             )
-        now = time.monotonic()
-        self._subscription.on_update(sender, store_update, now)
+        age_s = _update_age_s(store_update)
+        if store_update.store_reachable and store_update.revision <= self.revision:
+            self._as_of = max(self._as_of, boot_clock() - age_s)
+        self._subscription.on_update(sender, store_update, time.monotonic(), age_s)
         if self._has_read_all and self._remaining_coverage_s() > 0:
             self._set_connected()
             self.is_catching_up = False
@@ -195,7 +206,7 @@
         elapsed_s = time.monotonic() - self._last_response_at
         if elapsed_s > subscription.times.wait_s + self._times.watch_grace_s:
             return None
-        return StoreUpdate(self.revision, self.revision)
+        return StoreUpdate(self.revision, self.revision, age_ms=_ms(self.age_s()))
 
     # Calls to the store
 
@@ -229,6 +240,7 @@
 
     async def _read_all(self) -> bool:
         self._last_call_at = time.monotonic()
+        started_at = boot_clock()
         snapshot = await self._store.list_all(ALL_KEYS_PREFIX)
         if isinstance(snapshot, StoreError):
             await self._handle_error(snapshot, "list")
@@ -240,9 +252,12 @@
             return False
         existing_keys = self._apply_snapshot(snapshot.revision, snapshot.items)
         self._advance(snapshot.revision)
+        self._as_of = max(self._as_of, started_at)
         self._on_full_read(existing_keys)
         self.is_catching_up = False
-        self._publish(StoreUpdate(snapshot.revision, snapshot.revision))
+        self._publish(
+            StoreUpdate(snapshot.revision, snapshot.revision, age_ms=_ms(self.age_s()))
+        )
         return True
 
     def _apply_snapshot(self, revision: int, items: Iterable[StoreItem]) -> set[str]:
@@ -285,20 +300,45 @@
                     return False
                 self.is_catching_up = False
                 self._advance(revision)
+                # Without changes, the store answers after the wait.
+                as_of = started_at if items else started_at + wait_s
+                self._as_of = max(self._as_of, min(as_of, boot_clock()))
                 # A response that arrives later may be out of date: it may have been
                 # pending while the machine was suspended.
                 if boot_clock() - started_at <= wait_s + self._times.watch_grace_s:
                     reported = [Change(i.key, i.revision, i.value) for i in items]
-                    self._publish(StoreUpdate(base, max(base, revision), reported))
+                    self._publish(
+                        StoreUpdate(
+                            base,
+                            max(base, revision),
+                            reported,
+                            age_ms=_ms(self.age_s()),
+                        )
+                    )
                 if items:
+                    self._confirm_early()
                     await anyio.sleep(BATCH_DELAY_S)
         return True
 
+    def _confirm_early(self) -> None:
+        """Shorten the next watch if the state that subscribers have is old.
+
+        The store may have answered a watch with changes at any time since its start.
+        """
+        if self._subscription is None or not self._is_watching_for_others():
+            return
+        left_s = self._subscription.times.validity_s - self.age_s()
+        wait_s = left_s - BATCH_DELAY_S - CONFIRM_MARGIN_S
+        self._next_wait_s = max(FIRST_WATCH_WAIT_S, min(self._next_wait_s, wait_s))
+
     def _default_wait_s(self) -> float:
-        subscription = self._subscription
-        if subscription is None or not self._is_watching_for_others():
+        if self._subscription is None:
             return self._times.watch_wait_s
-        return min(self._times.watch_wait_s, subscription.times.wait_s)
+        times = self._subscription.times
+        wait_s = times.validity_s - CONFIRM_MARGIN_S
+        if self._is_watching_for_others():
+            wait_s = times.wait_s
+        return min(self._times.watch_wait_s, wait_s)
 
     def _is_watching_for_others(self) -> bool:
         is_chosen = self._subscription is not None and self._subscription.is_watcher
@@ -385,5 +425,16 @@
     return True
 
 
+def _update_age_s(store_update: StoreUpdate) -> float:
+    """Return an upper bound of the age of an update from a watcher, in seconds.
+
+    The watcher made it after it had received the stamp.  An older build sends none.
+    """
+    if not store_update.stamp_ms:
+        return store_update.age_ms / MS_PER_S
+    made_ms = store_update.stamp_ms + store_update.held_ms
+    return max(0.0, boot_clock() - (made_ms - store_update.age_ms) / MS_PER_S)
+
+
 def _ms(seconds: float) -> int:
     return round(seconds * MS_PER_S)
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -12,6 +12,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from ..clocks import stamp_ms
 from ..core.crashwire import CrashUpdate
 from ..core.ledgerwire import (
     DocumentsReply,
@@ -71,6 +72,8 @@
 # reachable store answers within the first pause.
 DOCUMENTS_REQUEST_INTERVAL_S: Final = 0.25
 LISTEN_BACKLOG: Final = 1024
+# Age of the servers' entries above which it makes no difference, in seconds.
+MAX_OBSERVED_AGE_S: Final = 3600.0
 # Fraction of the process's memory for cached chains.
 CHAIN_CACHE_FRACTION: Final = 0.12
 
@@ -117,6 +120,7 @@
         self._dispatcher = Dispatcher(
             self._fleet, self._pool, cfg.domain, self._crashes, self._picture.picture
         )
+        self._dispatcher.on_write = self._observe_entries_age
         self._chains = ChainCache(cache_bytes)
         order = EngineOrder(
             self._fleet,
@@ -393,6 +397,11 @@
             mirror.was_disconnected and since_s < REREGISTRATION_S
         )
 
+    def _observe_entries_age(self) -> None:
+        # Unknown until the store has answered: observed as very old.
+        age_s = min(self._mirror.age_s(), MAX_OBSERVED_AGE_S)
+        self._metrics.entries_age.observe(age_s)
+
     def _update_gauges(self) -> None:
         table = self._handler.table
         now = asyncio.get_running_loop().time()
@@ -410,6 +419,7 @@
             "store_calls": self._store.call_count,
             "store_revision": self._mirror.revision,
             "store_watched": self._mirror.is_watching,
+            "entries_age_seconds": self._mirror.age_s(),
             "ledger_resent": self._ledger.resend_count,
             "chain_bytes": self._chains.size_bytes,
             "log_lines_dropped": dropped_line_count(),
@@ -443,7 +453,9 @@
                 caller_conn.enforce_timeouts(now)
             self._update_store_state()
             self._subscription.set_view(self._ledger.view, now)
-            for address, message in self._subscription.due_subscriptions(now):
+            for address, message in self._subscription.due_subscriptions(
+                now, stamp_ms()
+            ):
                 transport.send(address, message)
             self._pool.close_unused(self._fleet.remove_expired(now))
             self._update_gauges()
--- a/wisteriastair/relay/dispatch.py
+++ b/wisteriastair/relay/dispatch.py
@@ -10,7 +10,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from typing import Final, NamedTuple
 
@@ -112,6 +112,8 @@
 
     Attributes
     ----------
+    on_write : callable
+        Called when a request is written to a server.
     bad_load_reports : int
         Load reports that were wrong, in whole or in part, since the start.
     silent_ends : int
@@ -130,6 +132,7 @@
         self.pool = pool
         self.crashes = crashes
         self.retry_policy = RetryPolicy()
+        self.on_write: Callable[[], None] = lambda: None
         self.bad_load_reports = 0
         self.silent_ends = 0
         self._domain = domain
@@ -298,6 +301,7 @@
             exchange = Exchange(request_id, req.method)
             first_line = f"{req.method} {req.target} HTTP/1.1".encode("latin-1")
             server_conn.send_request(exchange, encode_head(first_line, headers) + body)
+            self.on_write()
             timer = state.pace.start(self._now(), state.in_flight)
             with anyio.move_on_after(attempt_timeout_s):
                 await exchange.wait_head()
