A watcher tells its subscribers all changes, from whomever it heard of them

Callers saw: requests reached a server after it had said that it leaves.

Cause: a watching keeper also applies what the other watcher reports, and its next watch started after that. Its own subscribers then learned only that there was something newer, waited the grace time of 0.3 s and all called the store themselves. The same after a compaction: a watcher that had read all keys again said no more than the new revision. Both happen in series while the configuration changes four times a second, and both add to the delay of an entry, and a call or two of each relay to the load of the store.

Change: a watcher keeps the revision up to which its subscribers have all changes, and the keys at that time. It watches from there, and after a reading of all keys it reports what differs.

--- a/tests/platform/test_mirror_watchers.py
+++ b/tests/platform/test_mirror_watchers.py
@@ -118,6 +118,65 @@
     run_scenario(scenario)
 
 
+def test_changes_before_a_compaction_reach_relays_without_their_own_calls() -> None:
+    """A server leaves, and the history is dropped before the next watch.
+
+    The watchers read all keys again, and must say what has changed: relays that only
+    learned that they had missed something waited, and then all read everything as well.
+    """
+
+    async def scenario(fleet: Fleet) -> None:
+        store = fleet.store
+        for number in range(40):
+            store.change(f"servers/{number}", b"ready")
+        await anyio.sleep(2.0)
+        before = store.call_count
+        store.change("op/config", b"next")
+        # The watchers collect changes for a moment before they watch again.
+        await anyio.sleep(0.05)
+        for number in range(300):
+            store.change(f"op/{number % 7}", str(number).encode())
+        store.change("servers/1", b"draining")
+        store.change("servers/2", None)
+        store.drop_history()
+        await anyio.sleep(0.3)
+        for process in fleet.processes:
+            assert process.applied["servers/1"].value == b"draining"
+            assert process.applied["servers/2"].value is None
+        # Two watchers: their watches, and one reading each.
+        assert store.call_count - before <= 2 * 4
+
+    run_scenario(scenario, relays=30)
+
+
+def test_changes_in_quick_succession_cost_relays_no_calls() -> None:
+    """A configuration each 0.25 s: a watcher hears of some changes from the other one.
+
+    If it did not report these to its own subscribers, they would wait for the grace
+    time and call the store themselves, all at once.
+    """
+
+    async def scenario(fleet: Fleet) -> None:
+        store = fleet.store
+        watchers = watching_processes(fleet)
+        before = store.call_count
+        for number in range(120):
+            if number % 20 == 0:
+                # The watchers get out of step.
+                watchers[0].frozen = True
+                await anyio.sleep(0.1)
+                watchers[0].unfreeze()
+            store.change("op/config", str(number).encode())
+            await anyio.sleep(fleet.rng.uniform(0.15, 0.35))
+            assert not any(
+                p.mirror.is_watching for p in fleet.processes if p not in watchers
+            )
+        # Each watcher makes a call after each batch of changes.
+        assert store.call_count - before <= 2 * 30.0 / 0.2
+
+    run_scenario(scenario, relays=30)
+
+
 def test_a_change_that_was_lost_in_the_network_is_requested() -> None:
     """A relay has an old configuration because the message with the new one was lost.
 
--- a/wisteriastair/platform/mirror.py
+++ b/wisteriastair/platform/mirror.py
@@ -16,14 +16,22 @@
 import random
 import time
 from collections.abc import Callable, Iterable
-from typing import Final
+from typing import Final, NamedTuple
 
 import anyio
 
 from ..clocks import boot_clock
 from ..core.ledgerwire import Change, StoreUpdate
 from ..core.watchers import Subscription
-from .store import MS_PER_S, Changes, HistoryExpired, Store, StoreError, StoreItem
+from .store import (
+    MS_PER_S,
+    Changes,
+    HistoryExpired,
+    Snapshot,
+    Store,
+    StoreError,
+    StoreItem,
+)
 
 # Pause after a watch that returned changes, in seconds, so that one call collects all
 # changes made meanwhile.  A tenth of the time within which a configuration must be in
@@ -43,6 +51,13 @@
 log = logging.getLogger(__name__)
 
 
+class _Published(NamedTuple):
+    """Revision up to which subscribers have all changes, and the keys at that time."""
+
+    revision: int
+    keys: frozenset[str]
+
+
 class Mirror:
     """Maintains a copy of all keys of the store.
 
@@ -101,6 +116,8 @@
         self._disconnected_at = float("-inf")
         self._last_call_at = float("-inf")
         self._update_received = anyio.Event()
+        # None unless this process watches for others.
+        self._published: _Published | None = None
         # Time on the boot clock at which the store was in the state of this copy, or
         # later.
         self._as_of = float("-inf")
@@ -255,11 +272,25 @@
         self._as_of = max(self._as_of, started_at)
         self._on_full_read(existing_keys)
         self.is_catching_up = False
-        self._publish(
-            StoreUpdate(snapshot.revision, snapshot.revision, age_ms=_ms(self.age_s()))
-        )
+        self._publish_snapshot(snapshot, existing_keys)
         return True
 
+    def _publish_snapshot(self, snapshot: Snapshot, existing_keys: set[str]) -> None:
+        revision, age_ms = snapshot.revision, _ms(self.age_s())
+        published = self._published
+        if published is None:
+            # Subscribers that know nothing yet read everything themselves.
+            self._publish(StoreUpdate(revision, revision, age_ms=age_ms))
+            return
+        removed = published.keys - existing_keys
+        changes = [Change(key, revision, None) for key in sorted(removed)]
+        changes += [
+            Change(item.key, item.revision, item.value)
+            for item in snapshot.items
+            if item.revision > published.revision
+        ]
+        self._publish(StoreUpdate(published.revision, revision, changes, age_ms=age_ms))
+
     def _apply_snapshot(self, revision: int, items: Iterable[StoreItem]) -> set[str]:
         """Replace all items as of a revision; return the keys that exist now."""
         existing_keys = set()
@@ -277,7 +308,12 @@
         return existing_keys
 
     async def _watch(self, wait_s: float) -> bool:
+        if not self._is_watching_for_others():
+            self._published = None
         base = self.revision
+        if self._published is not None:
+            # Another watcher may have reported later changes, but to other subscribers.
+            base = min(base, self._published.revision)
         started_at = boot_clock()
         self._last_call_at = time.monotonic()
         changes = await self._store.watch(ALL_KEYS_PREFIX, base, wait_s)
@@ -347,8 +383,12 @@
         )
 
     def _publish(self, store_update: StoreUpdate) -> None:
-        if self._on_update is not None:
-            self._on_update(store_update)
+        if self._on_update is None:
+            return
+        if store_update.store_reachable:
+            keys = frozenset(self._known_revisions)
+            self._published = _Published(store_update.revision, keys)
+        self._on_update(store_update)
 
     def _advance(self, revision: int) -> None:
         """Record that all changes up to a revision are known."""
