A watch that is cut is no outage in which leases expire

Callers saw: requests reached a server after it had left.

Cause: any failed call counted as an outage of the store. The entries missing in the first answer after it were taken for expired leases and their servers stayed in use until 2.6 s later, although a watch that is cut is back within 0.25 s, and no lease is that short. So a server whose entry ended just then got requests for 2.6 s; with the removal learned up to a second late, that is over the two seconds for which it serves on. Besides, the 2.6 s began when the relay noticed the store's return, up to 2.5 s late, and lasted beyond the time at which all promises hold again (`contactMs` after the return).

Change: missing entries count as expired only if nothing was learned from the store for 1.5 s, and only until `contactMs` after the last call that failed, which is before the store's return (`scheduling/outages.py`). `store in touch` says which it was (`may_expire_leases`).

--- a/tests/relay/test_daemon.py
+++ b/tests/relay/test_daemon.py
@@ -272,3 +272,42 @@
             await anyio.sleep(0.05)
 
     run_scenario(server, tmp_path, scenario)
+
+
+def test_server_that_leaves_while_a_watch_is_cut_is_not_used(tmp_path: Path) -> None:
+    """A cut watch is no outage in which the leases of servers expire.
+
+    The entry that ends meanwhile belongs to a server that leaves.  It got requests for
+    2.6 s after the watch was back.
+    """
+
+    async def answer_ok(exchange: Exchange) -> None:
+        await asyncio.sleep(0.05)
+        await exchange.answer("fine")
+
+    leaving = ScriptedServer("s2", answer_ok)
+
+    async def send_together(deployment: Deployment, name: str) -> None:
+        async with anyio.create_task_group() as group:
+            for number in range(6):
+                group.start_soon(deployment.request, f"{name}-{number}")
+
+    async def scenario(
+        deployment: Deployment, store: StoreStandin, stack: AsyncExitStack
+    ) -> None:
+        await leaving.start()
+        store.put("servers/s2", server_entry(leaving))
+        await stack.enter_async_context(deployment.run("relay", RELAY_IP))
+        await deployment.wait_until_served()
+        while not leaving.exchanges:
+            await send_together(deployment, "before")
+        store.remove("servers/s2")
+        store.forget_history()
+        # The backoff after a failed call, and the reading of all keys.
+        await anyio.sleep(0.8)
+        leaving.exchanges.clear()
+        for number in range(20):
+            await send_together(deployment, f"after-{number}")
+        assert not leaving.exchanges
+
+    run_scenario(ScriptedServer("s1", answer_ok), tmp_path, scenario)
--- a/wisteriastair/platform/mirror.py
+++ b/wisteriastair/platform/mirror.py
@@ -23,6 +23,7 @@
 from ..clocks import boot_clock
 from ..core.ledgerwire import Change, StoreUpdate
 from ..core.watchers import Subscription
+from ..scheduling.outages import StoreOutage
 from .store import (
     MS_PER_S,
     Changes,
@@ -94,7 +95,8 @@
         self.was_disconnected = False
         # True while the first response after an outage is processed.
         self.is_catching_up = False
-        self.reconnected_at = float("-inf")
+        # The last outage that has ended.
+        self.outage: StoreOutage | None = None
         # Whether this process watches the store itself.
         self.is_watching = True
         # Origin of the change that is being applied, for the log.
@@ -114,6 +116,8 @@
         self._next_wait_s = store.times.watch_wait_s
         self._last_response_at = float("-inf")
         self._disconnected_at = float("-inf")
+        self._failed_at = float("-inf")
+        self._blind_since = float("-inf")
         self._last_call_at = float("-inf")
         self._update_received = anyio.Event()
         # None unless this process watches for others.
@@ -237,6 +241,7 @@
             self._subscription.is_store_down(now)
             and elapsed_s > self._times.watch_wait_s + self._times.watch_grace_s
         ):
+            self._failed_at = now
             self._set_disconnected("all watchers lost the store")
         return self._subscription.covered_until(now) - now
 
@@ -422,14 +427,17 @@
         if not self.store_reachable:
             self.store_reachable = True
             self.is_catching_up = True
-            self.reconnected_at = time.monotonic()
             extra: dict[str, object] = {"revision": self.revision}
             if self.was_disconnected:
-                extra["away_ms"] = _ms(self.reconnected_at - self._disconnected_at)
+                now = time.monotonic()
+                self.outage = StoreOutage(self._blind_since, self._failed_at, now)
+                extra["away_ms"] = _ms(now - self._disconnected_at)
+                extra["may_expire_leases"] = self.outage.may_expire_leases()
             log.info("store in touch", extra=extra)
 
     async def _handle_error(self, error: StoreError, call: str) -> None:
         waited_ms = _ms(time.monotonic() - self._last_call_at)
+        self._failed_at = self._last_call_at
         self._set_disconnected(error.reason, call, waited_ms)
         self._publish(StoreUpdate(self.revision, self.revision, store_reachable=False))
         self._next_wait_s = self._times.retry_watch_wait_s
@@ -445,6 +453,7 @@
             self.store_reachable = False
             self.was_disconnected = True
             self._disconnected_at = time.monotonic()
+            self._blind_since = self._disconnected_at - self.age_s()
             log.warning("store lost", extra={**extra, "revision": self.revision})
         else:
             log.info("store still lost", extra=extra)
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -51,7 +51,7 @@
 from ..platform.quarantine import apply_record
 from ..platform.store import Store, StoreItem
 from ..scheduling.crashes import CrashTable
-from ..scheduling.fleet import REREGISTRATION_S, Fleet
+from ..scheduling.fleet import Fleet
 from .admission import AdmissionGate
 from .chains import ChainCache
 from .crashes import CrashMonitor
@@ -282,7 +282,11 @@
     def _on_listed(self, present: set[str]) -> None:
         self._has_listing = True
         ids = {key.removeprefix(SERVER_KEY_PREFIX) for key in present}
-        self._fleet.retain_only(ids, asyncio.get_running_loop().time())
+        self._fleet.retain_only(
+            ids,
+            asyncio.get_running_loop().time(),
+            is_lease_expired=self._is_lease_expired(),
+        )
 
     def _on_item(self, item: StoreItem) -> None:
         if item.key == CONFIG_KEY:
@@ -346,9 +350,7 @@
         server_id = item.key.removeprefix(SERVER_KEY_PREFIX)
         if item.value is None:
             self._logged_errors.pop(item.key, None)
-            is_lease_expired = (
-                self._fleet.store_unstable and self._mirror.is_catching_up
-            )
+            is_lease_expired = self._is_lease_expired()
             state = self._fleet.get(server_id)
             if state is not None and state.accepts_requests() and not is_lease_expired:
                 self._crashes.record_removed(state.server)
@@ -390,13 +392,19 @@
         log.warning("bytes that belong to no request", extra={"server": server_id})
 
     def _update_store_state(self) -> None:
-        mirror = self._mirror
-        since_s = time.monotonic() - mirror.reconnected_at
+        mirror, outage = self._mirror, self._mirror.outage
         self._handler.is_config_current = mirror.store_reachable and self._has_listing
         self._fleet.store_unstable = not mirror.store_reachable or (
-            mirror.was_disconnected and since_s < REREGISTRATION_S
+            outage is not None
+            and time.monotonic() < outage.unstable_until(self._cfg.contact_s)
         )
 
+    def _is_lease_expired(self) -> bool:
+        """Return whether an entry that is removed now may have expired in an outage."""
+        outage = self._mirror.outage
+        may_expire = outage is not None and outage.may_expire_leases()
+        return may_expire and self._mirror.is_catching_up
+
     def _observe_entries_age(self) -> None:
         # Unknown until the store has answered: observed as very old.
         age_s = min(self._mirror.age_s(), MAX_OBSERVED_AGE_S)
--- a/wisteriastair/scheduling/__init__.py
+++ b/wisteriastair/scheduling/__init__.py
@@ -14,6 +14,8 @@
     Own requests at a server and their outcomes.
 ``pace``
     Pace of each server, learned from its responses, and its silence.
+``outages``
+    What an outage of the store says of missing entries.
 ``fleet``
     Known servers, their load and their failures.
 ``affinity``
@@ -56,6 +58,8 @@
     One byte budget for what a relay holds for callers and servers.
 ``relay_load``
     Overload of a relay: lag of its event loop, and use of its link.
+``exposure``
+    Servers that may turn out to have crashed under a request.
 ``crashes``
     Servers that crashed under a request, and quarantined requests.
 ``reach``
--- a/wisteriastair/scheduling/fleet.py
+++ b/wisteriastair/scheduling/fleet.py
@@ -22,6 +22,7 @@
 from typing import Final, NamedTuple
 
 from .observations import Observations
+from .outages import REREGISTRATION_S
 from .pace import ServerPace
 from .reuse import CachedSegments
 
@@ -36,9 +37,6 @@
 # mistake costs little capacity.
 MIN_SERVERS_FAST_EJECTION: Final = 12
 MAX_EJECTION_S: Final = 8.0
-# Time allowed for entries to come back after an outage of the store, in seconds. They
-# need about two seconds.
-REREGISTRATION_S: Final = 2.6
 # Fraction of the drain time within which a leaving server may be used if its service
 # has no other. The other half, one of two seconds, covers the delay until the removal
 # is known (up to 0.2 s) and the opening of a connection (up to 0.5 s).
@@ -323,11 +321,13 @@
             state.is_lease_expired = is_lease_expired
             self._forget_lists(state.server.service)
 
-    def retain_only(self, present: set[str], now: float) -> None:
-        """Remove all servers that a full listing does not contain."""
+    def retain_only(
+        self, present: set[str], now: float, *, is_lease_expired: bool = False
+    ) -> None:
+        """Remove all servers that a full listing does not contain, see `remove`."""
         for server_id in self._servers:
             if server_id not in present:
-                self.remove(server_id, now, is_lease_expired=self.store_unstable)
+                self.remove(server_id, now, is_lease_expired=is_lease_expired)
 
     def record_failure(self, state: ServerState, now: float) -> None:
         """Record a failure of a server, which may eject it."""
