Evidence of a crash counts whoever sees it, and while the request is running

Callers saw: four or five servers ended under a request whose servers end after its attempt, in a soak.

Change: when an entry goes, the requests at that server are remembered before; after a reset or an error, a response shows survival only if its request was sent half a second later; a crash counts for all requests that are known to be exposed to the server.

Soak: `--late-crashes` plays servers that reset and listen on, fail first, fall silent, or end at once. Two tests in test_late_crashes.py failed before.

--- a/tests/relay/test_late_crashes.py
+++ b/tests/relay/test_late_crashes.py
@@ -18,6 +18,7 @@
     run_scenario,
 )
 from tests.relay.test_crashshare import run_world
+from wisteriastair.relay.crashes import SURVIVAL_S
 
 MAX_CRASHES = 3
 ATTEMPTS = 10
@@ -188,6 +189,7 @@
     async def scenario(harness: RelayHarness) -> None:
         for attempt in range(5):
             await send(harness, "unsafe", attempt, "odd")
+            await anyio.sleep(SURVIVAL_S)
             answered_by.clear()
             while reset_by[-1] not in answered_by:
                 await send(harness, "unsafe", attempt, "even")
@@ -261,3 +263,38 @@
         caller.writer.close()
 
     run_world(servers, scenario, 1)
+
+
+def test_server_whose_entry_is_removed_while_it_has_the_request_counts() -> None:
+    """A machine loses power, and the platform removes its entry before the deadline."""
+    fatal = FatalRequest(lose_power)
+
+    async def scenario(harness: RelayHarness) -> None:
+        for attempt in range(ATTEMPTS):
+            async with anyio.create_task_group() as group:
+                group.start_soon(send, harness, "unsafe", attempt)
+                await anyio.sleep(ATTEMPT_S / 2)
+                state = harness.fleet.get(fatal.runs[-1])
+                if state is not None and state.removed_at is None:
+                    harness.dispatcher.crashes.record_removed(state.server)
+                    harness.fleet.remove(state.server.id, anyio.current_time())
+        assert fatal.crashed() == MAX_CRASHES
+
+    run_scenario(fatal.servers, scenario)
+
+
+def test_relay_counts_a_crash_that_another_relay_was_told_to_expect() -> None:
+    """The relay whose request the server had does not connect to it again."""
+    fatal = FatalRequest(crash_after_error)
+
+    async def scenario(network: CrashNetwork, relays: list[RelayHarness]) -> None:
+        for attempt in range(3):
+            await send(relays[attempt % 2], "unsafe", attempt)
+        await anyio.sleep(0.1)
+        # Tries the three servers again, which refuse.
+        assert (await send(relays[2], "unsafe", 4)).status == 503
+        table = relays[2].dispatcher.crashes.table
+        (key,) = table.keys()
+        assert table.is_quarantined(key)
+
+    run_world(fatal.servers, scenario, 3)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -400,6 +400,7 @@
     stops: bool = False,
     relays: int = 2,
     crashes: bool = False,
+    late_crashes: bool = False,
 ) -> Result:
     """Run one seed.
 
@@ -409,6 +410,8 @@
         Whether its faults are planned stops and concurrent faults.
     crashes : bool
         Whether some requests crash the servers that start them.
+    late_crashes : bool
+        Whether this shows later than the request ends.
     """
     rng = random.Random(f"{seed} callers and servers")
     # A separate generator makes the faults of a seed the same in each run.
@@ -425,6 +428,7 @@
             relays,
             slow_factor,
             has_pressure=seed % 2 == 0,
+            late_crashes=late_crashes,
         )
         await deployment.start_servers()
         for name in deployment.machines:
@@ -446,7 +450,9 @@
                 group.start_soon(callers.send_endless)
                 group.start_soon(leavers.run)
                 group.start_soon(deployment.replace_crashed_servers)
-                for number in range(FATAL_CALLER_COUNT if crashes else 0):
+                for number in range(
+                    FATAL_CALLER_COUNT if crashes or late_crashes else 0
+                ):
                     fatal_rng = random.Random(f"{seed} fatal {number}")
                     group.start_soon(callers.send_fatal, str(number), fatal_rng)
                 for _ in range(SLOW_READER_COUNT):
@@ -508,12 +514,24 @@
     parser.add_argument(
         "--crashes", action="store_true", help="play requests that crash servers"
     )
+    parser.add_argument(
+        "--late-crashes",
+        action="store_true",
+        help="the same, and a crash shows after its request has ended",
+    )
     args = parser.parse_args()
     failed = 0
     for seed in range(args.seed, args.seed + args.count):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         result = anyio.run(
-            soak, seed, folder, None, args.stops, args.relays, args.crashes
+            soak,
+            seed,
+            folder,
+            None,
+            args.stops,
+            args.relays,
+            args.crashes,
+            args.late_crashes,
         )
         status_counts = " ".join(
             f"{s}:{n}" for s, n in sorted(result.status_counts.items())
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -96,6 +96,20 @@
     assert result.crash_counts.crashes > 0
 
 
+@pytest.mark.parametrize("seed", [53100, 53102])
+def test_a_request_crashes_no_more_servers_if_it_shows_late(
+    seed: int, tmp_path: Path
+) -> None:
+    """The evidence of a crash comes after the next attempt.
+
+    53100: the entry of a silent server is removed while it has the request.  53102: a
+    server that has failed answers others until it ends.
+    """
+    result = anyio.run(partial(soak, late_crashes=True), seed, tmp_path)
+    assert result.violations == []
+    assert result.crash_counts.crashes > 0
+
+
 def test_a_relay_that_tells_nobody_of_crashes_is_detected(tmp_path: Path) -> None:
     """Attempts at different relays add up; the soak must report it."""
     for seed in range(200, 203):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -54,6 +54,10 @@
 SERVER_COUNT: Final = 5
 ENGINE_COUNT: Final = 3
 REPLACEMENT_S: Final = (0.05, 0.8)
+# Longest time for which a server that crashes late listens on, in seconds.
+MAX_CRASH_DELAY_S: Final = 0.3
+# For which a server without power answers nothing on a connection, in seconds.
+SILENCE_S: Final = 60.0
 ENTRY_REMOVAL_S: Final = 1.0
 # Interval in which the time that processes wait for a processor is sampled, and the
 # wait per interval above which a process counts as starved: half of ``lossSlackMs``,
@@ -179,6 +183,7 @@
         relays: int = 2,
         slow_factor: float = 1.0,
         has_pressure: bool = False,
+        late_crashes: bool = False,
     ) -> None:
         self.store = store
         self.checker = checker
@@ -189,6 +194,9 @@
         self._folder = folder
         self._rng = rng
         self._crash_rng = random.Random(0)
+        self._late_rng = random.Random(1) if late_crashes else None
+        # Bodies of the requests under which a server crashes, by its id.
+        self._crashing: dict[str, set[str]] = {}
         self._variant = variant
         self._ports = [int(free_address().rpartition(":")[2]) for _ in range(3)]
         # Concurrent soaks need different addresses.
@@ -248,8 +256,13 @@
                     "Content-Length: 0\n\n"
                 )
                 return
+            if server.has_crashed:
+                # It is silent, on a connection from before.
+                self.checker.record_reset(request_id)
+                await asyncio.sleep(SILENCE_S)
+                return
             if request_id.startswith(FATAL_PREFIX):
-                self._crash_server(server, number, exchange, active)
+                await self._crash_server(server, number, exchange, active)
                 return
             if request_id.startswith(ENDLESS_PREFIX):
                 await respond_without_end(exchange)
@@ -263,7 +276,7 @@
         server = ScriptedServer(server_id, run)
         return server
 
-    def _crash_server(
+    async def _crash_server(
         self,
         server: ScriptedServer,
         number: int,
@@ -271,19 +284,51 @@
         active: set[str],
     ) -> None:
         """Crash a server under a request, with all that it runs."""
-        if server.has_crashed:
-            return
         now = time.monotonic()
         request_id = exchange.header("X-Request-Id")
         body = exchange.body.decode()
         self.checker.record_execution(request_id, body)
-        self.checker.crashes.record_crash(body, request_id, now)
+        crashing = self._crashing.setdefault(server.id, set())
+        if body not in crashing:
+            self.checker.crashes.record_crash(body, request_id, now)
+        is_first = not crashing
+        crashing.add(body)
         for active_id in (request_id, *active):
             self.checker.record_reset(active_id)
-        server.crash()
+        if not is_first:
+            exchange.reset()
+            return
+        if self._late_rng is None:
+            server.crash()
+        else:
+            await self._crash_late(server, exchange, active, self._late_rng)
+        now = time.monotonic()
         self._replace_at[number] = now + self._crash_rng.uniform(*REPLACEMENT_S)
         self._remove_entry_at[f"servers/{server.id}"] = now + ENTRY_REMOVAL_S
 
+    async def _crash_late(
+        self,
+        server: ScriptedServer,
+        exchange: Exchange,
+        active: set[str],
+        rng: random.Random,
+    ) -> None:
+        """Crash so that the evidence comes after the end of the request."""
+        way = rng.choice(("reset", "error", "silence", "at once"))
+        if way == "silence":
+            server.has_crashed = True
+            server.stop()
+            return
+        if way == "reset":
+            exchange.reset()
+            await asyncio.sleep(rng.uniform(0.0, MAX_CRASH_DELAY_S))
+        elif way == "error":
+            await exchange.answer("failed", status="500 Internal Server Error")
+            await asyncio.sleep(rng.uniform(0.0, MAX_CRASH_DELAY_S))
+        for active_id in active:
+            self.checker.record_reset(active_id)
+        server.crash()
+
     async def replace_crashed_servers(self) -> None:
         """Replace crashed servers by others with new ids and addresses."""
         while not self.stopped:
--- a/wisteriastair/relay/crashes.py
+++ b/wisteriastair/relay/crashes.py
@@ -22,7 +22,11 @@
 
 from ..errors import Code, Failure
 from ..nodemetrics import RelayMetrics
-from ..scheduling.crashes import AnsweredRequests, RequestIdentity
+from ..scheduling.crashes import (
+    SINGLE_QUARANTINE_S,
+    AnsweredRequests,
+    RequestIdentity,
+)
 from ..scheduling.digest import server_key
 from ..scheduling.exposure import EXPOSURE_S
 from ..scheduling.fleet import Server, ServerState
@@ -40,6 +44,9 @@
 # Seconds after which a server that still listens has survived: time for a process to
 # end, to start again at the same address, and for the entry of its next incarnation.
 RESTART_WAIT_S: Final = 1.5
+# Seconds after which a response shows that a server has survived that broke off or
+# failed: one that ends may still answer others meanwhile.
+SURVIVAL_S: Final = 0.5
 # Seconds without a response after which keepers are told of a request: shorter than the
 # patience of callers, whose next attempt may overtake the report of their leaving.
 OVERDUE_S: Final = 1.0
@@ -62,13 +69,16 @@
 
     Attributes
     ----------
+    survival_s : float
+        Seconds after which a response shows that the server has survived.
     decided : anyio.Event
         Set when the server is known to have crashed or to listen.
     shared : anyio.Event or None
         Set when the crash has been shared with other relays.
     """
 
-    def __init__(self, job: Job, server: Server) -> None:
+    def __init__(self, job: Job, server: Server, survival_s: float) -> None:
+        self.survival_s = survival_s
         self.key = job.identity.key()
         self.identity = job.envelope
         self.request = job.caller_req.id
@@ -109,7 +119,7 @@
         self._probing: set[str] = set()
         # Incarnations whose survival is being checked.
         self._checking: set[str] = set()
-        # Requests of programs that are running, by all but their bodies.
+        # Requests that are running, by all but their bodies.
         self._running: dict[RequestIdentity, list[Job]] = {}
         self._answered = AnsweredRequests()
         self._lines = LineLimit()
@@ -140,13 +150,15 @@
         Requests without a program may be those of many callers.
         """
         key = self.table.find(job.identity)
-        running = [
-            server_key(other.sent_to.incarnation)
-            for other in self._running.get(job.envelope, ())
-            if other is not job
-            and other.sent_to is not None
-            and other.req.body == job.req.body
-        ]
+        running = []
+        if job.caller_req.program:
+            running = [
+                server_key(other.sent_to.incarnation)
+                for other in self._running.get(job.envelope, ())
+                if other is not job
+                and other.sent_to is not None
+                and other.req.body == job.req.body
+            ]
         if key is not None:
             return self.table.allowed_servers(key, running)
         if len(set(running)) < self.table.limits.max_crashes:
@@ -163,10 +175,9 @@
         job.sent_to = state
         job.sent_at = job.now()
         job.is_reported = False
-        if job.caller_req.program:
-            jobs = self._running.setdefault(job.envelope, [])
-            if job not in jobs:
-                jobs.append(job)
+        jobs = self._running.setdefault(job.envelope, [])
+        if job not in jobs:
+            jobs.append(job)
 
     async def examine(self, job: Job, state: ServerState) -> bool:
         """Find out whether a server crashed that broke off the response to a request.
@@ -177,7 +188,7 @@
             Whether the server has crashed; False if that is not known yet.
         """
         job.sent_to = None
-        interrupted = self._add_interrupted(job, state)
+        interrupted = self._add_interrupted(job, state, SURVIVAL_S)
         if interrupted is None:
             return False
         self._start_probe(state.server)
@@ -215,7 +226,7 @@
         Returns when the other relays may know, or after a short time.
         """
         job.sent_to = None
-        interrupted = self._add_interrupted(job, state)
+        interrupted = self._add_interrupted(job, state, SURVIVAL_S)
         if interrupted is not None:
             self._start_check(state.server)
             with anyio.CancelScope(shield=True):
@@ -242,7 +253,9 @@
             with anyio.move_on_after(MAX_SHARE_WAIT_S):
                 await interrupted.shared.wait()
 
-    def _add_interrupted(self, job: Job, state: ServerState) -> _Interrupted | None:
+    def _add_interrupted(
+        self, job: Job, state: ServerState, survival_s: float = 0.0
+    ) -> _Interrupted | None:
         """Remember an interrupted request; None if its server is leaving."""
         waiting = self._interrupted.get(state.incarnation, [])
         for interrupted in waiting:
@@ -250,7 +263,7 @@
                 return interrupted
         if not state.accepts_requests() or self._interrupted_count >= MAX_INTERRUPTED:
             return None
-        interrupted = _Interrupted(job, state.server)
+        interrupted = _Interrupted(job, state.server, survival_s)
         self._interrupted.setdefault(state.incarnation, []).append(interrupted)
         self._interrupted_count += 1
         self._expose(interrupted, interrupted.at)
@@ -276,6 +289,8 @@
                     job.is_reported = True
                     server = server_key(state.incarnation)
                     key = job.identity.key()
+                    if self._answered.is_recent(key, now):
+                        continue
                     if self.table.expose(key, server, now + EXPOSURE_S):
                         self._share.report_crash(key)
 
@@ -306,7 +321,7 @@
         loop = asyncio.get_running_loop()
         try:
             while server.incarnation in self._interrupted:
-                started_at = loop.time()
+                started_at = loop.time() + SURVIVAL_S
                 await anyio.sleep(RESTART_WAIT_S)
                 if server.incarnation not in self._interrupted:
                     return
@@ -338,7 +353,14 @@
 
         Its lease has expired, or the server leaves without notice; then it listens.
         """
-        if server.incarnation in self._interrupted:
+        for jobs in self._running.values():
+            for job in jobs:
+                state = job.sent_to
+                if state is not None and state.incarnation == server.incarnation:
+                    # It would not count any more once its entry is removed.
+                    self._add_interrupted(job, state)
+        is_exposed = self.table.exposures.requests_of(server_key(server.incarnation))
+        if is_exposed or server.incarnation in self._interrupted:
             self._group.start_soon(self._probe_removed, server)
 
     def record_life(self, incarnation: str, sent_at: float) -> None:
@@ -356,7 +378,7 @@
     def _settle(self, incarnation: str, until: float) -> None:
         """Drop the requests that were interrupted before a server was seen alive."""
         waiting = self._interrupted.get(incarnation, [])
-        kept = [one for one in waiting if one.at >= until]
+        kept = [one for one in waiting if one.at + one.survival_s >= until]
         self._interrupted_count -= len(waiting) - len(kept)
         if kept:
             self._interrupted[incarnation] = kept
@@ -390,6 +412,15 @@
             if not self._answered.is_recent(interrupted.key, now):
                 self._count_crash(interrupted, evidence, now)
             interrupted.decided.set()
+        self._count_reported(server_key(incarnation), now)
+
+    def _count_reported(self, server: int, now: float) -> None:
+        """Count a crash for the requests that other relays sent to a server."""
+        for key in self.table.exposures.requests_of(server):
+            # Whether it belongs to a program is not known here.
+            expires_at = now + min(SINGLE_QUARANTINE_S, self.table.limits.quarantine_s)
+            if self.table.add(key, [server], expires_at):
+                self._share.report_crash(key)
 
     def _count_crash(
         self, interrupted: _Interrupted, evidence: Evidence, now: float
--- a/wisteriastair/scheduling/exposure.py
+++ b/wisteriastair/scheduling/exposure.py
@@ -7,8 +7,8 @@
 
 Therefore a request has a bounded set of servers that have crashed or may yet turn out
 to have. While the set is full, further attempts go to its members only, which costs no
-other server. A server leaves the set when it answers a request that was sent to it
-later, or when it still listens after the time in which a crash would have shown.
+other server. A server leaves the set when it answers a request that was sent to it some
+time later, or when it still listens after the time in which a crash would have shown.
 """
 
 from __future__ import annotations
@@ -53,6 +53,10 @@
         """Return the servers of a request, and when each of them expires."""
         return self._requests.get(key, {})
 
+    def requests_of(self, server: int) -> list[bytes]:
+        """Return the requests that a server may have crashed under."""
+        return [key for key, servers in self._requests.items() if server in servers]
+
     def add(self, key: bytes, server: int, expires_at: float) -> bool:
         """Add a server of a request; return whether it is new."""
         servers = self._requests.get(key)
