Own mode: a call that ends its servers reaches three of them

Callers saw: a call of a program that ends each server which runs it was tried on six of them.

The call's bound was its number of attempts, and each attempt avoided the server of the last one.

Change: a step knows, from its records and so on each primary, the servers that may have run its call without answering it. Once these are three, further attempts go to the same ones. If none of them can take a call for 10 s, the program ends with the failure of the call; servers that the operators have removed do not count.

Evidence: test_call_that_crashes_its_servers_reaches_three_of_them, in virtual time with the shipped cores: six servers before, three at most now.

--- a/tests/core/test_failures.py
+++ b/tests/core/test_failures.py
@@ -6,6 +6,7 @@
 
 from tests.core.deployments import (
     ANSWER,
+    MODEL,
     SERVERS,
     all_ended,
     all_paired,
@@ -20,9 +21,10 @@
 from wisteriastair.core.hashing import program_id
 from wisteriastair.core.primary import ENDED_RETENTION_S
 from wisteriastair.core.side import SideCore
+from wisteriastair.core.wire import GateCall
 from wisteriastair.standins.script import final_answer
 from wisteriastair.standins.virtual import VirtualDeployment
-from wisteriastair.standins.virtual_parts import VirtualOptions
+from wisteriastair.standins.virtual_parts import Node, VirtualOptions, VirtualServer
 
 
 def run_until_ended(deployment: VirtualDeployment, requests: list[str]) -> None:
@@ -315,3 +317,25 @@
     others = [deployment.submit(start(f"n{n}", prompt=prompt)) for n in range(6)]
     run_until_ended(deployment, others)
     assert answers(deployment, others).count(final_answer(prompt)) >= 4
+
+
+def test_call_that_crashes_its_servers_reaches_three_of_them() -> None:
+    """A model call of one program ends each engine that runs it.
+
+    Six attempts of the call reached six engines, each of which was lost.
+    """
+    servers = (
+        *(VirtualServer(f"m{n}", "model", (MODEL,), f"d{n % 3}") for n in range(8)),
+        *(server for server in SERVERS if server.kind == "plain"),
+    )
+    deployment = office(VirtualOptions(servers))
+    ran_on: list[str] = []
+
+    def fail(node: Node, call: GateCall) -> None:
+        ran_on.append(call.server)
+        deployment.after(0.01, lambda: deployment.kill(node.name, listed=True))
+
+    deployment._call_engine = fail  # type: ignore[method-assign]
+    request = deployment.submit(start("k"))
+    run_until_ended(deployment, [request])
+    assert len(set(ran_on)) <= 3
--- a/wisteriastair/core/calls.py
+++ b/wisteriastair/core/calls.py
@@ -34,6 +34,8 @@
 LOOKUP_INTERVAL_S: Final = 1.0
 GATE_TIMEOUT_S: Final = 6.0
 NO_SERVER_RETRY_S: Final = 0.25
+# Seconds for which a call waits for one of the servers that it is limited to.
+EXPOSED_WAIT_S: Final = 10.0
 RETRY_DELAY_S: Final = 0.05
 MAX_RETRY_DELAY_S: Final = 5.0
 UNKNOWN_TOOL_TEXT: Final = "error: no such tool"
@@ -78,7 +80,7 @@
             self._programs.now,
         )
         if call_target is None:
-            run.not_before = self._programs.now + NO_SERVER_RETRY_S
+            self._wait_for_server(run)
             return
         reserved = step.prompt_token_bound + step.max_tokens
         self._append_intent(run, step, "model", call_target, "", True, reserved)
@@ -100,13 +102,29 @@
             self._programs.now,
         )
         if found is None:
-            run.not_before = self._programs.now + NO_SERVER_RETRY_S
+            self._wait_for_server(run)
             return
         call_target = found._replace(target=f"{tool.provider}/{tool.name}")
         self._append_intent(
             run, step, "tool", call_target, argument, tool.repeatable, 0
         )
 
+    def _wait_for_server(self, run: RunningProgram) -> None:
+        run.not_before = self._programs.now + NO_SERVER_RETRY_S
+        if run.no_server_since is None:
+            run.no_server_since = self._programs.now
+
+    def is_out_of_servers(self, run: RunningProgram) -> bool:
+        """Return whether no server that may get the next call is likely to be back.
+
+        Any other server would be exposed to a call that several have not survived.
+        """
+        return (
+            run.no_server_since is not None
+            and run.program.allowed_servers() is not None
+            and self._programs.now - run.no_server_since >= EXPOSED_WAIT_S
+        )
+
     def _append_intent(
         self,
         run: RunningProgram,
@@ -117,6 +135,7 @@
         repeatable: bool,
         reserved: int,
     ) -> None:
+        run.no_server_since = None
         record = CallIntended(
             run.program.start.program,
             step.number,
--- a/wisteriastair/core/dispatch.py
+++ b/wisteriastair/core/dispatch.py
@@ -76,7 +76,7 @@
     ) -> CallTarget | None:
         """Choose a server for the next model call; None if none is available."""
         for model in service.models:
-            servers = self._servers(config, "model", model, avoid_server, now)
+            servers = self._servers(program, config, "model", model, avoid_server, now)
             if servers:
                 return self._choose(program, service, model, servers, now)
         return None
@@ -90,7 +90,7 @@
         now: float,
     ) -> CallTarget | None:
         """Choose a plain server for a tool call; None if none is available."""
-        servers = self._servers(config, "plain", provider, avoid_server, now)
+        servers = self._servers(program, config, "plain", provider, avoid_server, now)
         if not servers:
             return None
         service = program.start.definition
@@ -140,11 +140,23 @@
         return view.call_s * (1.0 - median_token_s / view.token_s)
 
     def _servers(
-        self, config: Config, kind: str, target: str, avoid_server: str, now: float
+        self,
+        program: Program,
+        config: Config,
+        kind: str,
+        target: str,
+        avoid_server: str,
+        now: float,
     ) -> dict[str, str]:
         """Return active servers of a kind with the member ids of their gates."""
         gates: dict[str, str] = {}
+        allowed = program.allowed_servers()
+        if allowed is not None and allowed.isdisjoint(config.servers):
+            # The operators have removed them.
+            allowed = None
         for server in config.servers.values():
+            if allowed is not None and server.name not in allowed:
+                continue
             if server.kind != kind or server.state != "active":
                 continue
             if target not in server.serves:
--- a/wisteriastair/core/primary.py
+++ b/wisteriastair/core/primary.py
@@ -217,6 +217,13 @@
         if run.uncommitted or not self._programs.may_append(run):
             return
         step = run.program.next_step(self._programs.now)
+        if isinstance(step, ModelStep | ToolStep) and self._calls.is_out_of_servers(
+            run
+        ):
+            is_model = isinstance(step, ModelStep)
+            code = Code.MODEL_FAILED if is_model else Code.TOOL_FAILED
+            detail = f"call {step.number} failed on several servers, and none is back"
+            step = EndStep(code, "", detail)
         match step:
             case EndStep():
                 self._end(run, step)
--- a/wisteriastair/core/program.py
+++ b/wisteriastair/core/program.py
@@ -29,6 +29,9 @@
 
 SPAWN: Final = "spawn"
 MAX_ATTEMPTS: Final = 6
+# Servers that may run one call without answering it. A call that crashes each server
+# must not reach more; further attempts go to the same ones.
+MAX_EXPOSED_SERVERS: Final = 3
 # A tool step fails after this many times its time limit without a result.
 MAX_TOOL_TIMEOUTS: Final = 2
 # A chat template adds a few tokens around each message.
@@ -113,6 +116,8 @@
         self._step_started_at = 0.0
         self._number = 1
         self._attempt = 1
+        # Servers that may have run the call of this step and did not answer it.
+        self._exposed: set[str] = set()
         self._failure: EndStep | None = None
         self._child_budgets: dict[str, int] = {}
         if started.plain is not None:
@@ -130,6 +135,12 @@
         """Committed output of the open or interrupted model call."""
         return self._partial_text
 
+    def allowed_servers(self) -> frozenset[str] | None:
+        """Return the only servers that may get the next attempt; None for all."""
+        if len(self._exposed) < MAX_EXPOSED_SERVERS:
+            return None
+        return frozenset(self._exposed)
+
     def remaining_tokens(self) -> int:
         """Tokens of the budget that are neither spent nor reserved."""
         return self.start.limits.budget - self.spent - self.reserved
@@ -184,6 +195,7 @@
         if record.status == "ok":
             self.spent += record.prompt_tokens + record.completion_tokens
             self._attempt = 1
+            self._exposed.clear()
             self._number += 1
             if call.kind == "model":
                 self._finish_turn(call, record)
@@ -194,6 +206,8 @@
             # The tokens used by the lost attempt are unknown, so its whole
             # reservation counts as spent.
             self.spent += call.reserved
+        if record.ran != "no" and call.server:
+            self._exposed.add(call.server)
         self._attempt += 1
         self._failure = self._fatal_failure(call, record)
 
--- a/wisteriastair/core/running.py
+++ b/wisteriastair/core/running.py
@@ -63,6 +63,8 @@
         self.looked_up_at = 0.0
         self.last_heard_at = 0.0
         self.not_before = 0.0
+        # Since when its call waits for a server; None if it does not.
+        self.no_server_since: float | None = None
         self.avoid_server = ""
         self.trace = ""
         self.subscribers: dict[str, Subscriber] = {}
