A turn that has ended is no part of a reference cycle

Callers saw: relays end for their memory after some hundred long turns.

Cause: the sink that forwards events refers to the turn and to the exchange, and the exchange kept it after its end. The whole conversation of each turn stayed until the garbage collector came by, which is rare.

Change: the sink is dropped with the end of the exchange, or when the request is given up.

--- a/wisteriastair/http1/server.py
+++ b/wisteriastair/http1/server.py
@@ -92,6 +92,14 @@
         if not data or sink(data):
             self._sink = sink
 
+    def stop_forwarding(self) -> None:
+        """Drop the sink.
+
+        It mostly refers to this exchange: the cycle would keep the whole request and
+        response in memory until the garbage collector finds it.
+        """
+        self._sink = None
+
     def read_available(self) -> bytes:
         """Return and clear the body data that has arrived."""
         data = b"".join(self._buffer)
@@ -128,6 +136,7 @@
         """Receive the end from the connection."""
         if self.end is None:
             self.end = end
+            self.stop_forwarding()
             self.notify()
 
     def reject(self, reason: str) -> None:
--- a/wisteriastair/relay/dispatch.py
+++ b/wisteriastair/relay/dispatch.py
@@ -313,8 +313,10 @@
             yield self._outcome(state, exchange, server_conn, open_req, timer)
         finally:
             state.in_flight -= 1
-            if exchange is not None and exchange.end is not None:
-                succeeded = _has_succeeded(exchange)
+            if exchange is not None:
+                exchange.stop_forwarding()
+                if exchange.end is not None:
+                    succeeded = _has_succeeded(exchange)
             state.observations.close(open_req, loop.time(), succeeded=succeeded)
             if timer is not None:
                 self._end_attempt(state, timer)
