Open fates: an answer ends the watch for a crash, and keepers take back nothing

Two faults of the new bound, found by reading. A request that was remembered because its server's entry went while it ran stayed so after its answer, and a server that answered and then left counted as crashed under it. And a keeper at which a request had expired told all relays to forget it, with what they had found since.

Change: the answer, or "not run", drops what was remembered of the request at that server; keepers announce what is forgotten by an answer or an operator, and each process expires by itself.

Evidence: two tests in test_late_crashes.py failed before.

--- a/tests/relay/test_late_crashes.py
+++ b/tests/relay/test_late_crashes.py
@@ -17,8 +17,10 @@
     answer_ok,
     run_scenario,
 )
-from tests.relay.test_crashshare import run_world
+from tests.relay.test_crashshare import KEY, run_world
 from wisteriastair.relay.crashes import SURVIVAL_S
+from wisteriastair.relay.pool import ProbeResult
+from wisteriastair.scheduling.fleet import Server
 
 MAX_CRASHES = 3
 ATTEMPTS = 10
@@ -298,3 +300,56 @@
         assert table.is_quarantined(key)
 
     run_world(fatal.servers, scenario, 3)
+
+
+def test_server_that_answers_after_its_entry_is_removed_has_not_crashed() -> None:
+    """A server that leaves without notice answers what it has, and exits."""
+
+    async def serve(exchange: Exchange) -> None:
+        await asyncio.sleep(0.2)
+        await answer_ok(exchange)
+        servers[0].crash()
+
+    servers = [ScriptedServer("s0", serve)]
+
+    async def scenario(harness: RelayHarness) -> None:
+        crashes, pool = harness.dispatcher.crashes, harness.dispatcher.pool
+        probe = pool.probe
+
+        async def probe_slowly(server: Server) -> ProbeResult:
+            await anyio.sleep(0.3)
+            return await probe(server)
+
+        pool.probe = probe_slowly  # type: ignore[method-assign]
+        async with anyio.create_task_group() as group:
+            group.start_soon(send, harness, "unsafe", 0)
+            await anyio.sleep(0.1)
+            state = harness.fleet.get("s0")
+            assert state is not None
+            crashes.record_removed(state.server)
+        await anyio.sleep(0.4)
+        assert len(crashes.table) == 0
+
+    run_scenario(servers, scenario)
+
+
+def test_expiry_at_a_keeper_takes_back_nothing_that_a_relay_has_found_since() -> None:
+    """A keeper told relays to forget a request that had expired there."""
+
+    async def main() -> None:
+        network = CrashNetwork()
+        share = network.add_relay("r0")
+        now = anyio.current_time()
+        share.table.expose(KEY, 1, now + 0.3)
+        share.table.expose(KEY, 2, now + 0.3)
+        share.report_crash(KEY)
+        await anyio.sleep(0.05)
+        async with anyio.create_task_group() as group:
+            group.start_soon(network.run)
+            share.table.expose(KEY, 3, now + 10.0)
+            await anyio.sleep(0.6)
+            share.table.expire(anyio.current_time())
+            assert share.table.exposures.servers(KEY).keys() == {3}
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
--- a/wisteriastair/keeper/crashes.py
+++ b/wisteriastair/keeper/crashes.py
@@ -118,8 +118,10 @@
 
     def _next_update(self, now: float) -> CrashUpdate | None:
         self.table.expire(now)
-        for key in [key for key in self._shared if key not in self.table]:
-            self.forget(key)
+        # Relays forget these by themselves, unless they have found more meanwhile.
+        expired = {key for key in self._shared if key not in self.table}
+        self._shared -= expired
+        self._changed -= expired
         base = self._revision
         if self._changed or self._forgotten or self._settled:
             self._revision += 1
--- a/wisteriastair/relay/crashes.py
+++ b/wisteriastair/relay/crashes.py
@@ -209,6 +209,7 @@
 
     def record_not_run(self, job: Job, state: ServerState) -> None:
         """Record that a server has not run a request, or was not reached."""
+        self._drop_interrupted(job)
         job.sent_to = None
         if job.is_reported:
             job.is_reported = False
@@ -234,6 +235,7 @@
 
     def record_answer(self, job: Job) -> None:
         """Forget a request that a server has answered completely."""
+        self._drop_interrupted(job)
         job.sent_to = None
         self._answered.add(job.identity, job.now())
         key = self.table.find(job.identity)
@@ -269,6 +271,22 @@
         self._expose(interrupted, interrupted.at)
         return interrupted
 
+    def _drop_interrupted(self, job: Job) -> None:
+        """Drop a request that was remembered while it was running, and has ended."""
+        if job.sent_to is None or job.sent_to.incarnation not in self._interrupted:
+            return
+        incarnation = job.sent_to.incarnation
+        waiting = self._interrupted[incarnation]
+        kept = [one for one in waiting if one.request != job.caller_req.id]
+        self._keep_interrupted(incarnation, kept)
+
+    def _keep_interrupted(self, incarnation: str, kept: list[_Interrupted]) -> None:
+        self._interrupted_count += len(kept) - len(self._interrupted[incarnation])
+        if kept:
+            self._interrupted[incarnation] = kept
+        else:
+            del self._interrupted[incarnation]
+
     def _expose(self, interrupted: _Interrupted, now: float) -> None:
         key = interrupted.key
         if self._answered.is_recent(key, now):
@@ -379,11 +397,8 @@
         """Drop the requests that were interrupted before a server was seen alive."""
         waiting = self._interrupted.get(incarnation, [])
         kept = [one for one in waiting if one.at + one.survival_s >= until]
-        self._interrupted_count -= len(waiting) - len(kept)
-        if kept:
-            self._interrupted[incarnation] = kept
-        else:
-            self._interrupted.pop(incarnation, None)
+        if waiting:
+            self._keep_interrupted(incarnation, kept)
         for one in waiting:
             one.decided.set()
         later_keys = {one.key for one in kept}
@@ -459,8 +474,4 @@
         self._share.sweep(now)
         for incarnation, waiting in list(self._interrupted.items()):
             kept = [one for one in waiting if one.expires_at >= now]
-            self._interrupted_count -= len(waiting) - len(kept)
-            if kept:
-                self._interrupted[incarnation] = kept
-            else:
-                del self._interrupted[incarnation]
+            self._keep_interrupted(incarnation, kept)
