The last server of a service is used by the age of its entry

Cause: a service whose only server has left uses it for a second from when the end of its entry is learned. That may be 1.1 s after the end, so a request could be written 2.1 s after it, and the server serves for two.

Change: the second counts from the last time at which the entry was known to be there. Around an outage of the store that time says nothing of the server, and the second counts as before. `server vanished` says how long ago the entry may have ended.

--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -354,8 +354,21 @@
             state = self._fleet.get(server_id)
             if state is not None and state.accepts_requests() and not is_lease_expired:
                 self._crashes.record_removed(state.server)
-            self._fleet.remove(server_id, now, is_lease_expired=is_lease_expired)
-            log.info("server vanished", extra={"server": server_id})
+            # The entry may have ended at any time since the last known state. Around
+            # an outage that would tell nothing of the server.
+            is_stable = not is_lease_expired and not self._fleet.store_unstable
+            age_s = self._mirror.age_s() if is_stable else 0.0
+            self._fleet.remove(
+                server_id, now - age_s, is_lease_expired=is_lease_expired
+            )
+            log.info(
+                "server vanished",
+                extra={
+                    "server": server_id,
+                    "lease_expired": is_lease_expired,
+                    "at_most_ms_ago": round(min(age_s, MAX_OBSERVED_AGE_S) * 1000),
+                },
+            )
             return
         server = decode_server(item.key, item.value)
         if isinstance(server, InvalidDocument):
--- a/wisteriastair/scheduling/fleet.py
+++ b/wisteriastair/scheduling/fleet.py
@@ -38,8 +38,8 @@
 MIN_SERVERS_FAST_EJECTION: Final = 12
 MAX_EJECTION_S: Final = 8.0
 # Fraction of the drain time within which a leaving server may be used if its service
-# has no other. The other half, one of two seconds, covers the delay until the removal
-# is known (up to 0.2 s) and the opening of a connection (up to 0.5 s).
+# has no other, counted from the last time at which its entry was known to be there. The
+# other half, one of two seconds, covers the way of the request.
 LAST_RESORT_FRACTION: Final = 0.5
 # Load reports older than this are ignored, in seconds.
 MAX_LOAD_AGE_S: Final = 1.0
@@ -310,6 +310,8 @@
 
         Parameters
         ----------
+        now : float
+            Time at which the entry was removed, or the earliest one possible.
         is_lease_expired : bool
             Whether its lease may have expired only because of an outage of the store:
             it was missing from the first listing after the outage. A server whose entry
