Ports of tests and of the demonstration are not assigned to others

A run of the whole test suite failed once, in a test that was not touched: test_quarantine_holds_after_a_restart_of_all_processes ended after 30 s, as nothing listened at the first relay's port. Its standard error showed that a relay had ended by an exception in its task group; the cause itself was cut off.

Cause: free_address() bound to port 0, closed the socket and gave out the port, which lies among those that the system assigns to connections and to listeners on port 0. The twelve scripted servers of the test, and whatever runs beside it, may be assigned the same port before the relay binds to it.

Change: ports are taken from below the assigned range, and a datagram socket reserves each of them for as long as the process lives. A test whose process fails to start says so at once.

--- a/tests/relay/machines.py
+++ b/tests/relay/machines.py
@@ -67,6 +67,7 @@
         self._internal = free_port()
         self._folder = folder
         self._store = store
+        self._running: list[subprocess.Popen[bytes]] = []
 
     def _settings(self, role: str, ip: str, store: str) -> Path:
         name = f"{role}-{ip}"
@@ -96,9 +97,11 @@
             env=os.environ | {"WISTERIASTAIR_BOOT": boot},
             stdout=subprocess.DEVNULL,
         )
+        self._running.append(process)
         try:
             yield process
         finally:
+            self._running.remove(process)
             process.kill()
             await anyio.to_thread.run_sync(process.wait)
 
@@ -108,6 +111,8 @@
             try:
                 reader, writer = await asyncio.open_connection(ip, port)
             except OSError:
+                codes = [process.poll() for process in self._running]
+                assert 1 not in codes, "a process failed to start"
                 await anyio.sleep(0.05)
                 continue
             return Caller(reader, writer)
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the daemons."""
--- a/wisteriastair/standins/deployment.py
+++ b/wisteriastair/standins/deployment.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -39,11 +40,27 @@
     http: str
 
 
+# Ports of addresses that are given out, below those that the system assigns to
+# connections and to listeners on port 0.
+_PORTS: Final = range(10_000, 32_000)
+# Datagram sockets that keep other processes from giving out the same ports.
+_reservations: list[socket.socket] = []
+
+
 def free_address() -> str:
-    """Return an unused address (IP:PORT) on this machine."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return f"{HOST}:{probe.getsockname()[1]}"
+    """Return an address (IP:PORT) that this process alone may give to a listener."""
+    while True:
+        port = random.choice(_PORTS)
+        reservation = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            reservation.bind((HOST, port))
+            with socket.socket() as probe:
+                probe.bind((HOST, port))
+        except OSError:
+            reservation.close()
+            continue
+        _reservations.append(reservation)
+        return f"{HOST}:{port}"
 
 
 def command_line(binary: str) -> tuple[str, ...]:
