Attempts at servers are counted although their relay is killed

Callers saw: a request that crashes its servers crashed one more for each relay that was killed while it had an attempt, without any bound.

Cause: a relay reported a server when the attempt had ended, or a second after it was sent. Keepers told relays of a request from the second server on, so that a relay took the second attempt for the first one.

Evidence: test_attempts_that_end_with_their_relays_count: eight relays get an attempt each, all but the first are cut off 0.1 s later.

Change: a request of a program that is known to be at risk is reported when it is sent. Keepers tell relays of requests with one such server as well, while they have told them of fewer than 64. A place that such an attempt takes becomes free if the server has not run it; one that an earlier attempt took stays, as a connection that can't be opened says nothing of the server's survival.

--- a/tests/relay/test_late_crashes.py
+++ b/tests/relay/test_late_crashes.py
@@ -216,6 +216,23 @@
     run_world(fatal.servers, scenario, 8)
 
 
+@pytest.mark.parametrize("name", ["safe", "unsafe", "long", "talk"])
+def test_attempts_that_end_with_their_relays_count(name: str) -> None:
+    """A relay that is killed reports nothing of the server that has its request."""
+    fatal = FatalRequest(lose_power)
+
+    async def scenario(network: CrashNetwork, relays: list[RelayHarness]) -> None:
+        await send(relays[0], name, 0)
+        async with anyio.create_task_group() as group:
+            for attempt, relay in enumerate(relays[1:], start=1):
+                group.start_soon(send, relay, name, attempt)
+                await anyio.sleep(ATTEMPT_S / 4)
+                network.unreachable.add(f"r{attempt}")
+        assert fatal.crashed() <= MAX_CRASHES
+
+    run_world(fatal.servers, scenario, 8)
+
+
 def test_relays_share_that_servers_are_accounted_for() -> None:
     """A relay learns from another one that the servers of a request live on."""
     is_fatal = True
--- a/wisteriastair/keeper/crashes.py
+++ b/wisteriastair/keeper/crashes.py
@@ -2,8 +2,9 @@
 
 Each relay reports to all of these keepers, so one of them is enough, and none holds the
 truth: relays keep what they know and tell it to a keeper that is new.  A keeper sends
-relays only requests that are one server from the bound or beyond, counting those that
-may have crashed, since all requests of a failure domain that ends are counted once.
+relays the requests that are one server from the bound or beyond, counting those that
+may have crashed.  It sends others only while they are few: all requests of a failure
+domain that ends are counted once.
 """
 
 from __future__ import annotations
@@ -25,6 +26,8 @@
 ANNOUNCE_INTERVAL_S: Final = 1.0
 # Seconds after its last report for which a relay gets updates: several of its reports.
 SUBSCRIPTION_S: Final = 4.0
+# Requests that relays are told of, above which those of one server are left out.
+MAX_SHARED_EARLY: Final = 64
 
 log = logging.getLogger(__name__)
 
@@ -82,7 +85,8 @@
         return messages
 
     def _on_added(self, key: bytes) -> None:
-        if self.table.at_risk(key) < self._min_shared:
+        is_early = self.table.at_risk(key) < self._min_shared
+        if is_early and len(self._shared) >= MAX_SHARED_EARLY:
             return
         self._shared.add(key)
         self._changed.add(key)
--- a/wisteriastair/relay/crashes.py
+++ b/wisteriastair/relay/crashes.py
@@ -174,7 +174,10 @@
         """Record that a request is about to be sent to a server."""
         job.sent_to = state
         job.sent_at = job.now()
-        job.is_reported = False
+        job.is_reported = job.has_place = False
+        if job.caller_req.program and self.table.find(job.identity) is not None:
+            # This process may end before the server does.
+            self._report_running(job, job.sent_at)
         jobs = self._running.setdefault(job.envelope, [])
         if job not in jobs:
             jobs.append(job)
@@ -211,8 +214,8 @@
         """Record that a server has not run a request, or was not reached."""
         self._drop_interrupted(job)
         job.sent_to = None
-        if job.is_reported:
-            job.is_reported = False
+        if job.has_place:
+            job.has_place = False
             self._record_survival([job.identity.key()], state.incarnation)
 
     def record_silence(self, job: Job, state: ServerState) -> None:
@@ -304,13 +307,19 @@
                 if state is None or job.is_reported or job.first_event_s:
                     continue
                 if now - job.sent_at >= OVERDUE_S and state.accepts_requests():
-                    job.is_reported = True
-                    server = server_key(state.incarnation)
-                    key = job.identity.key()
-                    if self._answered.is_recent(key, now):
-                        continue
-                    if self.table.expose(key, server, now + EXPOSURE_S):
-                        self._share.report_crash(key)
+                    self._report_running(job, now)
+
+    def _report_running(self, job: Job, now: float) -> None:
+        """Tell keepers of the server that has a request."""
+        assert job.sent_to is not None, "the request has been sent"
+        job.is_reported = True
+        key = job.identity.key()
+        if self._answered.is_recent(key, now):
+            return
+        server = server_key(job.sent_to.incarnation)
+        if self.table.expose(key, server, now + EXPOSURE_S):
+            job.has_place = True
+            self._share.report_crash(key)
 
     # Evidence
 
--- a/wisteriastair/relay/job.py
+++ b/wisteriastair/relay/job.py
@@ -61,7 +61,9 @@
         Time on the loop's clock at which the request was last sent to a server; 0 if it
         was not sent.
     is_reported : bool
-        Whether keepers were told that the server has not responded for some time.
+        Whether keepers were told of the server that has the request.
+    has_place : bool
+        Whether that server takes one of the places of the request since then.
     admission : AdmissionCheck
         Admission of the request.
     customer_name : str or None
@@ -108,6 +110,7 @@
         self.was_sent = False
         self.sent_at = 0.0
         self.is_reported = False
+        self.has_place = False
         self.admission: AdmissionCheck = NoAdmissionCheck()
         self.ledger_s = 0.0
         self.first_event_s = 0.0
