The places of a request are looked at again when it is written

Callers saw: a request crashed a fourth server if its attempt was waiting for a connection, 0.5 s at most, while other relays filled its three places.

Cause: the state of the server was looked at again after that wait, the servers at risk were not.

--- a/tests/relay/test_late_crashes.py
+++ b/tests/relay/test_late_crashes.py
@@ -18,6 +18,7 @@
     run_scenario,
 )
 from tests.relay.test_crashshare import KEY, run_world
+from wisteriastair.http1.server import ServerConnection
 from wisteriastair.relay.crashes import SURVIVAL_S
 from wisteriastair.relay.pool import ProbeResult
 from wisteriastair.scheduling.fleet import Server
@@ -233,6 +234,30 @@
     run_world(fatal.servers, scenario, 8)
 
 
+@pytest.mark.parametrize("name", ["safe", "unsafe", "long", "talk"])
+def test_places_are_looked_at_again_after_the_wait_for_a_connection(name: str) -> None:
+    """Attempts at other relays fill the places while a connection is being opened."""
+    fatal = FatalRequest(crash_after_error)
+
+    async def scenario(network: CrashNetwork, relays: list[RelayHarness]) -> None:
+        last = relays[-1].dispatcher.pool
+        acquire = last.acquire
+
+        async def acquire_slowly(server: Server) -> ServerConnection | str:
+            await anyio.sleep(ATTEMPT_S / 2)
+            return await acquire(server)
+
+        last.acquire = acquire_slowly  # type: ignore[method-assign]
+        async with anyio.create_task_group() as group:
+            group.start_soon(send, relays[-1], name, 0)
+            await anyio.sleep(ATTEMPT_S / 8)
+            for attempt, relay in enumerate(relays[:-1], start=1):
+                await send(relay, name, attempt)
+        assert fatal.crashed() <= MAX_CRASHES
+
+    run_world(fatal.servers, scenario, 4)
+
+
 def test_relays_share_that_servers_are_accounted_for() -> None:
     """A relay learns from another one that the servers of a request live on."""
     is_fatal = True
--- a/wisteriastair/relay/dispatch.py
+++ b/wisteriastair/relay/dispatch.py
@@ -264,6 +264,7 @@
         headers: Headers,
         body: bytes,
         *,
+        may_write: Callable[[], bool] = lambda: True,
         attempt_timeout_s: float | None = None,
         reserved_tokens: int = 0,
     ) -> AsyncIterator[ResponseStarted | NotRun | OutcomeUnknown]:
@@ -274,6 +275,9 @@
 
         Parameters
         ----------
+        may_write : callable
+            Returns whether the request may still be sent to the server; called after
+            the wait for a connection.
         attempt_timeout_s : float or None
             Seconds to wait for the head of the response; None for no limit.
         reserved_tokens : int
@@ -298,6 +302,9 @@
                 # Its entry changed while the request waited.
                 yield NotRun(server.id, "the server is leaving")
                 return
+            if not may_write():
+                yield NotRun(server.id, "other servers may have crashed")
+                return
             exchange = Exchange(request_id, req.method)
             first_line = f"{req.method} {req.target} HTTP/1.1".encode("latin-1")
             server_conn.send_request(exchange, encode_head(first_line, headers) + body)
--- a/wisteriastair/relay/plain.py
+++ b/wisteriastair/relay/plain.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import Final
 
 import anyio
@@ -113,6 +114,7 @@
             job.caller_req.id,
             headers,
             job.req.body,
+            may_write=partial(dispatcher.crashes.may_send, job, state),
             attempt_timeout_s=attempt_timeout_s,
         ) as outcome:
             result = await _read_response(job, outcome)
--- a/wisteriastair/relay/streams.py
+++ b/wisteriastair/relay/streams.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import math
+from functools import partial
 from typing import Final
 
 import anyio
@@ -251,6 +252,7 @@
                 job.caller_req.id,
                 headers,
                 body,
+                may_write=partial(self._dispatcher.crashes.may_send, job, state),
                 reserved_tokens=(
                     job.caller_req.prompt_tokens + job.caller_req.output_tokens
                 ),
