A replica asks the others before it drops an account

Cause: a keeper dropped an account by its own last use. Records go to a quorum of the replicas, those nearest to the relay, so a replica outside it does not learn that the program goes on in another zone, or while a relay suspects it for two seconds. It dropped its copy of the oldest turns while the chain had to be kept, and two copies were left of three.

Change: before a replica drops an account it asks the other replicas when they used it last, and drops it once a read quorum has not used it for its retention. Such a quorum has a replica of each write. Without replies (a build before this one) it is dropped 20 s later; a keeper that is cut off for longer has left the view.

Evidence: test_replica_that_no_write_reaches_retains_the_account fails for each of three replicas if an account is dropped by its own last use, as before.

--- /dev/null
+++ b/tests/core/test_expiry.py
@@ -0,0 +1,94 @@
+"""Expiry of accounts that only some replicas are told of."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.core.test_keeper import Deployment
+from wisteriastair.core.expiry import MAX_UNANSWERED_S
+from wisteriastair.core.ledger import RETENTION_SLACK_S
+from wisteriastair.core.ledgerwire import LastUseQuestion
+
+# As `Deployment.write` sets it.
+RETENTION_S = 60.0
+SWEEP_INTERVAL_S = 5.0
+
+
+class ExpiringDeployment(Deployment):
+    """Three keepers that sweep their accounts."""
+
+    def __init__(self) -> None:
+        super().__init__(3)
+        self.advance(5)
+        self.start_s = self.now
+
+    def write_at(self, at_s: float, away: frozenset[str] = frozenset()) -> None:
+        """Write to a program through replicas that are not away."""
+        self.sweep_until(at_s)
+        self.down |= away
+        self.write("p")
+        self.down -= away
+
+    def sweep_until(self, at_s: float) -> None:
+        while self.now - self.start_s < at_s:
+            self.advance(1.0)
+            if round(self.now) % SWEEP_INTERVAL_S:
+                continue
+            for address in self.cores.keys() - self.down:
+                self.cores[address].expire_accounts(self.now)
+                self.deliver(self.cores[address])
+
+    def holders(self) -> set[str]:
+        return {a for a, core in self.cores.items() if "p" in core.ledger.accounts}
+
+
+@pytest.mark.parametrize("outside", ["k0:1", "k1:1", "k2:1"])
+def test_replica_that_no_write_reaches_retains_the_account(outside: str) -> None:
+    """Its copy of the first turns expired while the program went on elsewhere."""
+    deployment = ExpiringDeployment()
+    deployment.write_at(0.0)
+    deployment.write_at(40.0, away=frozenset({outside}))
+    deployment.sweep_until(40.0 + RETENTION_S)
+    assert outside in deployment.holders()
+    assert deployment.cores[outside].expiry.extended == 1
+
+
+def test_account_that_is_not_used_expires_at_all_replicas() -> None:
+    deployment = ExpiringDeployment()
+    deployment.write_at(0.0)
+    deployment.write_at(20.0, away=frozenset({"k2:1"}))
+    deployment.sweep_until(20.0 + RETENTION_S + RETENTION_SLACK_S + SWEEP_INTERVAL_S)
+    assert deployment.holders() == set()
+
+
+def test_replicas_that_do_not_reply_are_replaced_by_others() -> None:
+    """The first replica that is asked has just become unreachable."""
+    deployment = ExpiringDeployment()
+    deployment.write_at(0.0)
+    core = deployment.cores["k2:1"]
+    now = deployment.now + RETENTION_S + RETENTION_SLACK_S + 1.0
+    first = {to for to, _ in core.expiry.sweep(core.view, now)}
+    second = {to for to, _ in core.expiry.sweep(core.view, now + SWEEP_INTERVAL_S)}
+    assert len(first) == 1
+    assert second == {"k0:1", "k1:1"}
+
+
+def test_account_expires_if_nobody_replies() -> None:
+    """Keepers of an earlier build ignore the question."""
+    deployment = ExpiringDeployment()
+    deployment.write_at(0.0)
+    core = deployment.cores["k2:1"]
+    last_s = deployment.now + RETENTION_S + RETENTION_SLACK_S + MAX_UNANSWERED_S
+    core.expiry.sweep(core.view, last_s - 1.0)
+    assert "p" in core.ledger.accounts
+    core.expiry.sweep(core.view, last_s + 1.0)
+    assert "p" not in core.ledger.accounts
+
+
+def test_replica_of_another_view_does_not_reply() -> None:
+    """It may lack writes of the view in which the question is asked."""
+    deployment = ExpiringDeployment()
+    deployment.write_at(0.0)
+    core = deployment.cores["k0:1"]
+    question = LastUseQuestion(1, core.view.number - 1, ["p"])
+    assert core.expiry.reply(question, core.view, deployment.now).ages_ms == []
--- a/tests/core/test_ledger.py
+++ b/tests/core/test_ledger.py
@@ -78,6 +78,8 @@
     ledger = Ledger()
     ledger.merge(settle("t1", 1, Turn("t1", "", b"12345")), 100.0)
     assert ledger.turn_bytes == 5
-    assert ledger.expire(160.0) == []
-    assert ledger.expire(166.0) == ["p"]
+    assert ledger.expired_accounts(160.0) == []
+    (account,) = ledger.expired_accounts(166.0)
+    ledger.remove(account)
+    assert list(ledger.accounts) == []
     assert ledger.turn_bytes == 0
--- /dev/null
+++ b/wisteriastair/core/expiry.py
@@ -0,0 +1,145 @@
+"""Expiry of accounts: a replica asks the others before it drops one.
+
+Records are written to a quorum of the replicas, and those outside it do not learn that
+a program goes on.  If they dropped their copies after their own last use, the oldest
+turns of a chain would be on fewer disks than may be lost, while the chain must still be
+retained.  A replica therefore drops an account once a read quorum has not used it for
+its retention: such a quorum has a replica of each write.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from .ledger import Account, Ledger
+from .ledgerwire import LastUseQuestion, LastUseReply
+from .membership import Member, ReplicaSet, View, replica_sets, slot_of_program
+
+# Accounts in one question.
+MAX_ASKED: Final = 256
+# Seconds after its retention for which an account is retained without replies. A
+# replica that is cut off from the others for longer is removed from the view.
+MAX_UNANSWERED_S: Final = 20.0
+UNKNOWN_AGE: Final = -1
+MS_PER_S: Final = 1000.0
+
+
+class AccountExpiry:
+    """Drops the accounts of one replica that no replica uses any more.
+
+    Parameters
+    ----------
+    me : Member
+        This replica.
+    ledger : Ledger
+        Its accounts.
+    max_failures : int
+        Number of members that may fail at the same time.
+
+    Attributes
+    ----------
+    extended : int
+        Accounts that were retained because another replica had used them.
+    """
+
+    def __init__(self, me: Member, ledger: Ledger, max_failures: int) -> None:
+        self.extended = 0
+        self._me = me
+        self._ledger = ledger
+        self._max_failures = max_failures
+        self._view = View()
+        self._op = 0
+        # Programs of the questions since the last sweep, by operation.
+        self._questions: dict[int, list[str]] = {}
+        # Disks that have not used an account for its retention, by program.
+        self._unused: dict[str, set[str]] = {}
+
+    def sweep(self, view: View, now: float) -> list[tuple[str, LastUseQuestion]]:
+        """Drop accounts without use, and return the questions about others."""
+        if view.number != self._view.number:
+            self._unused.clear()
+        self._view = view
+        self._questions.clear()
+        asked: dict[str, list[str]] = {}
+        unused: dict[str, set[str]] = {}
+        for account in self._ledger.expired_accounts(now):
+            if self._drop(account, now):
+                continue
+            program = account.program
+            for address in self._choose_replicas(program):
+                asked.setdefault(address, []).append(program)
+            unused[program] = self._unused.get(program, set())
+        self._unused = unused
+        return [
+            (address, self._ask(programs[start : start + MAX_ASKED]))
+            for address, programs in asked.items()
+            for start in range(0, len(programs), MAX_ASKED)
+        ]
+
+    def _ask(self, programs: list[str]) -> LastUseQuestion:
+        self._op += 1
+        self._questions[self._op] = programs
+        return LastUseQuestion(self._op, self._view.number, programs)
+
+    def _choose_replicas(self, program: str) -> set[str]:
+        """Return the replicas to ask: first a quorum, then all that did not reply."""
+        is_first = program not in self._unused
+        known = self._known_disks(program)
+        chosen: set[str] = set()
+        for replicas in self._replica_sets(program):
+            missing = [m for m in replicas.members if m.disk not in known]
+            have = len(replicas.members) - len(missing)
+            count = replicas.read - have if is_first else len(missing)
+            chosen |= {member.address for member in missing[: max(0, count)]}
+        return chosen
+
+    def _replica_sets(self, program: str) -> tuple[ReplicaSet, ...]:
+        slot = slot_of_program(program)
+        return replica_sets(self._view, slot, self._max_failures)
+
+    def _known_disks(self, program: str) -> set[str]:
+        return {self._me.disk} | self._unused.get(program, set())
+
+    def reply(self, question: LastUseQuestion, view: View, now: float) -> LastUseReply:
+        """Return when this replica used some accounts last."""
+        ages = []
+        # A replica of another view may lack writes of the asking one's view.
+        if question.view == view.number:
+            for program in question.programs[:MAX_ASKED]:
+                account = self._ledger.accounts.get(program)
+                age_s = now - account.last_used_at if account else None
+                age = UNKNOWN_AGE if age_s is None else int(age_s * MS_PER_S)
+                ages.append(age)
+        return LastUseReply(question.op, self._me.disk, ages)
+
+    def receive(self, reply: LastUseReply, view: View, now: float) -> None:
+        """Drop or retain the accounts of a question."""
+        if view.number != self._view.number:
+            return
+        # Accounts that the reply leaves out are asked for again.
+        programs = self._questions.get(reply.op, [])
+        for program, age in zip(programs, reply.ages_ms, strict=False):
+            account = self._ledger.accounts.get(program)
+            if account is None:
+                continue
+            if age != UNKNOWN_AGE:
+                used_at = now - max(0, age) / MS_PER_S
+                account.last_used_at = max(account.last_used_at, used_at)
+            if account.is_expired(now):
+                self._unused.setdefault(program, set()).add(reply.disk)
+                self._drop(account, now)
+            elif self._unused.pop(program, None) is not None:
+                self.extended += 1
+
+    def _drop(self, account: Account, now: float) -> bool:
+        """Drop an expired account if that is safe; return whether it was dropped."""
+        sets = self._replica_sets(account.program)
+        disks = self._known_disks(account.program)
+        is_replica = any(self._me in replicas.members for replicas in sets)
+        is_unused = all(replicas.has_read_quorum(disks) for replicas in sets)
+        is_overdue = account.is_expired(now - MAX_UNANSWERED_S)
+        if is_replica and not is_unused and not is_overdue:
+            return False
+        self._ledger.remove(account)
+        self._unused.pop(account.program, None)
+        return True
--- a/wisteriastair/core/keeper.py
+++ b/wisteriastair/core/keeper.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from .expiry import AccountExpiry
 from .hashing import address_of
 from .ledger import Attempt, Entry, Ledger
 from .ledgerwire import (
@@ -21,6 +22,8 @@
     CopyRequest,
     FanOutWrite,
     FindChain,
+    LastUseQuestion,
+    LastUseReply,
     LedgerMessage,
     PermitReply,
     PermitRequest,
@@ -127,6 +130,7 @@
         self.view = view
         self.view_revision = 0
         self.ledger = Ledger()
+        self.expiry = AccountExpiry(me, self.ledger, max_failures)
         self.quota = QuotaHolder(me, quota_bounds, view.members, now)
         self.retiring: frozenset[str] = frozenset()
         self.stale_refused = 0
@@ -184,6 +188,11 @@
                 self._on_copy_request(sender, message)
             case CopyReply():
                 self._on_copy_reply(message, now)
+            case LastUseQuestion():
+                last_uses = self.expiry.reply(message, self.view, now)
+                self._outbox.append((sender, last_uses))
+            case LastUseReply():
+                self.expiry.receive(message, self.view, now)
             case _:
                 # Replies to relays, and messages that the daemon handles itself.
                 pass
@@ -506,6 +515,10 @@
 
     # Time
 
+    def expire_accounts(self, now: float) -> None:
+        """Drop accounts that no replica uses, and ask the others about the rest."""
+        self._outbox += self.expiry.sweep(self.view, now)
+
     def tick(self, now: float) -> None:
         """Send heartbeats, and repeat copy requests that got no reply."""
         if now >= self._next_heartbeat_at:
--- a/wisteriastair/core/ledger.py
+++ b/wisteriastair/core/ledger.py
@@ -162,16 +162,17 @@
             return FoundChain("", [])
         return FoundChain(account.program, account.chain(turn_id))
 
-    def expire(self, now: float) -> list[str]:
-        """Remove accounts that are past their retention; return their programs."""
-        expired = [a for a in self.accounts.values() if a.is_expired(now)]
-        for account in expired:
-            del self.accounts[account.program]
-            for turn_id in account.turns:
-                if self._account_of_turn.get(turn_id) is account:
-                    del self._account_of_turn[turn_id]
-            self.turn_bytes -= sum(len(t.content) for t in account.turns.values())
-        return [account.program for account in expired]
+    def expired_accounts(self, now: float) -> list[Account]:
+        """Return the accounts that this replica has not used for their retention."""
+        return [a for a in self.accounts.values() if a.is_expired(now)]
+
+    def remove(self, account: Account) -> None:
+        """Remove an account."""
+        del self.accounts[account.program]
+        for turn_id in account.turns:
+            if self._account_of_turn.get(turn_id) is account:
+                del self._account_of_turn[turn_id]
+        self.turn_bytes -= sum(len(t.content) for t in account.turns.values())
 
     def longest_retention_s(self) -> float:
         """Return the longest retention of all accounts, in seconds.
--- a/wisteriastair/core/ledgerwire.py
+++ b/wisteriastair/core/ledgerwire.py
@@ -445,6 +445,29 @@
     weights: Weights = Weights()
 
 
+class LastUseQuestion(msgspec.Struct, frozen=True, array_like=True, tag=19):
+    """Question of a replica to another one: when it used some accounts last."""
+
+    op: int
+    view: int
+    programs: list[str]
+
+
+class LastUseReply(msgspec.Struct, frozen=True, array_like=True, tag=20):
+    """Reply to `LastUseQuestion`.
+
+    Attributes
+    ----------
+    ages_ms : list of int
+        Milliseconds since the last use of each account, -1 for one that is not stored;
+        empty if the replica has another view.
+    """
+
+    op: int
+    disk: str
+    ages_ms: list[int] = []
+
+
 LedgerMessage = (
     Write
     | FanOutWrite
@@ -464,6 +487,8 @@
     | DomainSums
     | CrashReport
     | CrashUpdate
+    | LastUseQuestion
+    | LastUseReply
 )
 
 _LOAD_FORMAT: Final = struct.Struct("<IBBB")
--- a/wisteriastair/keeper/daemon.py
+++ b/wisteriastair/keeper/daemon.py
@@ -299,6 +299,7 @@
             "view_changing": bool(core.view.old),
             "accounts": len(core.ledger.accounts),
             "turn_bytes": core.ledger.turn_bytes,
+            "accounts_extended": core.expiry.extended,
             "stale_refused": core.stale_refused,
             "quota_plans": core.quota.plans,
             "quota_programs_refused": core.quota.programs_refused,
--- a/wisteriastair/keeper/storage.py
+++ b/wisteriastair/keeper/storage.py
@@ -101,7 +101,7 @@
             True if a segment was removed.
         """
         ledger = self._core.ledger
-        ledger.expire(now)
+        self._core.expire_accounts(now)
         oldest_segment = self._log.oldest_segment()
         if (
             oldest_segment is None
--- a/wisteriastair/nodemetrics.py
+++ b/wisteriastair/nodemetrics.py
@@ -204,6 +204,10 @@
                 ("view_changing", "1 while a change of members lasts"),
                 ("accounts", "Programs in the ledger"),
                 ("turn_bytes", "Bytes of kept turns"),
+                (
+                    "accounts_extended",
+                    "Accounts retained because another replica had used them",
+                ),
                 ("stale_refused", "Requests under an older view refused"),
                 (
                     "quota_plans",
