A keeper does not keep the records that it read at its start

Operators saw: nothing by itself; a keeper that had been started again needed the memory of all records on its disk until it ended, besides that of its accounts as these went on, and reached its limit sooner.

Cause: the local variable that holds what was read lives as long as the method that runs the process.

Evidence: test_records_read_at_the_start_are_not_kept fails on the code before.

--- a/tests/keeper/test_daemon.py
+++ b/tests/keeper/test_daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import json
 import os
 import signal
@@ -16,7 +17,11 @@
 
 from tests.platform.settings_file import write_settings
 from tests.platform.standin_store import StoreStandin, standin_store
+from wisteriastair.keeper.daemon import Keeper
+from wisteriastair.keeper.log import LoadedLog
+from wisteriastair.nodeoptions import NodeOptions
 from wisteriastair.platform.documents import VIEW_KEY
+from wisteriastair.platform.settings import load_settings
 from wisteriastair.standins.deployment import free_address
 
 TIMEOUT_S = 20.0
@@ -144,3 +149,20 @@
                 assert process.poll() is None
 
     anyio.run(main)
+
+
+def test_records_read_at_the_start_are_not_kept(tmp_path: Path) -> None:
+    """Turns of expired programs stayed in memory until the keeper ended."""
+
+    async def main() -> None:
+        async with standin_store() as standin, anyio.create_task_group() as group:
+            cfg = load_settings(str(settings(tmp_path, standin.address)))
+            assert isinstance(cfg, NodeOptions)
+            group.start_soon(Keeper(cfg).run)
+            with anyio.fail_after(TIMEOUT_S):
+                await wait_for_writes(standin, 1)
+            gc.collect()
+            assert not any(isinstance(o, LoadedLog) for o in gc.get_objects())
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
--- a/wisteriastair/keeper/daemon.py
+++ b/wisteriastair/keeper/daemon.py
@@ -124,7 +124,30 @@
 
     async def run(self) -> None:
         """Run until a signal stops the process."""
-        now = time.monotonic()
+        self._load(time.monotonic())
+        self._transport = Transport(
+            f"{self._cfg.internal_address}#{uuid.uuid4().hex[:8]}",
+            self._on_message,
+            deployment=LEDGER_DEPLOYMENT,
+            codec=LEDGER_CODEC,
+            batch_delay_s=LEDGER_BATCH_DELAY_S,
+            ack_timeouts=LEDGER_ACK_TIMEOUTS,
+        )
+        async with anyio.create_task_group() as group:
+            self._start_tasks(group)
+            await serve_metrics(self._cfg.ip_address, self._metrics.registry, group)
+            await self._stop.wait()
+            await self._announce_stop()
+            group.cancel_scope.cancel()
+        self._log.close()
+        log.info("keeper stopped", extra={"disk": self._log.disk_id})
+
+    def _load(self, now: float) -> None:
+        """Read the disk.
+
+        The records that are read are referenced only here, not while the process runs:
+        most of them belong to accounts that expire.
+        """
         loaded = self._log.load(now)
         self._documents.load()
         me = Member(
@@ -161,22 +184,6 @@
                 "first_start": self._cfg.is_first_start,
             },
         )
-        self._transport = Transport(
-            f"{self._cfg.internal_address}#{uuid.uuid4().hex[:8]}",
-            self._on_message,
-            deployment=LEDGER_DEPLOYMENT,
-            codec=LEDGER_CODEC,
-            batch_delay_s=LEDGER_BATCH_DELAY_S,
-            ack_timeouts=LEDGER_ACK_TIMEOUTS,
-        )
-        async with anyio.create_task_group() as group:
-            self._start_tasks(group)
-            await serve_metrics(self._cfg.ip_address, self._metrics.registry, group)
-            await self._stop.wait()
-            await self._announce_stop()
-            group.cancel_scope.cancel()
-        self._log.close()
-        log.info("keeper stopped", extra={"disk": me.disk})
 
     def _start_tasks(self, group: TaskGroup) -> None:
         group.start_soon(self._mirror.run)
