Accounts are written again in parts when disk space is reclaimed

Cause: all accounts with a record in that file were written again in one batch, and a batch is in memory twice more while it is encoded and joined.

Change: they are written again in parts of about 1 MiB, each synced before the next. Other requests are answered between them.

--- a/tests/keeper/test_storage.py
+++ b/tests/keeper/test_storage.py
@@ -101,6 +101,38 @@
     assert {entry.program for entry in loaded.entries} == {"lives"}
 
 
+def test_accounts_are_written_again_in_parts(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """All accounts at once were in memory several times, and exceeded its limit."""
+    monkeypatch.setattr("wisteriastair.keeper.log.SEGMENT_BYTES", 50_000)
+    monkeypatch.setattr("wisteriastair.keeper.storage.REWRITE_BYTES", 4_000)
+    harness = Harness(tmp_path)
+    sizes: list[int] = []
+
+    async def scenario() -> None:
+        for number in range(60):
+            await harness.write(f"p{number}", "a", 0.0)
+        append = harness.log.append
+
+        def record_size(entries: list[Entry], view: View | None, now: float) -> None:
+            sizes.append(sum(len(t.content) for e in entries for t in e.turns))
+            append(entries, view, now)
+
+        harness.log.append = record_size  # type: ignore[method-assign]
+        for number in range(60):
+            await harness.write(f"p{number}", "b", 50.0)
+        sizes.clear()
+        assert await harness.storage.reclaim_space(70.0)
+
+    run_scenario(harness, scenario)
+    assert sum(sizes) >= 2 * 40 * 1_000
+    assert max(sizes) <= 5_000
+    harness.log.close()
+    loaded = Log(str(tmp_path)).load(0.0)
+    assert len({entry.program for entry in loaded.entries}) == 60
+
+
 def test_failed_write_is_acknowledged_only_after_a_retry(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/wisteriastair/core/ledger.py
+++ b/wisteriastair/core/ledger.py
@@ -93,6 +93,10 @@
             return None
         return Entry(self.program, self.retention_s, attempts, turns)
 
+    def turn_bytes(self) -> int:
+        """Return the size of the stored turns."""
+        return sum(len(turn.content) for turn in self.turns.values())
+
     def to_entry(self) -> Entry:
         """Return all records of the account."""
         return Entry(
@@ -172,7 +176,7 @@
         for turn_id in account.turns:
             if self._account_of_turn.get(turn_id) is account:
                 del self._account_of_turn[turn_id]
-        self.turn_bytes -= sum(len(t.content) for t in account.turns.values())
+        self.turn_bytes -= account.turn_bytes()
 
     def longest_retention_s(self) -> float:
         """Return the longest retention of all accounts, in seconds.
--- a/wisteriastair/keeper/storage.py
+++ b/wisteriastair/keeper/storage.py
@@ -12,7 +12,7 @@
 
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Final
 
 import anyio
@@ -23,6 +23,9 @@
 
 # Delay before the next batch after a failed write.
 WRITE_RETRY_S: Final = 0.3
+# Bytes of turns that are written again at a time.  While they are, they are in memory
+# several times.
+REWRITE_BYTES: Final = 1024 * 1024
 
 log = logging.getLogger(__name__)
 
@@ -109,10 +112,11 @@
         ):
             return False
         closed_segments = self._log.closed_segments()
-        batch = self._core.rewrite_accounts(oldest_segment.programs)
-        self.wake()
-        while self._core.batches_synced < batch:
-            await self._batch_synced.wait()
+        for programs in self._split(oldest_segment.programs):
+            batch = self._core.rewrite_accounts(programs)
+            self.wake()
+            while self._core.batches_synced < batch:
+                await self._batch_synced.wait()
         # A newer segment now holds these accounts complete, so that the removal of the
         # other closed segments need not write them again.
         for segment in closed_segments:
@@ -120,3 +124,18 @@
                 segment.programs -= oldest_segment.programs
         self._log.remove_oldest()
         return True
+
+    def _split(self, programs: set[str]) -> Iterator[set[str]]:
+        """Split programs so that the turns of each part have about the same size."""
+        part: set[str] = set()
+        size = 0
+        for program in programs:
+            account = self._core.ledger.accounts.get(program)
+            if account is None:
+                continue
+            part.add(program)
+            size += account.turn_bytes()
+            if size >= REWRITE_BYTES:
+                yield part
+                part, size = set(), 0
+        yield part
