A turn for which keepers have no room is refused before it runs

Cause: keepers looked at their room when a turn was to be stored, after it had run. A reservation stores no turn and was always accepted.

Change: a reservation on a route that retains history names the size of its turn (the output is estimated), and each replica sets this room aside until the settlement, or for the time that the turn has. If too few replicas for a quorum have room, the relay answers 503 ledger_full, not run, at once.

--- a/tests/operators/test_endings.py
+++ b/tests/operators/test_endings.py
@@ -66,6 +66,10 @@
             unsent_request(503, "1 of 2 replicas answered in view 3"),
             (REFUSED, Cause.LEDGER_UNREACHABLE),
         ),
+        (
+            unsent_request(503, "keepers have no room for the turn"),
+            (REFUSED, Cause.LEDGER_FULL),
+        ),
         (
             unsent_request(
                 503, "1 of 2 replicas answered in view 3", ledger_ms=SLOW_MS
@@ -257,6 +261,7 @@
         "BUDGET_EXHAUSTED",
         "UNKNOWN_TURN",
         "TOO_FEW_REPLICAS",
+        "NO_ROOM_FOR_TURN",
         "TURN_NOT_STORED",
         "NO_SERVER",
         "SERVERS_FULL",
--- a/tests/relay/test_ledger.py
+++ b/tests/relay/test_ledger.py
@@ -10,7 +10,7 @@
 
 from tests.relay.keepers import Keepers
 from wisteriastair.core.ledger import Turn
-from wisteriastair.core.ledgerwire import LedgerMessage
+from wisteriastair.core.ledgerwire import LedgerMessage, Room
 from wisteriastair.core.membership import View
 from wisteriastair.peers.transport import Transport
 from wisteriastair.relay.ledger import (
@@ -408,3 +408,45 @@
         assert sum(account is not None for account in accounts) >= 2
 
     run_scenario(keepers, scenario)
+
+
+def test_turn_without_room_is_refused_at_once() -> None:
+    """Two of three keepers are full, so that no quorum can store the turn."""
+    keepers = Keepers(3)
+
+    async def scenario() -> None:
+        for address in ("k0:1", "k1:1"):
+            keepers.cores[address].room.max_bytes = 1_000
+        asked = reservation("p", "a")._replace(room=Room(2_000, 3_000, True))
+        started_at = anyio.current_time()
+        outcome = await keepers.client.reserve(asked, request_deadline())
+        assert isinstance(outcome, QuorumUnavailable) and outcome.is_full
+        assert anyio.current_time() - started_at < 0.1
+        assert keepers.client.is_reachable
+        # The tokens that one keeper has reserved are released.
+        small = reservation("p", "b", budget=100)
+        await anyio.sleep(0.1)
+        assert isinstance(
+            await keepers.client.reserve(small, request_deadline()), Granted
+        )
+
+    run_scenario(keepers, scenario)
+
+
+def test_turn_is_stored_while_one_keeper_is_full() -> None:
+    keepers = Keepers(3)
+
+    async def scenario() -> None:
+        for address in keepers.cores:
+            limits = {
+                other: core.room.max_bytes for other, core in keepers.cores.items()
+            }
+            keepers.cores[address].room.max_bytes = 1_000
+            asked = reservation(address, "a")._replace(room=Room(2_000, 3_000, True))
+            outcome = await keepers.client.reserve(asked, request_deadline())
+            assert isinstance(outcome, Granted)
+            turn = Turn(f"turn-{address}", "", b"x" * 2_000)
+            assert await keepers.client.settle(asked, 10, (turn,), request_deadline())
+            keepers.cores[address].room.max_bytes = limits[address]
+
+    run_scenario(keepers, scenario)
--- a/wisteriastair/core/keeper.py
+++ b/wisteriastair/core/keeper.py
@@ -41,6 +41,7 @@
     slot_of_program,
 )
 from .quota import Permit, PermitStatus, QuotaBounds, QuotaHolder
+from .room import TurnRoom
 
 # Interval of heartbeats between keepers.
 HEARTBEAT_INTERVAL_S: Final = 0.4
@@ -131,12 +132,12 @@
         self.view_revision = 0
         self.ledger = Ledger()
         self.expiry = AccountExpiry(me, self.ledger, max_failures)
+        self.room = TurnRoom(self.ledger, max_turn_bytes)
         self.quota = QuotaHolder(me, quota_bounds, view.members, now)
         self.retiring: frozenset[str] = frozenset()
         self.stale_refused = 0
         self.batches_synced = 0
         self._max_failures = max_failures
-        self._max_turn_bytes = max_turn_bytes
         self._started_at = now
         # By disk: time of the last heartbeat, of the addition to the view, and of the
         # first heartbeat that arrived while the disk was in no view.
@@ -213,8 +214,8 @@
 
     def _on_request(self, sender: str, request: Write | FindChain, now: float) -> None:
         status = self._check_view(request.view)
-        if status is ReplyStatus.DONE and self._exceeds_capacity(request):
-            status = ReplyStatus.UNAVAILABLE
+        if status is ReplyStatus.DONE and isinstance(request, Write):
+            status = self.room.admit(request, now)
         if status is not ReplyStatus.DONE:
             view = self.view if status is ReplyStatus.STALE_VIEW else None
             reply = WriteReply(request.op, self.me.disk, status, view=view)
@@ -250,12 +251,6 @@
         reachable = sum(self._is_reachable(member.disk, now) for member in members)
         return 2 * reachable > len(members)
 
-    def _exceeds_capacity(self, request: Write | FindChain) -> bool:
-        if not isinstance(request, Write) or not request.entry.turns:
-            return False
-        size = sum(len(turn.content) for turn in request.entry.turns)
-        return self.ledger.turn_bytes + size > self._max_turn_bytes
-
     def _check_view(self, number: int) -> ReplyStatus:
         if number < self.view.number:
             self.stale_refused += 1
@@ -521,6 +516,7 @@
 
     def tick(self, now: float) -> None:
         """Send heartbeats, and repeat copy requests that got no reply."""
+        self.room.expire(now)
         if now >= self._next_heartbeat_at:
             self._next_heartbeat_at = now + HEARTBEAT_INTERVAL_S
             self._send_heartbeats(now)
--- a/wisteriastair/core/ledgerwire.py
+++ b/wisteriastair/core/ledgerwire.py
@@ -31,6 +31,26 @@
     STALE_VIEW = 1
     # The replica does not know the view yet, or cannot write.
     UNAVAILABLE = 2
+    # There is no room for the turn that the request reserves room for.
+    FULL = 3
+
+
+class Room(msgspec.Struct, frozen=True, array_like=True):
+    """Room to reserve for a turn that is about to run.
+
+    Attributes
+    ----------
+    size : int
+        Bytes of the turn, of which the output is estimated.
+    duration_ms : int
+        Milliseconds in which the turn ends.
+    is_first : bool
+        Whether it is the first turn of its chain.
+    """
+
+    size: int
+    duration_ms: int
+    is_first: bool
 
 
 class Write(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -42,6 +62,8 @@
         Id of the turn whose chain is requested as well; empty for none.
     with_turns : bool
         Whether to return the turns of the chain, or only whether it is stored.
+    room : Room or None
+        Room to reserve, with a reservation of tokens; None if no turn will be stored.
     """
 
     op: int
@@ -49,6 +71,7 @@
     entry: Entry
     last_turn_id: str = ""
     with_turns: bool = False
+    room: Room | None = None
 
 
 class FindChain(msgspec.Struct, frozen=True, array_like=True, tag=6):
--- a/wisteriastair/errors.py
+++ b/wisteriastair/errors.py
@@ -43,6 +43,7 @@
     HEADERS_TOO_LARGE = "headers_too_large"
     NOT_CONFIGURED = "not_configured"
     LEDGER_UNREACHABLE = "ledger_away"
+    LEDGER_FULL = "ledger_full"
     SERVERS_FULL = "servers_full"
     SERVER_LOST = "server_lost"
     TOO_LATE = "too_late"
@@ -77,6 +78,7 @@
     Code.HEADERS_TOO_LARGE: 431,
     Code.NOT_CONFIGURED: 503,
     Code.LEDGER_UNREACHABLE: 503,
+    Code.LEDGER_FULL: 503,
     Code.SERVERS_FULL: 503,
     Code.TOO_LATE: 503,
     Code.OVER_QUOTA: 429,
--- a/wisteriastair/keeper/daemon.py
+++ b/wisteriastair/keeper/daemon.py
@@ -306,6 +306,8 @@
             "view_changing": bool(core.view.old),
             "accounts": len(core.ledger.accounts),
             "turn_bytes": core.ledger.turn_bytes,
+            "turn_bytes_reserved": core.room.reserved_bytes,
+            "turns_refused": core.room.refused,
             "accounts_extended": core.expiry.extended,
             "stale_refused": core.stale_refused,
             "quota_plans": core.quota.plans,
--- a/wisteriastair/nodemetrics.py
+++ b/wisteriastair/nodemetrics.py
@@ -204,6 +204,8 @@
                 ("view_changing", "1 while a change of members lasts"),
                 ("accounts", "Programs in the ledger"),
                 ("turn_bytes", "Bytes of kept turns"),
+                ("turn_bytes_reserved", "Bytes of room for turns that are running"),
+                ("turns_refused", "Turns refused because there was no room"),
                 (
                     "accounts_extended",
                     "Accounts retained because another replica had used them",
--- a/wisteriastair/operators/endings.py
+++ b/wisteriastair/operators/endings.py
@@ -27,6 +27,7 @@
 BUDGET_EXHAUSTED: Final = " tokens are taken"
 UNKNOWN_TURN: Final = "no turn "
 TOO_FEW_REPLICAS: Final = " replicas answered in view "
+NO_ROOM_FOR_TURN: Final = "keepers have no room for the turn"
 KEY_REQUIRED: Final = "one key is needed"
 UNKNOWN_KEY: Final = "no customer holds the key in version "
 STALE_CUSTOMERS: Final = "no customer known, version "
@@ -73,6 +74,7 @@
     NO_TARGET = "its route has no aim"
     LEDGER_UNREACHABLE = "ledger out of reach"
     LEDGER_SLOW = "ledger slow"
+    LEDGER_FULL = "ledger full"
     TURN_NOT_STORED = "ledger did not keep the turn"
     NO_SERVER = "no server"
     SERVERS_FULL = "servers full"
@@ -220,6 +222,8 @@
     if TOO_FEW_REPLICAS in reason:
         is_slow = request.ledger_ms > SLOW_LEDGER_MS
         return Cause.LEDGER_SLOW if is_slow else Cause.LEDGER_UNREACHABLE
+    if reason == NO_ROOM_FOR_TURN:
+        return Cause.LEDGER_FULL
     if QUOTA_UNREACHABLE in reason:
         return Cause.QUOTA_UNREACHABLE
     if reason.startswith(QUARANTINED):
--- a/wisteriastair/relay/ledger.py
+++ b/wisteriastair/relay/ledger.py
@@ -18,7 +18,7 @@
 from anyio.abc import TaskGroup
 
 from ..core.ledger import Attempt, Entry, Turn, fits_budget, merge_attempts
-from ..core.ledgerwire import LedgerMessage, ReplyStatus, WriteReply
+from ..core.ledgerwire import LedgerMessage, ReplyStatus, Room, WriteReply
 from ..core.membership import (
     Member,
     ReplicaSet,
@@ -35,6 +35,7 @@
     WriteRecords,
     all_members,
     first_chain,
+    lacks_room,
 )
 
 # A request without a quorum is resent after this time: several times the usual latency,
@@ -82,6 +83,8 @@
         Seconds for which the ledger retains the program's records.
     previous_id : str
         Turn whose chain is read as well; empty for none.
+    room : Room or None
+        Room for the turn; None if it will not be stored.
     """
 
     program: str
@@ -90,6 +93,7 @@
     budget: int | None
     retention_s: float
     previous_id: str
+    room: Room | None = None
 
 
 class BudgetExceeded(NamedTuple):
@@ -103,18 +107,29 @@
 
 
 class QuorumUnavailable(NamedTuple):
-    """No quorum answered in time."""
+    """No quorum answered in time, or too few replicas have room for the turn."""
 
     answered: int
     required: int
     view: int
+    is_full: bool = False
 
 
 class _PendingRequest:
-    """A request that waits for a quorum."""
+    """A request that waits for a quorum.
+
+    Attributes
+    ----------
+    full_disks : set of str
+        Disks of replicas without room for the turn.
+    is_full : bool
+        Whether these leave no quorum.
+    """
 
     def __init__(self) -> None:
         self.replies: dict[str, WriteReply] = {}
+        self.full_disks: set[str] = set()
+        self.is_full = False
         self.updated = asyncio.Event()
         self.is_unavailable = False
 
@@ -181,7 +196,10 @@
             return
         if message.status is ReplyStatus.DONE:
             pending.replies[message.disk] = message
+            pending.full_disks.discard(message.disk)
         else:
+            if message.status is ReplyStatus.FULL:
+                pending.full_disks.add(message.disk)
             pending.is_unavailable = True
         pending.updated.set()
 
@@ -202,7 +220,7 @@
         own_attempt = {reservation.attempt: Attempt(reservation.tokens, False)}
         entry = Entry(reservation.program, reservation.retention_s, own_attempt)
         replies = await self._request(
-            WriteRecords(entry, reservation.previous_id), deadline
+            WriteRecords(entry, reservation.previous_id, reservation.room), deadline
         )
         if isinstance(replies, QuorumUnavailable):
             self.settle_in_background(reservation, 0)
@@ -340,14 +358,16 @@
             if replies is not None:
                 self._record_success(loop.time())
                 return replies
+            required = self._max_failures + 1
+            answered = len(pending.replies)
+            if pending.is_full:
+                self._record_success(loop.time())
+                return QuorumUnavailable(answered, required, self.view.number, True)
             if loop.time() >= deadline:
                 # A request with too little time says nothing about the replicas.
                 if deadline - started_at >= RESEND_INTERVAL_S:
                     self._record_failure(loop.time())
-                required = self._max_failures + 1
-                return QuorumUnavailable(
-                    len(pending.replies), required, self.view.number
-                )
+                return QuorumUnavailable(answered, required, self.view.number)
 
     async def _request_in_view(
         self, op: int, pending: _PendingRequest, request: QuorumRequest, deadline: float
@@ -357,7 +377,7 @@
         Returns
         -------
         list of WriteReply or None
-            None if the view changed or the deadline passed.
+            None if the view changed, the deadline passed, or replicas are full.
         """
         loop = asyncio.get_running_loop()
         view = self.view
@@ -382,6 +402,9 @@
                 if pending.replies and request.is_complete(sets, pending.replies):
                     self._record_latency(loop.time() - started_at, sends)
                     return list(pending.replies.values())
+                if pending.full_disks and lacks_room(sets, pending.full_disks):
+                    pending.is_full = True
+                    return None
                 if request.needs_chain(sets, pending.replies) and not chain_requested:
                     chain_requested = True
                     self._fetch_chain(op, pending, request, sets)
--- a/wisteriastair/relay/questions.py
+++ b/wisteriastair/relay/questions.py
@@ -6,7 +6,14 @@
 from typing import Final, NamedTuple
 
 from ..core.ledger import Entry, Turn
-from ..core.ledgerwire import FanOutWrite, FindChain, LedgerMessage, Write, WriteReply
+from ..core.ledgerwire import (
+    FanOutWrite,
+    FindChain,
+    LedgerMessage,
+    Room,
+    Write,
+    WriteReply,
+)
 from ..core.membership import (
     SLOTS,
     Member,
@@ -91,11 +98,18 @@
 
 
 class WriteRecords(QuorumRequest):
-    """Writes records to a program's slot, and reads its account and a chain."""
+    """Writes records to a program's slot, and reads its account and a chain.
+
+    Parameters
+    ----------
+    room : Room or None
+        Room to reserve for the turn that follows a reservation.
+    """
 
-    def __init__(self, entry: Entry, chain: str) -> None:
+    def __init__(self, entry: Entry, chain: str, room: Room | None = None) -> None:
         self._entry = entry
         self.chain = chain
+        self._room = room
         self._is_settlement = all(a.settled for a in entry.attempts.values())
 
     def first_target_count(self, replicas: ReplicaSet) -> int:
@@ -115,7 +129,7 @@
     def message(self, op: int, view: int, with_turns: bool) -> LedgerMessage:
         """Build a write of the records."""
         wanted = with_turns and bool(self.chain)
-        return Write(op, view, self._entry, self.chain, wanted)
+        return Write(op, view, self._entry, self.chain, wanted, self._room)
 
     def fan_out_write(
         self, op: int, view: int, others: list[str]
@@ -157,6 +171,13 @@
         return readable and not _is_chain_missing(replies)
 
 
+def lacks_room(sets: tuple[ReplicaSet, ...], full_disks: set[str]) -> bool:
+    """Whether too few replicas have room for a turn to be stored."""
+    return not all(
+        s.has_write_quorum({m.disk for m in s.members} - full_disks) for s in sets
+    )
+
+
 def all_members(sets: tuple[ReplicaSet, ...]) -> list[Member]:
     """Return the members of some sets, each address once."""
     members = {member.address: member for s in sets for member in s.members}
--- a/wisteriastair/relay/streams.py
+++ b/wisteriastair/relay/streams.py
@@ -15,6 +15,7 @@
 import anyio
 
 from ..core.ledger import Turn
+from ..core.ledgerwire import Room
 from ..errors import Code, Failure
 from ..http1.messages import ResponseHead
 from ..http1.server import ExchangeOutcome
@@ -54,10 +55,15 @@
 # Longest wait for a complete turn to become durable.  The caller has all events by
 # then; a failure lets it start the turn again while it has time.
 SETTLE_TIMEOUT_S: Final = 1.0
+# Delay before a retry if keepers have no room: room becomes free as programs expire.
+FULL_RETRY_AFTER_S: Final = 1.0
+# Estimated size of the output of a turn, for the room that it needs.
+OUTPUT_BYTES_PER_TOKEN: Final = 8
 # Maximum size of the data of a turn that is kept for the next ones.
 MAX_TURN_BYTES: Final = 32 * 1024 * 1024
 # Number of times that one stream may be resumed.
 MAX_RESUMES: Final = 2
+MS_PER_S: Final = 1000.0
 
 
 class StreamRelay:
@@ -148,6 +154,10 @@
                 return Failure(
                     Code.UNKNOWN_TURN, f"no turn {job.caller_req.previous_id}"
                 )
+            case QuorumUnavailable(is_full=True):
+                turn.settled = True
+                detail = "keepers have no room for the turn"
+                return Failure(Code.LEDGER_FULL, detail, "no", FULL_RETRY_AFTER_S)
             case QuorumUnavailable(answered, required, view):
                 turn.settled = True
                 detail = f"{answered} of {required} replicas answered in view {view}"
@@ -495,11 +505,20 @@
         return None
     if caller_req.budget is None and not job.route.retains_history:
         return None
+    previous_id, room = "", None
+    if job.route.retains_history:
+        previous_id = job.scoped_id(caller_req.previous_id)
+        room = Room(
+            len(job.req.body) + OUTPUT_BYTES_PER_TOKEN * caller_req.output_tokens,
+            int((job.remaining_s() + SETTLE_TIMEOUT_S) * MS_PER_S),
+            is_first=not previous_id,
+        )
     return Reservation(
         job.scoped_id(caller_req.program),
         caller_req.id,
         caller_req.output_tokens,
         caller_req.budget,
         job.route.retention_s,
-        job.scoped_id(caller_req.previous_id) if job.route.retains_history else "",
+        previous_id,
+        room,
     )
