Attempts of a program are retained for longer than its turns

Cause: the account of a program, with the tokens that it had spent, was dropped together with its turns.

A longer pause still gets a new budget.

test_old_segments_are_removed_and_live_accounts_stay asserted that the disk has no record of an ended program 79 s after its last use. That now holds of its turns; of its attempts it holds once their time is over, and the test asserts both.

--- a/tests/core/test_expiry.py
+++ b/tests/core/test_expiry.py
@@ -6,7 +6,12 @@
 
 from tests.core.test_keeper import Deployment
 from wisteriastair.core.expiry import MAX_UNANSWERED_S
-from wisteriastair.core.ledger import RETENTION_SLACK_S
+from wisteriastair.core.ledger import (
+    ATTEMPTS_RETENTION_S,
+    RETENTION_SLACK_S,
+    Attempt,
+    Entry,
+)
 from wisteriastair.core.ledgerwire import LastUseQuestion
 
 # As `Deployment.write` sets it.
@@ -61,6 +66,31 @@
     assert deployment.holders() == set()
 
 
+def test_program_that_pauses_keeps_what_it_has_spent() -> None:
+    """After its retention a program got its whole budget again."""
+    deployment = ExpiringDeployment()
+    deployment.write_at(0.0)
+    deployment.sweep_until(300.0)
+    assert deployment.holders() == set()
+    # A keeper that loses its disk meanwhile copies it from the others.
+    deployment.start("k1", "second")
+    deployment.sweep_until(320.0)
+    for core in deployment.cores.values():
+        core.ledger.merge(Entry("p", RETENTION_S, {"b": Attempt(5, True)}), 0.0)
+        attempts = core.ledger.accounts["p"].attempts
+        assert attempts == {"a": Attempt(1, False), "b": Attempt(5, True)}
+
+
+def test_attempts_expire_after_their_retention() -> None:
+    deployment = ExpiringDeployment()
+    deployment.write_at(0.0)
+    deployment.sweep_until(100.0)
+    core = deployment.cores["k0:1"]
+    assert "p" in core.ledger
+    core.expire_accounts(deployment.now + ATTEMPTS_RETENTION_S)
+    assert "p" not in core.ledger
+
+
 def test_replicas_that_do_not_reply_are_replaced_by_others() -> None:
     """The first replica that is asked has just become unreachable."""
     deployment = ExpiringDeployment()
--- a/tests/keeper/test_storage.py
+++ b/tests/keeper/test_storage.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import shutil
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -9,7 +10,7 @@
 import pytest
 
 from wisteriastair.core.keeper import KeeperCore
-from wisteriastair.core.ledger import Attempt, Entry, Turn
+from wisteriastair.core.ledger import ATTEMPTS_RETENTION_S, Attempt, Entry, Turn
 from wisteriastair.core.ledgerwire import LedgerMessage, ReplyStatus, Write, WriteReply
 from wisteriastair.core.membership import Member, View
 from wisteriastair.keeper.log import Log
@@ -67,16 +68,22 @@
     return sum(path.name.startswith("ledger-") for path in folder.iterdir())
 
 
+def read_disk(folder: Path) -> list[Entry]:
+    return Log(str(folder)).load(0.0).entries
+
+
 def test_old_segments_are_removed_and_live_accounts_stay(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """A program continues while others end; the disk must not fill up with the latter.
 
     The first records of the live program are in the oldest segment.  Its removal must
-    not lose them: the program may continue from its first turn at any time.
+    not lose them: the program may continue from its first turn at any time.  Of the
+    others, the turns are removed first, and the attempts when their time is over.
     """
     monkeypatch.setattr("wisteriastair.keeper.log.SEGMENT_BYTES", 3_000)
     harness = Harness(tmp_path)
+    after_retention: list[Entry] = []
 
     async def scenario() -> None:
         for number in range(12):
@@ -89,16 +96,23 @@
         while await harness.storage.reclaim_space(90.0):
             pass
         assert count_segments(tmp_path) < initial_count / 2
+        assert set(harness.core.ledger.accounts) == {"lives"}
+        shutil.copytree(tmp_path, tmp_path / "copy")
+        after_retention.extend(read_disk(tmp_path / "copy"))
+        for number in range(12):
+            await harness.write("lives", f"b{number}", 90.0 + ATTEMPTS_RETENTION_S)
+        while await harness.storage.reclaim_space(151.0 + ATTEMPTS_RETENTION_S):
+            pass
 
     run_scenario(harness, scenario)
-    assert set(harness.core.ledger.accounts) == {"lives"}
+    assert {entry.program for entry in after_retention if entry.turns} == {"lives"}
+    assert set(harness.core.ledger.programs()) == {"lives"}
     harness.log.close()
-    loaded = Log(str(tmp_path)).load(0.0)
-    stored_attempts = {
-        attempt for entry in loaded.entries for attempt in entry.attempts
-    }
-    assert stored_attempts == {f"a{number}" for number in range(12)} | {"late"}
-    assert {entry.program for entry in loaded.entries} == {"lives"}
+    loaded = read_disk(tmp_path)
+    stored_attempts = {attempt for entry in loaded for attempt in entry.attempts}
+    lives = {f"a{number}" for number in range(12)} | {f"b{n}" for n in range(12)}
+    assert stored_attempts == lives | {"late"}
+    assert {entry.program for entry in loaded} == {"lives"}
 
 
 def test_accounts_are_written_again_in_parts(
--- a/wisteriastair/core/expiry.py
+++ b/wisteriastair/core/expiry.py
@@ -60,6 +60,7 @@
             self._unused.clear()
         self._view = view
         self._questions.clear()
+        self._ledger.expire_dormant(now)
         asked: dict[str, list[str]] = {}
         unused: dict[str, set[str]] = {}
         for account in self._ledger.expired_accounts(now):
@@ -140,6 +141,9 @@
         is_overdue = account.is_expired(now - MAX_UNANSWERED_S)
         if is_replica and not is_unused and not is_overdue:
             return False
-        self._ledger.remove(account)
+        if is_replica:
+            self._ledger.retire(account, now)
+        else:
+            self._ledger.remove(account)
         self._unused.pop(account.program, None)
         return True
--- a/wisteriastair/core/keeper.py
+++ b/wisteriastair/core/keeper.py
@@ -337,7 +337,7 @@
 
     def _make_copy_reply(self, request: CopyRequest) -> CopyReply:
         slots = set(request.slots)
-        programs = sorted(p for p in self.ledger.accounts if p > request.after)
+        programs = sorted(p for p in self.ledger.programs() if p > request.after)
         entries: list[Entry] = []
         size = 0
         for program in programs:
@@ -347,7 +347,7 @@
                 return CopyReply(
                     request.op, self.me.disk, ReplyStatus.DONE, entries, False
                 )
-            entry = self.ledger.accounts[program].to_entry()
+            entry = self.ledger.entry(program)
             entries.append(entry)
             size += ENTRY_OVERHEAD_BYTES + sum(
                 len(turn.content) for turn in entry.turns
@@ -356,8 +356,9 @@
 
     def rewrite_accounts(self, programs: set[str]) -> int:
         """Add complete accounts to the next batch; return its number."""
-        for program in programs & self.ledger.accounts.keys():
-            self._unsynced_entries.append(self.ledger.accounts[program].to_entry())
+        for program in programs:
+            if program in self.ledger:
+                self._unsynced_entries.append(self.ledger.entry(program))
         self._view_unsynced = True
         return self.batches_synced + (2 if self._syncing else 1)
 
--- a/wisteriastair/core/ledger.py
+++ b/wisteriastair/core/ledger.py
@@ -11,6 +11,9 @@
 not settled stays reserved: if the process that ran it fails, the number of tokens
 delivered to the caller is unknown, and counting the maximum ensures that the budget is
 not exceeded.
+
+The turns of an account end with its retention.  Its attempts are retained for longer,
+encoded, as the program may pause and then go on with the same budget.
 """
 
 from __future__ import annotations
@@ -22,6 +25,10 @@
 # Added to the configured retention: the clocks of processes have different origins, and
 # a restarted process counts the retention from its own start.
 RETENTION_SLACK_S: Final = 5.0
+# Seconds for which the attempts of a program are retained after its turns.
+ATTEMPTS_RETENTION_S: Final = 600.0
+# Programs of which only the attempts are retained; some 500 bytes each.
+MAX_DORMANT: Final = 16_384
 
 
 class Attempt(NamedTuple):
@@ -128,6 +135,18 @@
         return now - self.last_used_at > self.retention_s + RETENTION_SLACK_S
 
 
+class _Dormant(NamedTuple):
+    """An account without turns; its attempts are encoded."""
+
+    expires_at: float
+    retention_s: float
+    attempts: bytes
+
+
+_ENCODER: Final = msgspec.msgpack.Encoder()
+_ATTEMPTS_DECODER: Final = msgspec.msgpack.Decoder(dict[str, Attempt])
+
+
 class FoundChain(NamedTuple):
     """The stored part of a chain, and its program; empty if the turn is unknown."""
 
@@ -142,12 +161,39 @@
         self.accounts: dict[str, Account] = {}
         self.turn_bytes = 0
         self._account_of_turn: dict[str, Account] = {}
+        # In the order in which they became dormant.
+        self._dormant: dict[str, _Dormant] = {}
+
+    def __contains__(self, program: object) -> bool:
+        return program in self.accounts or program in self._dormant
+
+    @property
+    def dormant_count(self) -> int:
+        """Number of programs of which only the attempts are retained."""
+        return len(self._dormant)
+
+    def programs(self) -> list[str]:
+        """Return all programs with records."""
+        return [*self.accounts, *self._dormant]
+
+    def entry(self, program: str) -> Entry:
+        """Return all records of a program that has some."""
+        account = self.accounts.get(program)
+        if account is not None:
+            return account.to_entry()
+        dormant = self._dormant[program]
+        attempts = _ATTEMPTS_DECODER.decode(dormant.attempts)
+        return Entry(program, dormant.retention_s, attempts)
 
     def merge(self, entry: Entry, now: float) -> Entry | None:
         """Merge records of a program; return the new ones, or None."""
         account = self.accounts.get(entry.program)
         if account is None:
-            account = self.accounts[entry.program] = Account(entry.program, now)
+            account = Account(entry.program, now)
+            if entry.program in self._dormant:
+                account.merge(self.entry(entry.program), now)
+                del self._dormant[entry.program]
+            self.accounts[entry.program] = account
         new_records = account.merge(entry, now)
         if new_records is not None:
             self.turn_bytes += sum(len(turn.content) for turn in new_records.turns)
@@ -178,10 +224,31 @@
                 del self._account_of_turn[turn_id]
         self.turn_bytes -= account.turn_bytes()
 
+    def retire(self, account: Account, now: float) -> None:
+        """Remove the turns of an account, and retain its attempts."""
+        self.remove(account)
+        if not account.attempts:
+            return
+        if len(self._dormant) >= MAX_DORMANT:
+            del self._dormant[next(iter(self._dormant))]
+        self._dormant[account.program] = _Dormant(
+            now + ATTEMPTS_RETENTION_S,
+            account.retention_s,
+            _ENCODER.encode(account.attempts),
+        )
+
+    def expire_dormant(self, now: float) -> None:
+        """Remove the attempts whose retention is over."""
+        for program, dormant in list(self._dormant.items()):
+            if dormant.expires_at > now:
+                break
+            del self._dormant[program]
+
     def longest_retention_s(self) -> float:
         """Return the longest retention of all accounts, in seconds.
 
-        A record older than this belongs to an account that was used again or expired.
+        A record older than this belongs to an account that was used again, has expired
+        or is dormant.
         """
         retention_s = max((a.retention_s for a in self.accounts.values()), default=0.0)
         return retention_s + RETENTION_SLACK_S
--- a/wisteriastair/keeper/daemon.py
+++ b/wisteriastair/keeper/daemon.py
@@ -305,6 +305,7 @@
             "view_number": core.view.number,
             "view_changing": bool(core.view.old),
             "accounts": len(core.ledger.accounts),
+            "accounts_dormant": core.ledger.dormant_count,
             "turn_bytes": core.ledger.turn_bytes,
             "turn_bytes_reserved": core.room.reserved_bytes,
             "turns_refused": core.room.refused,
--- a/wisteriastair/keeper/storage.py
+++ b/wisteriastair/keeper/storage.py
@@ -17,13 +17,13 @@
 
 import anyio
 
-from ..core.keeper import Batch, KeeperCore
+from ..core.keeper import ENTRY_OVERHEAD_BYTES, Batch, KeeperCore
 from ..nodemetrics import KeeperMetrics
 from .log import Log
 
 # Delay before the next batch after a failed write.
 WRITE_RETRY_S: Final = 0.3
-# Bytes of turns that are written again at a time.  While they are, they are in memory
+# Bytes of records that are written again at a time.  While they are, they are in memory
 # several times.
 REWRITE_BYTES: Final = 1024 * 1024
 
@@ -131,10 +131,8 @@
         size = 0
         for program in programs:
             account = self._core.ledger.accounts.get(program)
-            if account is None:
-                continue
             part.add(program)
-            size += account.turn_bytes()
+            size += ENTRY_OVERHEAD_BYTES + (account.turn_bytes() if account else 0)
             if size >= REWRITE_BYTES:
                 yield part
                 part, size = set(), 0
--- a/wisteriastair/nodemetrics.py
+++ b/wisteriastair/nodemetrics.py
@@ -203,6 +203,7 @@
                 ("view_number", "View of the ledger's members"),
                 ("view_changing", "1 while a change of members lasts"),
                 ("accounts", "Programs in the ledger"),
+                ("accounts_dormant", "Programs of which only attempts are retained"),
                 ("turn_bytes", "Bytes of kept turns"),
                 ("turn_bytes_reserved", "Bytes of room for turns that are running"),
                 ("turns_refused", "Turns refused because there was no room"),
