A replica that starts does not extend the accounts of others

Cause: a keeper that is restarted, or that copies, does not know when an account was used last, and replied with the time of its start. Asked before the others dropped an account, it extended all of them by up to retentionS + 5 s, so that turns of almost twice that time had to fit into the memory of all keepers.

Change: such a replica replies that it does not know, and others are asked. Records that are copied or read are no use of an account.

--- a/tests/core/test_expiry.py
+++ b/tests/core/test_expiry.py
@@ -6,6 +6,7 @@
 
 from tests.core.test_keeper import Deployment
 from wisteriastair.core.expiry import MAX_UNANSWERED_S
+from wisteriastair.core.keeper import KeeperCore
 from wisteriastair.core.ledger import (
     ATTEMPTS_RETENTION_S,
     RETENTION_SLACK_S,
@@ -91,6 +92,26 @@
     assert "p" not in core.ledger
 
 
+@pytest.mark.parametrize("restarted", ["k0:1", "k1:1", "k2:1"])
+def test_replica_that_starts_does_not_extend_accounts(restarted: str) -> None:
+    """Turns of twice the retention time exceeded the room of all keepers."""
+    deployment = ExpiringDeployment()
+    deployment.write_at(0.0)
+    deployment.sweep_until(50.0)
+    old = deployment.cores[restarted]
+    deployment.cores[restarted] = KeeperCore(
+        old.me,
+        1,
+        view=old.view,
+        entries=[old.ledger.entry("p")],
+        now=deployment.now,
+    )
+    deployment.sweep_until(RETENTION_S + RETENTION_SLACK_S + 2 * SWEEP_INTERVAL_S)
+    assert deployment.holders() == {restarted}
+    deployment.sweep_until(50.0 + RETENTION_S + RETENTION_SLACK_S + SWEEP_INTERVAL_S)
+    assert deployment.holders() == set()
+
+
 def test_replicas_that_do_not_reply_are_replaced_by_others() -> None:
     """The first replica that is asked has just become unreachable."""
     deployment = ExpiringDeployment()
--- a/wisteriastair/core/expiry.py
+++ b/wisteriastair/core/expiry.py
@@ -20,7 +20,9 @@
 # Seconds after its retention for which an account is retained without replies. A
 # replica that is cut off from the others for longer is removed from the view.
 MAX_UNANSWERED_S: Final = 20.0
-UNKNOWN_AGE: Final = -1
+# In place of an age: the account is not stored, or the time of its last use is unknown.
+NOT_STORED: Final = -1
+UNKNOWN_AGE: Final = -2
 MS_PER_S: Final = 1000.0
 
 
@@ -107,12 +109,17 @@
         # A replica of another view may lack writes of the asking one's view.
         if question.view == view.number:
             for program in question.programs[:MAX_ASKED]:
-                account = self._ledger.accounts.get(program)
-                age_s = now - account.last_used_at if account else None
-                age = UNKNOWN_AGE if age_s is None else int(age_s * MS_PER_S)
-                ages.append(age)
+                ages.append(self._age_ms(program, now))
         return LastUseReply(question.op, self._me.disk, ages)
 
+    def _age_ms(self, program: str, now: float) -> int:
+        account = self._ledger.accounts.get(program)
+        if account is None:
+            return NOT_STORED
+        if not account.is_use_known:
+            return UNKNOWN_AGE
+        return int((now - account.last_used_at) * MS_PER_S)
+
     def receive(self, reply: LastUseReply, view: View, now: float) -> None:
         """Drop or retain the accounts of a question."""
         if view.number != self._view.number:
@@ -121,9 +128,10 @@
         programs = self._questions.get(reply.op, [])
         for program, age in zip(programs, reply.ages_ms, strict=False):
             account = self._ledger.accounts.get(program)
-            if account is None:
+            if account is None or age == UNKNOWN_AGE:
+                # A replica that has just started would extend all accounts.
                 continue
-            if age != UNKNOWN_AGE:
+            if age != NOT_STORED:
                 used_at = now - max(0, age) / MS_PER_S
                 account.last_used_at = max(account.last_used_at, used_at)
             if account.is_expired(now):
--- a/wisteriastair/core/keeper.py
+++ b/wisteriastair/core/keeper.py
@@ -162,7 +162,7 @@
         if me not in view.members:
             self._discovered_at[me.disk] = now
         for entry in entries:
-            self.ledger.merge(entry, now)
+            self.ledger.merge(entry, now, is_use=False)
         self._plan_copies(now)
 
     # Messages
@@ -493,7 +493,7 @@
         if reply.status is not ReplyStatus.DONE:
             return
         for entry in reply.entries:
-            new_records = self.ledger.merge(entry, now)
+            new_records = self.ledger.merge(entry, now, is_use=False)
             if new_records is not None:
                 self._unsynced_entries.append(new_records)
         if reply.is_last:
--- a/wisteriastair/core/ledger.py
+++ b/wisteriastair/core/ledger.py
@@ -70,23 +70,36 @@
 
 
 class Account:
-    """All records of one program."""
+    """All records of one program.
+
+    Attributes
+    ----------
+    last_used_at : float
+        Time of the last write; if that is unknown, of the copy or of the start.
+    is_use_known : bool
+        False after records were copied or read from the disk, until the next write.
+    """
 
     def __init__(self, program: str, now: float) -> None:
         self.program = program
         self.retention_s = 0.0
         self.last_used_at = now
+        self.is_use_known = False
         self.attempts: dict[str, Attempt] = {}
         self.turns: dict[str, Turn] = {}
 
-    def merge(self, entry: Entry, now: float) -> Entry | None:
+    def merge(self, entry: Entry, now: float, *, is_use: bool = True) -> Entry | None:
         """Merge records; return the new ones, or None.
 
         A reservation that arrives after its settlement, delayed or repeated, is
         dropped: it would reserve the tokens a second time.
+
+        Parameters
+        ----------
+        is_use : bool
+            False if the records are copied or read from the disk.
         """
         self.retention_s = max(self.retention_s, entry.retention_s)
-        self.last_used_at = now
         attempts: dict[str, Attempt] = {}
         for attempt_id, attempt in entry.attempts.items():
             known = self.attempts.get(attempt_id)
@@ -96,7 +109,11 @@
         turns = [turn for turn in entry.turns if turn.id not in self.turns]
         for turn in turns:
             self.turns[turn.id] = turn
-        if not attempts and not turns:
+        has_new = bool(attempts or turns)
+        if is_use or has_new:
+            self.last_used_at = now
+            self.is_use_known = is_use
+        if not has_new:
             return None
         return Entry(self.program, self.retention_s, attempts, turns)
 
@@ -185,16 +202,22 @@
         attempts = _ATTEMPTS_DECODER.decode(dormant.attempts)
         return Entry(program, dormant.retention_s, attempts)
 
-    def merge(self, entry: Entry, now: float) -> Entry | None:
-        """Merge records of a program; return the new ones, or None."""
+    def merge(self, entry: Entry, now: float, *, is_use: bool = True) -> Entry | None:
+        """Merge records of a program; return the new ones, or None.
+
+        Parameters
+        ----------
+        is_use : bool
+            False if the records are copied or read from the disk.
+        """
         account = self.accounts.get(entry.program)
         if account is None:
             account = Account(entry.program, now)
             if entry.program in self._dormant:
-                account.merge(self.entry(entry.program), now)
+                account.merge(self.entry(entry.program), now, is_use=False)
                 del self._dormant[entry.program]
             self.accounts[entry.program] = account
-        new_records = account.merge(entry, now)
+        new_records = account.merge(entry, now, is_use=is_use)
         if new_records is not None:
             self.turn_bytes += sum(len(turn.content) for turn in new_records.turns)
             for turn in new_records.turns:
--- a/wisteriastair/core/ledgerwire.py
+++ b/wisteriastair/core/ledgerwire.py
@@ -482,8 +482,8 @@
     Attributes
     ----------
     ages_ms : list of int
-        Milliseconds since the last use of each account, -1 for one that is not stored;
-        empty if the replica has another view.
+        Milliseconds since the last use of each account, -1 for one that is not stored,
+        -2 if the time is unknown; empty if the replica has another view.
     """
 
     op: int
