Sums of crashes outlive the end of all processes

Callers saw: a request under which two servers had crashed had its whole bound again after all processes of the system had been killed at the same moment, and five servers crashed where three may.

Cause: keepers held their sums in memory. Only a quarantine was recorded, in the store and on the keepers' disks.

Change: a keeper saves its sums before it replies to a report, and the reply releases the answer to the caller, so the next attempt comes after that. A file that cannot be read is logged and ignored.

--- a/tests/relay/test_quarantine.py
+++ b/tests/relay/test_quarantine.py
@@ -130,6 +130,24 @@
     run_world(tmp_path, scenario)
 
 
+def test_crashes_below_the_bound_outlive_all_processes(tmp_path: Path) -> None:
+    """Two servers have crashed; then every process of the system is killed."""
+
+    async def scenario(world: World, stack: AsyncExitStack) -> None:
+        async with AsyncExitStack() as processes:
+            await world.start_processes(processes)
+            for ip in RELAYS:
+                await world.send_fatal(ip)
+            assert count_crashed(world.servers) == MAX_CRASHES - 1
+            assert world.records() == []
+        await world.start_processes(stack)
+        for attempt in range(4):
+            await world.send_fatal(RELAYS[attempt % 2])
+        assert count_crashed(world.servers) <= MAX_CRASHES
+
+    run_world(tmp_path, scenario)
+
+
 def test_quarantine_holds_while_the_store_is_down(tmp_path: Path) -> None:
     """The store goes down before the first crash: nothing can be recorded."""
 
--- a/wisteriastair/keeper/crashes.py
+++ b/wisteriastair/keeper/crashes.py
@@ -12,7 +12,12 @@
 import logging
 from typing import Final
 
-from ..core.crashwire import CrashReport, CrashUpdate, SettledServers
+from ..core.crashwire import (
+    CrashReport,
+    CrashUpdate,
+    RequestCrashes,
+    SettledServers,
+)
 from ..scheduling.crashes import (
     MAX_ENTRIES,
     CrashTable,
@@ -39,10 +44,16 @@
     ----------
     table : CrashTable
         The sums.
+
+    Attributes
+    ----------
+    has_unsaved : bool
+        Whether the sums have changed since `entries` returned them.
     """
 
     def __init__(self, table: CrashTable) -> None:
         self.table = table
+        self.has_unsaved = False
         # Never 0, which stands for no knowledge.
         self._revision = 1
         self._shared: set[bytes] = set()
@@ -67,10 +78,13 @@
         for entry in report.crashes[:MAX_ENTRIES]:
             if add_entry(self.table, entry, now):
                 self._on_added(entry.key)
+                self.has_unsaved = True
             known.append(entry.key)
         for settled in report.settled[:MAX_ENTRIES]:
-            if settle_entry(self.table, settled, now) and settled.key in self._shared:
-                self._settled.append(settled)
+            if settle_entry(self.table, settled, now):
+                self.has_unsaved = True
+                if settled.key in self._shared:
+                    self._settled.append(settled)
         for key in report.answered[:MAX_ENTRIES]:
             self.forget(key)
         # Other relays first: the reply releases the answer to the caller.
@@ -84,6 +98,18 @@
             messages.append((sender, reply))
         return messages
 
+    def restore(self, entries: list[RequestCrashes], now: float) -> None:
+        """Add what was known before a restart."""
+        for entry in entries:
+            if add_entry(self.table, entry, now):
+                self._on_added(entry.key)
+
+    def entries(self, now: float) -> list[RequestCrashes]:
+        """Return all sums, to be saved."""
+        self.has_unsaved = False
+        keys = self.table.keys()
+        return [make_entry(self.table, key, now) for key in keys]
+
     def _on_added(self, key: bytes) -> None:
         is_early = self.table.at_risk(key) < self._min_shared
         if is_early and len(self._shared) >= MAX_SHARED_EARLY:
@@ -103,7 +129,7 @@
 
     def forget(self, key: bytes) -> None:
         """Forget a request; relays are told if they were told of it."""
-        self.table.forget(key)
+        self.has_unsaved |= self.table.forget(key)
         if key in self._shared:
             self._shared.discard(key)
             self._changed.discard(key)
--- /dev/null
+++ b/wisteriastair/keeper/crashfile.py
@@ -0,0 +1,58 @@
+"""Requests under which servers crashed or may have, on the disk of a keeper.
+
+All processes may end at the same moment.  A request would then have its whole bound
+again, and more servers would crash under it.
+"""
+
+from __future__ import annotations
+
+import logging
+import os
+from typing import Final
+
+import msgspec
+
+from ..core.crashwire import RequestCrashes
+from .checkedfile import add_checksum, read_file, replace_file
+
+FILE_NAME: Final = "crashes"
+
+_ENCODER: Final = msgspec.msgpack.Encoder()
+_DECODER: Final = msgspec.msgpack.Decoder(list[RequestCrashes])
+
+log = logging.getLogger(__name__)
+
+
+class CrashFile:
+    """The sums of one keeper on its disk.
+
+    Parameters
+    ----------
+    folder : str
+        Data folder; created if it does not exist.
+    """
+
+    def __init__(self, folder: str) -> None:
+        self._path = os.path.join(folder, FILE_NAME)
+
+    def load(self) -> list[RequestCrashes]:
+        """Read the file; one that cannot be read is logged and ignored."""
+        body = read_file(self._path)
+        if body is None:
+            return []
+        try:
+            return _DECODER.decode(body)
+        except msgspec.DecodeError as exc:
+            extra = {"path": self._path, "reason": repr(exc)}
+            log.warning("file does not decode", extra=extra)
+            return []
+
+    def save(self, entries: list[RequestCrashes]) -> None:
+        """Replace the file; blocks until that is durable.
+
+        Raises
+        ------
+        OSError
+            If the file cannot be written.
+        """
+        replace_file(self._path, add_checksum(_ENCODER.encode(entries)))
--- a/wisteriastair/keeper/daemon.py
+++ b/wisteriastair/keeper/daemon.py
@@ -61,6 +61,7 @@
 from ..platform.store import Store, StoreError, StoreItem, Swapped
 from ..scheduling.crashes import CrashTable
 from .crashes import CrashKeeper
+from .crashfile import CrashFile
 from .documents import Documents
 from .log import Log
 from .picture import PictureKeeper
@@ -81,6 +82,8 @@
 RECORD_INTERVAL_S: Final = 1.0
 # Interval of checks for changed documents that must be saved.
 SAVE_INTERVAL_S: Final = 0.5
+# Pause after the sums of crashes were saved: much shorter than relays wait for replies.
+SAVE_CRASHES_PAUSE_S: Final = 0.02
 # Keys whose values are cached for relays that start.
 CACHED_PREFIXES: Final = (SERVER_KEY_PREFIX, QUARANTINE_KEY_PREFIX)
 
@@ -111,6 +114,10 @@
             cfg.internal_address, cfg.max_failures, time.monotonic()
         )
         self._crashes = CrashKeeper(CrashTable(cfg.crash_limits))
+        self._crash_file = CrashFile(os.path.join(cfg.data_dir, "store"))
+        self._crashes_changed = anyio.Event()
+        # Replies that are sent once the sums are saved.
+        self._crash_replies: list[tuple[str, CrashUpdate]] = []
         self._quarantine = QuarantineRecords(self._crashes, self._store)
         self._stop = anyio.Event()
         self._metrics = KeeperMetrics()
@@ -150,6 +157,7 @@
         """
         loaded = self._log.load(now)
         self._documents.load()
+        self._crashes.restore(self._crash_file.load(), now)
         me = Member(
             self._cfg.name,
             self._log.disk_id,
@@ -188,6 +196,7 @@
     def _start_tasks(self, group: TaskGroup) -> None:
         group.start_soon(self._mirror.run)
         group.start_soon(self._save_documents)
+        group.start_soon(self._save_crashes)
         group.start_soon(self._transport.run)
         group.start_soon(self._storage.run, self._send)
         group.start_soon(self._tick)
@@ -234,7 +243,7 @@
             return
         if isinstance(message, CrashReport):
             now = time.monotonic()
-            self._send_crashes(self._crashes.receive(sender, message, now))
+            self._answer_crashes(self._crashes.receive(sender, message, now))
             return
         self._core.receive(sender, message, time.monotonic())
         self._send()
@@ -246,6 +255,18 @@
         for to, reply in replies:
             self._transport.send(to, reply)
 
+    def _answer_crashes(self, messages: list[tuple[str, CrashUpdate]]) -> None:
+        """Send updates at once, and replies when the sums are saved.
+
+        A reply releases the answer to the caller, which may send the request again.
+        """
+        if not self._crashes.has_unsaved:
+            self._send_crashes(messages)
+            return
+        self._send_crashes([m for m in messages if not m[1].op])
+        self._crash_replies += [m for m in messages if m[1].op]
+        self._crashes_changed.set()
+
     def _send_crashes(self, messages: list[tuple[str, CrashUpdate]]) -> None:
         for member, crash_update in messages:
             self._transport.send(member, crash_update)
@@ -299,6 +320,19 @@
             except OSError as exc:
                 log.warning("documents not saved", extra={"reason": repr(exc)})
 
+    async def _save_crashes(self) -> None:
+        while True:
+            await self._crashes_changed.wait()
+            self._crashes_changed = anyio.Event()
+            replies, self._crash_replies = self._crash_replies, []
+            entries = self._crashes.entries(time.monotonic())
+            try:
+                await anyio.to_thread.run_sync(self._crash_file.save, entries)
+            except OSError as exc:
+                log.warning("crashes not saved", extra={"reason": repr(exc)})
+            self._send_crashes(replies)
+            await anyio.sleep(SAVE_CRASHES_PAUSE_S)
+
     def _update_gauges(self) -> None:
         core = self._core
         values = {
--- a/wisteriastair/keeper/documents.py
+++ b/wisteriastair/keeper/documents.py
@@ -12,23 +12,19 @@
 
 from __future__ import annotations
 
-import logging
 import os
-import zlib
 from typing import Final
 
 import msgspec
 
 from ..core.ledgerwire import Document
+from .checkedfile import add_checksum, read_file, replace_file
 
 FILE_NAME: Final = "documents"
-CHECKSUM_BYTES: Final = 4
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _DECODER: Final = msgspec.msgpack.Decoder(list[Document])
 
-log = logging.getLogger(__name__)
-
 
 class Documents:
     """The newest known document of each key.
@@ -46,15 +42,8 @@
 
     def load(self) -> None:
         """Read the file; a damaged file is logged and ignored."""
-        path = os.path.join(self._folder, FILE_NAME)
-        try:
-            with open(path, "rb") as file:
-                data = file.read()
-        except FileNotFoundError:
-            return
-        checksum, body = data[:CHECKSUM_BYTES], data[CHECKSUM_BYTES:]
-        if zlib.crc32(body).to_bytes(CHECKSUM_BYTES, "little") != checksum:
-            log.warning("documents are damaged", extra={"path": path})
+        body = read_file(os.path.join(self._folder, FILE_NAME))
+        if body is None:
             return
         for document in _DECODER.decode(body):
             self._documents[document.key] = document
@@ -84,8 +73,7 @@
     def encode(self) -> bytes:
         """Return the content of the file, and mark it as saved."""
         self.changed = False
-        body = _ENCODER.encode(self.all())
-        return zlib.crc32(body).to_bytes(CHECKSUM_BYTES, "little") + body
+        return add_checksum(_ENCODER.encode(self.all()))
 
     def save(self, data: bytes) -> None:
         """Write the file; blocks until it is synced.
@@ -95,10 +83,4 @@
         OSError
             If the file cannot be written.
         """
-        os.makedirs(self._folder, exist_ok=True)
-        path = os.path.join(self._folder, FILE_NAME)
-        with open(path + ".new", "wb") as file:
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
-        os.replace(path + ".new", path)
+        replace_file(os.path.join(self._folder, FILE_NAME), data)
