Soak: crashes before the end of all processes count as well

The checker forgot, and excused, the crashes under a request when all processes were killed, unless its quarantine had been in the store for five seconds: that was all that outlived them. The check is stricter.

--- a/tests/soak/crashes.py
+++ b/tests/soak/crashes.py
@@ -8,9 +8,6 @@
 FATAL_PREFIX: Final = "fatal-"
 # Servers that may crash under one request.
 MAX_CRASHES: Final = 3
-# Time until a quarantine is recorded in the store: two intervals of writes, and the
-# delay after which another watcher takes over.
-RECORD_S: Final = 5.0
 
 
 class _Attempt(NamedTuple):
@@ -24,8 +21,7 @@
     """Checks how many servers crash under each fatal request.
 
     A crash counts once the attempt is answered.  If a relay is killed with the attempt,
-    nobody else knows of the crash.  Such crashes are excused, and so are those that
-    only processes know of when all of them are killed at once.
+    nobody else knows of the crash.  Such crashes are excused.
     """
 
     def __init__(self) -> None:
@@ -35,7 +31,6 @@
         self.innocents_quarantined = 0
         self._crashes: dict[str, list[_Attempt]] = defaultdict(list)
         self._answered: set[str] = set()
-        self._store_down_until = float("-inf")
 
     def record_crash(self, body: str, request_id: str, now: float) -> None:
         """Record that a server crashes under a request."""
@@ -45,23 +40,6 @@
         """Record that a caller received an answer to an attempt."""
         self._answered.add(request_id)
 
-    def record_store_outage(self, now: float) -> None:
-        """Record the end of a time in which the store accepted no writes."""
-        self._store_down_until = now
-
-    def record_all_killed(self, now: float) -> None:
-        """Record that all processes of the system are killed."""
-        for body, attempts in list(self._crashes.items()):
-            counted = self._counted(attempts)
-            recordable_since = max(
-                self._store_down_until,
-                counted[MAX_CRASHES - 1].at if len(counted) >= MAX_CRASHES else now,
-            )
-            if now - recordable_since < RECORD_S:
-                self._check(body, attempts)
-                self.excused.append(f"crashes: {len(attempts)} forgotten with {body}")
-                del self._crashes[body]
-
     def _counted(self, attempts: list[_Attempt]) -> list[_Attempt]:
         return [a for a in attempts if a.request_id in self._answered]
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -4,7 +4,6 @@
 
 import random
 import signal
-import time
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
@@ -68,7 +67,6 @@
     """Kill all processes at the same time; all disks stay."""
     async with deployment.relay_lock:
         deployment.kill_all()
-        deployment.checker.crashes.record_all_killed(time.monotonic())
         for name in deployment.machines:
             deployment.start(name)
     await anyio.sleep(1.0)
@@ -80,7 +78,6 @@
         deployment.store.down = True
         await anyio.sleep(rng.uniform(0.5, 2.5))
         deployment.store.down = False
-        deployment.checker.crashes.record_store_outage(time.monotonic())
 
 
 async def drop_store_responses(deployment: SoakDeployment, rng: random.Random) -> None:
