A turn that has run waits for keepers until its deadline

Callers saw: all events of a turn, and then a reset, while two of three keepers were frozen for 1.3 or 2.2 s; the turn then ran again.

Cause: a settlement was given up after SETTLE_TIMEOUT_S, one second, whatever time the caller had left.

Change: the wait ends at the deadline of the request. A new attempt needs the same keepers for its reservation, so giving up sooner helps no caller. The connection and the place at the server are released before the wait, which held both; engine memory and the learning of needs end there too. A resumable turn that could not be kept is not sent to its server again: it had ended there, and ran once more for each of two resumptions.

--- a/tests/relay/keepers.py
+++ b/tests/relay/keepers.py
@@ -34,6 +34,8 @@
     ----------
     unreachable : set of str
         Addresses that receive no messages.
+    frozen : set of str
+        Addresses whose messages wait until `thaw`.
     """
 
     def __init__(self, count: int, max_failures: int = 1) -> None:
@@ -50,6 +52,8 @@
             for m in self.view.members
         }
         self.unreachable: set[str] = set()
+        self.frozen: set[str] = set()
+        self._waiting: list[tuple[str, str, bytes]] = []
         self.sent_count = 0
         self.sent_bytes = 0
         self.client = LedgerClient("domain0", max_failures)
@@ -64,6 +68,13 @@
                 ping = Ping(member.disk, self.view, 0)
                 core.receive(f"{member.address}#a", ping, now)
 
+    def thaw(self) -> None:
+        """Deliver what has waited for frozen keepers."""
+        self.frozen.clear()
+        waiting, self._waiting = self._waiting, []
+        for message in waiting:
+            self._deliver(*message)
+
     def send(self, to: str, message: LedgerMessage) -> None:
         """Deliver a message of the client; part of the interface of `Transport`."""
         self.sent_count += 1
@@ -76,6 +87,9 @@
             loop.call_soon(self._deliver, sender, to, encode_ledger(message))
 
     def _deliver(self, sender: str, to: str, data: bytes) -> None:
+        if to in self.frozen:
+            self._waiting.append((sender, to, data))
+            return
         if to == RELAY:
             message = decode_ledger(data)
             if isinstance(message, PermitReply) and self.quota is not None:
--- a/wisteriastair/relay/engine_order.py
+++ b/wisteriastair/relay/engine_order.py
@@ -160,14 +160,14 @@
             await asyncio.sleep(verdict.seconds)
             job.memory_wait_s += job.now() - now
 
-    def finish(self, job: Job) -> None:
-        """Release what a turn holds, and learn from it if it was answered."""
+    def finish(self, job: Job, *, is_answered: bool) -> None:
+        """Release what a turn holds, and learn from it if its server answered it."""
         turn = self._turns.pop(job, None)
         if turn is None:
             return
         self._release(turn)
         self._leave_queue(job, turn)
-        if turn.sent_at and 200 <= job.status < 300:
+        if turn.sent_at and is_answered:
             req = job.caller_req
             now = job.now()
             self._needs.record_end(
--- a/wisteriastair/relay/streams.py
+++ b/wisteriastair/relay/streams.py
@@ -4,6 +4,10 @@
 that has seen the end may continue from this turn at once, on any relay.  The events
 alone do not guarantee that the turn is durable.  A stream that fails ends without its
 last chunk, and is settled with the tokens of the events that were sent.
+
+A turn that has run waits for keepers until its deadline.  Giving up sooner would not
+help its caller: a new attempt needs the same keepers for its reservation, and another
+run.
 """
 
 from __future__ import annotations
@@ -52,9 +56,9 @@
 
 # Longest wait for a reservation; after it the caller is told to retry later.
 RESERVE_TIMEOUT_S: Final = 0.6
-# Longest wait for a complete turn to become durable.  The caller has all events by
-# then; a failure lets it start the turn again while it has time.
-SETTLE_TIMEOUT_S: Final = 1.0
+# Time beyond the deadline of a turn for which its room is reserved: keepers receive the
+# turn and the reservation at different times.
+ROOM_MARGIN_S: Final = 1.0
 # Delay before a retry if keepers have no room: room becomes free as programs expire.
 FULL_RETRY_AFTER_S: Final = 1.0
 # Estimated size of the output of a turn, for the room that it needs.
@@ -103,8 +107,10 @@
         try:
             with anyio.move_on_after(max(0.0, job.remaining_s())):
                 failure = await self._run(turn)
+            if turn.is_answered:
+                failure = await self._end_response(turn)
         finally:
-            self._order.finish(job)
+            self._order.finish(job, is_answered=turn.is_answered)
             if turn.reserved and not turn.settled and reservation is not None:
                 self._ledger.settle_in_background(reservation, turn.sent_tokens())
         if failure is None:
@@ -163,8 +169,17 @@
                 detail = f"{answered} of {required} replicas answered in view {view}"
                 return Failure(Code.LEDGER_UNREACHABLE, detail, "no", RETRY_AFTER_S)
 
+    async def _end_response(self, turn: _TurnState) -> Failure | None:
+        """Send the end of a complete response once the turn is durable."""
+        self._order.finish(turn.job, is_answered=True)
+        failure = await self._settle(turn)
+        if failure is None:
+            turn.job.caller_conn.end()
+            turn.job.status = turn.status
+        return failure
+
     async def _settle(self, turn: _TurnState) -> Failure | None:
-        """Make a complete turn durable, before its end is sent to the caller."""
+        """Make a complete turn durable."""
         job, reservation = turn.job, turn.reservation
         if reservation is None:
             return None
@@ -175,9 +190,8 @@
         content = job.req.body + bytes(turn.events.content)
         record = Turn(job.turn_id, reservation.previous_id, content)
         turns = (*turn.foreign_chain, record)
-        deadline = min(job.deadline, job.now() + SETTLE_TIMEOUT_S)
         if not await self._ledger.settle(
-            reservation, turn.sent_tokens(), turns, deadline
+            reservation, turn.sent_tokens(), turns, job.deadline
         ):
             return Failure(Code.LEDGER_UNREACHABLE, "the turn could not be kept", "yes")
         turn.settled = True
@@ -301,7 +315,7 @@
     async def _forward_response(
         self, turn: _TurnState, outcome: ResponseStarted | NotRun | OutcomeUnknown
     ) -> NotRun | OutcomeUnknown | None:
-        """Forward a response; return None once the request is complete."""
+        """Forward a response; return None once its server has ended it."""
         if not isinstance(outcome, ResponseStarted):
             return outcome
         job = turn.job
@@ -318,11 +332,7 @@
         self._dispatcher.crashes.record_answer(job)
         self._record_pace(turn, outcome)
         outcome.state.cached_segments.add(job.caller_req.parts)
-        failure = await self._settle(turn)
-        if failure is not None:
-            return OutcomeUnknown(server_id, failure.detail)
-        job.caller_conn.end()
-        job.status = head.status
+        turn.status = head.status
         return None
 
     def _record_pace(self, turn: _TurnState, started: ResponseStarted) -> None:
@@ -419,6 +429,8 @@
         of that program expire on their own.
     response_started : bool
         Whether the head of the response has been sent to the caller.
+    status : int
+        Status of a response of which all events were forwarded; 0 before.
     reserved, settled : bool
         Whether tokens were reserved, and whether the reservation needs no settlement
         any more.
@@ -432,12 +444,18 @@
         self.history = b""
         self.foreign_chain: tuple[Turn, ...] = ()
         self.response_started = False
+        self.status = 0
         self.reserved = False
         self.settled = False
         self.events = EventSplitter(
             collect=job.route.retains_history, max_count=_max_events(job)
         )
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether only the end of the response is left to send."""
+        return self.status != 0
+
     def start_response(self, head: ResponseHead) -> None:
         """Send the head of the response, unless it has been sent already."""
         if self.response_started:
@@ -510,7 +528,7 @@
         previous_id = job.scoped_id(caller_req.previous_id)
         room = Room(
             len(job.req.body) + OUTPUT_BYTES_PER_TOKEN * caller_req.output_tokens,
-            int((job.remaining_s() + SETTLE_TIMEOUT_S) * MS_PER_S),
+            int((job.remaining_s() + ROOM_MARGIN_S) * MS_PER_S),
             is_first=not previous_id,
         )
     return Reservation(
