Requests under admission are freed when they end

Callers saw: requests cut when their relay exceeded its memory and was killed. A trial with the contract of memory pressure, bodies of 1,000,000 bytes, one request at a time for each of two relays: plain requests that end as usual peaked at 486 MB of 128 MB (1,640 requests in 15 s), turns whose caller leaves after the first event at 293 MB.

Cause: a job refers to its admission check, and the check to the job. The cycle keeps the request with its body until the garbage collector runs, after 20,000 allocations of whatever size. A dump of what the collector finds in the relay process showed Job, _ProgramCheck and Request for each ended request, and no other object with a body.

Change: the check refers to its job weakly.

The harness now sets admission and engine memory on wherever memory pressure is on, as the relay does.

--- a/tests/relay/harness.py
+++ b/tests/relay/harness.py
@@ -28,10 +28,12 @@
 from wisteriastair.http1.caller import CallerConnection
 from wisteriastair.nodemetrics import RelayMetrics
 from wisteriastair.peers.transport import Transport
+from wisteriastair.relay.admission import AdmissionGate
 from wisteriastair.relay.chains import ChainCache
 from wisteriastair.relay.crashes import CrashMonitor
 from wisteriastair.relay.crashshare import CrashShare
 from wisteriastair.relay.dispatch import Dispatcher
+from wisteriastair.relay.engine_order import EngineOrder
 from wisteriastair.relay.handler import RelayHandler
 from wisteriastair.relay.pool import ConnectionPool
 from wisteriastair.relay.pressure import RelayPressure, make_response_meter
@@ -319,13 +321,18 @@
     crashes = CrashMonitor(pool, metrics, share)
     dispatcher = Dispatcher(fleet, pool, "d", crashes)
     keepers = Keepers(3)
-    streams = StreamRelay(dispatcher, keepers.client, ChainCache(CACHE_BYTES))
+    order = EngineOrder(fleet, has_memory_pressure=limits is not None)
+    chains = ChainCache(CACHE_BYTES)
+    streams = StreamRelay(dispatcher, keepers.client, chains, order)
     quota = QuotaClient(
         QUOTA_BOUNDS, lambda: keepers.view, lambda: keepers.client.is_reachable
     )
     keepers.quota = quota
     quota.start(cast(Transport[LedgerMessage], keepers))
-    handler = RelayHandler(dispatcher, streams, quota, lambda: True, metrics, pressure)
+    admission = AdmissionGate(fleet, metrics, has_memory_pressure=limits is not None)
+    handler = RelayHandler(
+        dispatcher, streams, quota, lambda: True, metrics, pressure, admission
+    )
     services = {"svc": Service("svc", 100, EngineSpec(8, 100_000, 25))}
     handler.table = RouteTable(1, ROUTES, services, CallerLimits())
     async with anyio.create_task_group() as group:
--- a/wisteriastair/relay/admission.py
+++ b/wisteriastair/relay/admission.py
@@ -10,6 +10,7 @@
 import asyncio
 import logging
 import random
+import weakref
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
@@ -169,7 +170,9 @@
     def __init__(self, gate: AdmissionGate, job: Job, party: Party) -> None:
         super().__init__()
         self._gate = gate
-        self._job = job
+        # The job refers to its check: a reference back would keep the job, with the body
+        # of its request, until the garbage collector runs.
+        self._job: Job = weakref.proxy(job)
         self._party = party
         self._is_new = _may_be_first_turn(job)
 
