--- a/wisteriastair/relay/admission.py
+++ b/wisteriastair/relay/admission.py
@@ -170,8 +170,8 @@
     def __init__(self, gate: AdmissionGate, job: Job, party: Party) -> None:
         super().__init__()
         self._gate = gate
-        # The job refers to its check: a reference back would keep the job, with the body
-        # of its request, until the garbage collector runs.
+        # The job refers to its check: a reference back would keep the job, with its
+        # body, until the garbage collector runs.
         self._job: Job = weakref.proxy(job)
         self._party = party
         self._is_new = _may_be_first_turn(job)
