Attempts are retained while their program goes on at other replicas

What callers would see: a program that pauses for over retentionS, goes on for ten minutes, and loses two disks then, gets tokens beyond its budget.

Cause: the attempts of a program without turns were dropped 600 s after these by the replica's own clock, also if others were told of new attempts since. A quorum of those had the old attempts too, but after that one fewer. And a replica that had been suspended found accounts overdue and dropped them without a question, though they were in use.

Change: attempts are dropped like turns, once a read quorum has not used them for their retention, which counts from the last use; without replies only 20 s later and after a question.

Tests, failing before (six cases): an attempt outside the quorum of a program that goes on, and a suspended replica. test_attempts_expire_after_their_retention called one replica alone, which may not decide alone now; it plays the deployment instead and asserts both ends of the retention at all replicas. test_account_expires_after_its_retention uses the call by program.

--- a/tests/core/test_expiry.py
+++ b/tests/core/test_expiry.py
@@ -85,11 +85,11 @@
 def test_attempts_expire_after_their_retention() -> None:
     deployment = ExpiringDeployment()
     deployment.write_at(0.0)
-    deployment.sweep_until(100.0)
-    core = deployment.cores["k0:1"]
-    assert "p" in core.ledger
-    core.expire_accounts(deployment.now + ATTEMPTS_RETENTION_S)
-    assert "p" not in core.ledger
+    last_s = RETENTION_S + RETENTION_SLACK_S + ATTEMPTS_RETENTION_S
+    deployment.sweep_until(last_s)
+    assert all("p" in core.ledger for core in deployment.cores.values())
+    deployment.sweep_until(last_s + 2 * SWEEP_INTERVAL_S)
+    assert not any("p" in core.ledger for core in deployment.cores.values())
 
 
 @pytest.mark.parametrize("restarted", ["k0:1", "k1:1", "k2:1"])
@@ -143,3 +143,33 @@
     core = deployment.cores["k0:1"]
     question = LastUseQuestion(1, core.view.number - 1, ["p"])
     assert core.expiry.reply(question, core.view, deployment.now).ages_ms == []
+
+
+@pytest.mark.parametrize("outside", ["k0:1", "k1:1", "k2:1"])
+def test_attempts_are_retained_while_their_program_goes_on_elsewhere(
+    outside: str,
+) -> None:
+    """After a pause, a replica outside the quorum dropped them by its own clock."""
+    deployment = ExpiringDeployment()
+    deployment.write_at(0.0)
+    deployment.sweep_until(300.0)
+    assert deployment.holders() == set()
+    last_s = 300.0 + ATTEMPTS_RETENTION_S
+    for at_s in range(300, round(last_s), 50):
+        deployment.write_at(at_s, away=frozenset({outside}))
+    deployment.sweep_until(last_s)
+    assert outside not in deployment.holders()
+    assert "p" in deployment.cores[outside].ledger
+
+
+@pytest.mark.parametrize("suspended", ["k0:1", "k1:1", "k2:1"])
+def test_suspended_replica_asks_before_it_drops_accounts(suspended: str) -> None:
+    """It found an account overdue, which had been used meanwhile, and dropped it."""
+    deployment = ExpiringDeployment()
+    deployment.write_at(0.0)
+    for at_s in (40.0, 80.0):
+        deployment.write_at(at_s, away=frozenset({suspended}))
+    core = deployment.cores[suspended]
+    now = deployment.now + RETENTION_S
+    core.expiry.sweep(core.view, now)
+    assert "p" in core.ledger.accounts
--- a/tests/core/test_ledger.py
+++ b/tests/core/test_ledger.py
@@ -78,8 +78,8 @@
     ledger = Ledger()
     ledger.merge(settle("t1", 1, Turn("t1", "", b"12345")), 100.0)
     assert ledger.turn_bytes == 5
-    assert ledger.expired_accounts(160.0) == []
-    (account,) = ledger.expired_accounts(166.0)
-    ledger.remove(account)
+    assert ledger.expired_programs(160.0) == []
+    (program,) = ledger.expired_programs(166.0)
+    ledger.remove(program)
     assert list(ledger.accounts) == []
     assert ledger.turn_bytes == 0
--- a/wisteriastair/core/expiry.py
+++ b/wisteriastair/core/expiry.py
@@ -4,21 +4,23 @@
 a program goes on.  If they dropped their copies after their own last use, the oldest
 turns of a chain would be on fewer disks than may be lost, while the chain must still be
 retained.  A replica therefore drops an account once a read quorum has not used it for
-its retention: such a quorum has a replica of each write.
+its retention: such a quorum has a replica of each write.  The same holds for attempts,
+which are retained for longer than turns.
 """
 
 from __future__ import annotations
 
 from typing import Final
 
-from .ledger import Account, Ledger
+from .ledger import Ledger
 from .ledgerwire import LastUseQuestion, LastUseReply
 from .membership import Member, ReplicaSet, View, replica_sets, slot_of_program
 
 # Accounts in one question.
 MAX_ASKED: Final = 256
 # Seconds after its retention for which an account is retained without replies. A
-# replica that is cut off from the others for longer is removed from the view.
+# replica that is cut off from the others for longer is removed from the view. One that
+# was suspended finds many accounts overdue, and asks first.
 MAX_UNANSWERED_S: Final = 20.0
 # In place of an age: the account is not stored, or the time of its last use is unknown.
 NOT_STORED: Final = -1
@@ -62,13 +64,11 @@
             self._unused.clear()
         self._view = view
         self._questions.clear()
-        self._ledger.expire_dormant(now)
         asked: dict[str, list[str]] = {}
         unused: dict[str, set[str]] = {}
-        for account in self._ledger.expired_accounts(now):
-            if self._drop(account, now):
+        for program in self._ledger.expired_programs(now):
+            if self._drop(program, now):
                 continue
-            program = account.program
             for address in self._choose_replicas(program):
                 asked.setdefault(address, []).append(program)
             unused[program] = self._unused.get(program, set())
@@ -114,11 +114,12 @@
 
     def _age_ms(self, program: str, now: float) -> int:
         account = self._ledger.accounts.get(program)
-        if account is None:
-            return NOT_STORED
-        if not account.is_use_known:
+        if account is not None and not account.is_use_known:
             return UNKNOWN_AGE
-        return int((now - account.last_used_at) * MS_PER_S)
+        last_used_at = self._ledger.last_used_at(program)
+        if last_used_at is None:
+            return NOT_STORED
+        return int((now - last_used_at) * MS_PER_S)
 
     def receive(self, reply: LastUseReply, view: View, now: float) -> None:
         """Drop or retain the accounts of a question."""
@@ -127,31 +128,30 @@
         # Accounts that the reply leaves out are asked for again.
         programs = self._questions.get(reply.op, [])
         for program, age in zip(programs, reply.ages_ms, strict=False):
-            account = self._ledger.accounts.get(program)
-            if account is None or age == UNKNOWN_AGE:
+            if program not in self._ledger or age == UNKNOWN_AGE:
                 # A replica that has just started would extend all accounts.
                 continue
             if age != NOT_STORED:
-                used_at = now - max(0, age) / MS_PER_S
-                account.last_used_at = max(account.last_used_at, used_at)
-            if account.is_expired(now):
+                self._ledger.record_use(program, now - max(0, age) / MS_PER_S)
+            if self._ledger.is_expired(program, now):
                 self._unused.setdefault(program, set()).add(reply.disk)
-                self._drop(account, now)
+                self._drop(program, now)
             elif self._unused.pop(program, None) is not None:
                 self.extended += 1
 
-    def _drop(self, account: Account, now: float) -> bool:
-        """Drop an expired account if that is safe; return whether it was dropped."""
-        sets = self._replica_sets(account.program)
-        disks = self._known_disks(account.program)
+    def _drop(self, program: str, now: float) -> bool:
+        """Drop expired records if that is safe; return whether they were dropped."""
+        sets = self._replica_sets(program)
+        disks = self._known_disks(program)
         is_replica = any(self._me in replicas.members for replicas in sets)
         is_unused = all(replicas.has_read_quorum(disks) for replicas in sets)
-        is_overdue = account.is_expired(now - MAX_UNANSWERED_S)
-        if is_replica and not is_unused and not is_overdue:
+        has_asked = program in self._unused
+        is_overdue = self._ledger.is_expired(program, now - MAX_UNANSWERED_S)
+        if is_replica and not is_unused and not (has_asked and is_overdue):
             return False
         if is_replica:
-            self._ledger.retire(account, now)
+            self._ledger.retire(program)
         else:
-            self._ledger.remove(account)
-        self._unused.pop(account.program, None)
+            self._ledger.remove(program)
+        self._unused.pop(program, None)
         return True
--- a/wisteriastair/core/ledger.py
+++ b/wisteriastair/core/ledger.py
@@ -155,10 +155,15 @@
 class _Dormant(NamedTuple):
     """An account without turns; its attempts are encoded."""
 
-    expires_at: float
+    last_used_at: float
     retention_s: float
     attempts: bytes
 
+    def is_expired(self, now: float) -> bool:
+        """Whether the attempts have been unused for longer than their retention."""
+        retention_s = self.retention_s + RETENTION_SLACK_S + ATTEMPTS_RETENTION_S
+        return now - self.last_used_at > retention_s
+
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _ATTEMPTS_DECODER: Final = msgspec.msgpack.Decoder(dict[str, Attempt])
@@ -178,7 +183,7 @@
         self.accounts: dict[str, Account] = {}
         self.turn_bytes = 0
         self._account_of_turn: dict[str, Account] = {}
-        # In the order in which they became dormant.
+        # The least recently used first, as far as this replica knows.
         self._dormant: dict[str, _Dormant] = {}
 
     def __contains__(self, program: object) -> bool:
@@ -235,38 +240,58 @@
             return FoundChain("", [])
         return FoundChain(account.program, account.chain(turn_id))
 
-    def expired_accounts(self, now: float) -> list[Account]:
-        """Return the accounts that this replica has not used for their retention."""
-        return [a for a in self.accounts.values() if a.is_expired(now)]
+    def expired_programs(self, now: float) -> list[str]:
+        """Return the programs of which this replica has not used what it retains."""
+        expired = [p for p, a in self.accounts.items() if a.is_expired(now)]
+        return expired + [p for p, d in self._dormant.items() if d.is_expired(now)]
+
+    def is_expired(self, program: str, now: float) -> bool:
+        """Whether what is retained of a program has been unused for its retention."""
+        records = self.accounts.get(program) or self._dormant.get(program)
+        return records is not None and records.is_expired(now)
+
+    def last_used_at(self, program: str) -> float | None:
+        """Return when the records of a program were used; None if there are none."""
+        records = self.accounts.get(program) or self._dormant.get(program)
+        return None if records is None else records.last_used_at
+
+    def record_use(self, program: str, used_at: float) -> None:
+        """Record when another replica has used the records of a program."""
+        account = self.accounts.get(program)
+        dormant = self._dormant.get(program)
+        if account is not None:
+            account.last_used_at = max(account.last_used_at, used_at)
+        elif dormant is not None:
+            # At the end: the first ones are dropped when there are too many.
+            del self._dormant[program]
+            used_at = max(dormant.last_used_at, used_at)
+            self._dormant[program] = dormant._replace(last_used_at=used_at)
 
-    def remove(self, account: Account) -> None:
-        """Remove an account."""
-        del self.accounts[account.program]
+    def remove(self, program: str) -> None:
+        """Remove all records of a program."""
+        self._dormant.pop(program, None)
+        account = self.accounts.pop(program, None)
+        if account is None:
+            return
         for turn_id in account.turns:
             if self._account_of_turn.get(turn_id) is account:
                 del self._account_of_turn[turn_id]
         self.turn_bytes -= account.turn_bytes()
 
-    def retire(self, account: Account, now: float) -> None:
-        """Remove the turns of an account, and retain its attempts."""
-        self.remove(account)
-        if not account.attempts:
+    def retire(self, program: str) -> None:
+        """Remove the turns of a program, or its attempts if it has no turns here."""
+        account = self.accounts.get(program)
+        self.remove(program)
+        if account is None or not account.attempts:
             return
         if len(self._dormant) >= MAX_DORMANT:
             del self._dormant[next(iter(self._dormant))]
-        self._dormant[account.program] = _Dormant(
-            now + ATTEMPTS_RETENTION_S,
+        self._dormant[program] = _Dormant(
+            account.last_used_at,
             account.retention_s,
             _ENCODER.encode(account.attempts),
         )
 
-    def expire_dormant(self, now: float) -> None:
-        """Remove the attempts whose retention is over."""
-        for program, dormant in list(self._dormant.items()):
-            if dormant.expires_at > now:
-                break
-            del self._dormant[program]
-
     def longest_retention_s(self) -> float:
         """Return the longest retention of all accounts, in seconds.
 
