Room for turns follows the size of earlier outputs, and has an upper bound

What operators would see: keepers that exceed their memory though room was set aside for each turn. By reading; no run of processes showed it.

Cause: room was reserved for 8 bytes a token of output, and a turn with some room was then stored whatever its size.

Change: relays estimate from the largest recent number of bytes per token of the route; keepers store longer turns up to a quarter above their limit and refuse them beyond, which cuts a turn that has run but keeps the process.

Tests, failing before: nine turns of twice their room fill a keeper with 10,000 bytes of room to 14,000 and more, now at most 12,500; a turn after one with an event of 5,000 bytes has room for as much. (The chain of an earlier program, which is written with the first turn of a new one, is still not part of the estimate; the bound holds for it.)

--- a/tests/core/test_room.py
+++ b/tests/core/test_room.py
@@ -6,6 +6,7 @@
 from wisteriastair.core.ledger import Attempt, Entry, Turn
 from wisteriastair.core.ledgerwire import ReplyStatus, Room, Write, WriteReply
 from wisteriastair.core.membership import Member, View
+from wisteriastair.core.room import OVERDRAFT_FRACTION
 
 MAX_BYTES = 10_000
 DURATION_MS = 3_000
@@ -103,3 +104,14 @@
     keeper.fill(9)
     assert keeper.settle("p0") is ReplyStatus.DONE
     assert keeper.reserve("p0", is_first=False) is ReplyStatus.DONE
+
+
+def test_longer_turns_than_expected_do_not_fill_the_memory() -> None:
+    """Any size was stored once some room was reserved."""
+    keeper = FullKeeper()
+    for number in range(9):
+        assert keeper.reserve(f"p{number}") is ReplyStatus.DONE
+    for number in range(9):
+        keeper.settle(f"p{number}", 2_000)
+        assert keeper.core.ledger.turn_bytes <= OVERDRAFT_FRACTION * MAX_BYTES
+    assert keeper.core.ledger.turn_bytes > 0
--- a/tests/relay/test_full_keepers.py
+++ b/tests/relay/test_full_keepers.py
@@ -32,3 +32,25 @@
         assert len(server.exchanges) == 1
 
     run_scenario([server], scenario)
+
+
+def test_room_follows_the_size_of_earlier_outputs() -> None:
+    """Keepers had room for an estimate, and outputs that were longer did not fit."""
+    reserved: list[int] = []
+    harnesses: list[RelayHarness] = []
+
+    async def serve(exchange: Exchange) -> None:
+        cores = harnesses[0].keepers.cores.values()
+        reserved.append(max(core.room.reserved_bytes for core in cores))
+        await exchange.stream("id: 1\ndata: " + 5_000 * "x" + "\n\n")
+
+    async def scenario(harness: RelayHarness) -> None:
+        harnesses.append(harness)
+        for number in range(2):
+            reply = await harness.request("turn", f"q{number}", **TURN)
+            assert reply.status == 200
+        assert reserved[0] < 1_000
+        # One event of 25 tokens; 20 tokens were asked for.
+        assert reserved[1] >= 4_000
+
+    run_scenario([ScriptedServer("s1", serve)], scenario)
--- a/wisteriastair/core/room.py
+++ b/wisteriastair/core/room.py
@@ -18,6 +18,10 @@
 
 # Fraction of the room that first turns of programs may fill.
 FIRST_TURN_FRACTION: Final = 0.95
+# Fraction of the room up to which turns are stored that are longer than the room which
+# was reserved for them.  They have run, but more of them would exceed the memory of the
+# process, with all that it stores.
+OVERDRAFT_FRACTION: Final = 1.25
 # Longest time for which room is reserved, in seconds: a replica may never hear of the
 # settlement, which goes to fewer replicas than the reservation.
 MAX_RESERVED_S: Final = 60.0
@@ -84,14 +88,17 @@
 
     def _has_room(self, request: Write) -> bool:
         entry = request.entry
-        if any((entry.program, a) in self._reserved for a in entry.attempts):
-            return True
+        keys = [(entry.program, attempt_id) for attempt_id in entry.attempts]
+        reserved = [self._reserved[key][0] for key in keys if key in self._reserved]
         account = self._ledger.accounts.get(entry.program)
         known = account.turns if account else {}
         new = [turn for turn in entry.turns if turn.id not in known]
         size = sum(len(turn.content) for turn in new)
-        total = self._ledger.turn_bytes + self.reserved_bytes + size
-        return not new or total <= self.max_bytes
+        if not new or size <= sum(reserved):
+            return True
+        other_bytes = self._ledger.turn_bytes + self.reserved_bytes - sum(reserved)
+        limit = self.max_bytes * (OVERDRAFT_FRACTION if reserved else 1.0)
+        return other_bytes + size <= limit
 
     def _release(self, key: tuple[str, str]) -> None:
         size, _ = self._reserved.pop(key, (0, 0.0))
--- a/wisteriastair/relay/streams.py
+++ b/wisteriastair/relay/streams.py
@@ -25,6 +25,7 @@
 from ..http1.server import ExchangeOutcome
 from ..platform.headers import forwarded_headers, has_server_stamp, response_headers
 from ..scheduling.fleet import ServerState
+from ..scheduling.outputsize import OutputSizes
 from .answers import is_server_error, send_failure
 from .chains import ChainCache
 from .dispatch import (
@@ -61,8 +62,6 @@
 ROOM_MARGIN_S: Final = 1.0
 # Delay before a retry if keepers have no room: room becomes free as programs expire.
 FULL_RETRY_AFTER_S: Final = 1.0
-# Estimated size of the output of a turn, for the room that it needs.
-OUTPUT_BYTES_PER_TOKEN: Final = 8
 # Maximum size of the data of a turn that is kept for the next ones.
 MAX_TURN_BYTES: Final = 32 * 1024 * 1024
 # Number of times that one stream may be resumed.
@@ -96,10 +95,11 @@
         self._ledger = ledger
         self._chains = chains
         self._order = order or EngineOrder(dispatcher.fleet)
+        self._output_sizes = OutputSizes()
 
     async def run(self, job: Job) -> None:
         """Answer one request."""
-        reservation = _make_reservation(job)
+        reservation = _make_reservation(job, self._output_sizes)
         turn = _TurnState(job, reservation)
         failure: Failure | None = Failure(
             Code.TIMED_OUT, "no answer in time", "unknown"
@@ -187,7 +187,9 @@
             turn.settled = True
             self._ledger.settle_in_background(reservation, turn.sent_tokens())
             return None
-        content = job.req.body + bytes(turn.events.content)
+        output = bytes(turn.events.content)
+        self._output_sizes.record(job.route.name, len(output), turn.sent_tokens())
+        content = job.req.body + output
         record = Turn(job.turn_id, reservation.previous_id, content)
         turns = (*turn.foreign_chain, record)
         if not await self._ledger.settle(
@@ -516,7 +518,7 @@
     return turn.job.route.resumable and has_position and not events.has_too_many
 
 
-def _make_reservation(job: Job) -> Reservation | None:
+def _make_reservation(job: Job, output_sizes: OutputSizes) -> Reservation | None:
     """Compute the reservation of a turn; None if the turn needs none."""
     caller_req = job.caller_req
     if not caller_req.program:
@@ -526,8 +528,9 @@
     previous_id, room = "", None
     if job.route.retains_history:
         previous_id = job.scoped_id(caller_req.previous_id)
+        output_bytes = output_sizes.estimate(job.route.name, caller_req.output_tokens)
         room = Room(
-            len(job.req.body) + OUTPUT_BYTES_PER_TOKEN * caller_req.output_tokens,
+            len(job.req.body) + output_bytes,
             int((job.remaining_s() + ROOM_MARGIN_S) * MS_PER_S),
             is_first=not previous_id,
         )
