Places of requests: a log line and a metric when one is taken or given back

A server that ends under a request left one line at most, when its crash was proved. No logic is changed.

--- a/wisteriastair/nodemetrics.py
+++ b/wisteriastair/nodemetrics.py
@@ -124,6 +124,13 @@
         self.servers_exposed = Counter(
             "wisteriastair_servers_exposed",
             "Servers that may have crashed under a request, once for each request",
+            ["risk"],
+            registry=self.registry,
+        )
+        self.servers_cleared = Counter(
+            "wisteriastair_servers_cleared",
+            "Servers that take no place of a request any more, by evidence",
+            ["evidence"],
             registry=self.registry,
         )
         self.resent_requests = Counter(
--- a/wisteriastair/relay/crashes.py
+++ b/wisteriastair/relay/crashes.py
@@ -30,6 +30,7 @@
 from ..scheduling.digest import server_key
 from ..scheduling.exposure import EXPOSURE_S
 from ..scheduling.fleet import Server, ServerState
+from .crashlog import Clearance, CrashLog, Risk
 from .crashshare import CrashShare
 from .job import Job
 from .loglimit import LineLimit
@@ -123,6 +124,7 @@
         self._running: dict[RequestIdentity, list[Job]] = {}
         self._answered = AnsweredRequests()
         self._lines = LineLimit()
+        self._log = CrashLog(metrics)
         self._group: TaskGroup
         pool.on_refused = self._on_refused
         share.on_suspect = self._on_suspect
@@ -191,7 +193,7 @@
             Whether the server has crashed; False if that is not known yet.
         """
         job.sent_to = None
-        interrupted = self._add_interrupted(job, state, SURVIVAL_S)
+        interrupted = self._add_interrupted(job, state, Risk.BROKEN_OFF, SURVIVAL_S)
         if interrupted is None:
             return False
         self._start_probe(state.server)
@@ -216,12 +218,13 @@
         job.sent_to = None
         if job.has_place:
             job.has_place = False
-            self._record_survival([job.identity.key()], state.incarnation)
+            key = job.identity.key()
+            self._record_survival([key], state.incarnation, Clearance.NOT_RUN)
 
     def record_silence(self, job: Job, state: ServerState) -> None:
         """Record that a server did not answer a request in time."""
         job.sent_to = None
-        if self._add_interrupted(job, state) is not None:
+        if self._add_interrupted(job, state, Risk.SILENT) is not None:
             self._start_probe(state.server)
 
     async def record_error(self, job: Job, state: ServerState) -> None:
@@ -230,7 +233,7 @@
         Returns when the other relays may know, or after a short time.
         """
         job.sent_to = None
-        interrupted = self._add_interrupted(job, state, SURVIVAL_S)
+        interrupted = self._add_interrupted(job, state, Risk.FAILED, SURVIVAL_S)
         if interrupted is not None:
             self._start_check(state.server)
             with anyio.CancelScope(shield=True):
@@ -247,6 +250,9 @@
 
     def _forget(self, key: bytes) -> None:
         self.table.forget(key)
+        self._log.record_cleared(
+            key, "", Clearance.ANSWERED, asyncio.get_running_loop().time()
+        )
         self._share.report_answer(key)
 
     def _on_suspect(self, key: bytes, now: float) -> None:
@@ -259,7 +265,7 @@
                 await interrupted.shared.wait()
 
     def _add_interrupted(
-        self, job: Job, state: ServerState, survival_s: float = 0.0
+        self, job: Job, state: ServerState, risk: Risk, survival_s: float = 0.0
     ) -> _Interrupted | None:
         """Remember an interrupted request; None if its server is leaving."""
         waiting = self._interrupted.get(state.incarnation, [])
@@ -271,7 +277,7 @@
         interrupted = _Interrupted(job, state.server, survival_s)
         self._interrupted.setdefault(state.incarnation, []).append(interrupted)
         self._interrupted_count += 1
-        self._expose(interrupted, interrupted.at)
+        self._expose(interrupted, risk, interrupted.at)
         return interrupted
 
     def _drop_interrupted(self, job: Job) -> None:
@@ -290,13 +296,15 @@
         else:
             del self._interrupted[incarnation]
 
-    def _expose(self, interrupted: _Interrupted, now: float) -> None:
+    def _expose(self, interrupted: _Interrupted, risk: Risk, now: float) -> None:
         key = interrupted.key
         if self._answered.is_recent(key, now):
             return
         server = server_key(interrupted.server.incarnation)
         if self.table.expose(key, server, interrupted.expires_at):
-            self._metrics.servers_exposed.inc()
+            self._log.record_exposed(
+                key, interrupted.server.id, interrupted.request, risk, now
+            )
             interrupted.shared = self._share.report_crash(key)
 
     def _report_overdue(self, now: float) -> None:
@@ -319,6 +327,9 @@
         server = server_key(job.sent_to.incarnation)
         if self.table.expose(key, server, now + EXPOSURE_S):
             job.has_place = True
+            server_id = job.sent_to.server.id
+            request = job.caller_req.id
+            self._log.record_exposed(key, server_id, request, Risk.RUNNING, now)
             self._share.report_crash(key)
 
     # Evidence
@@ -385,7 +396,7 @@
                 state = job.sent_to
                 if state is not None and state.incarnation == server.incarnation:
                     # It would not count any more once its entry is removed.
-                    self._add_interrupted(job, state)
+                    self._add_interrupted(job, state, Risk.REMOVED)
         is_exposed = self.table.exposures.requests_of(server_key(server.incarnation))
         if is_exposed or server.incarnation in self._interrupted:
             self._group.start_soon(self._probe_removed, server)
@@ -412,15 +423,19 @@
             one.decided.set()
         later_keys = {one.key for one in kept}
         keys = [one.key for one in waiting if one.key not in later_keys]
-        self._record_survival(keys, incarnation)
+        self._record_survival(keys, incarnation, Clearance.SURVIVED)
 
-    def _record_survival(self, keys: list[bytes], incarnation: str) -> None:
+    def _record_survival(
+        self, keys: list[bytes], incarnation: str, clearance: Clearance
+    ) -> None:
+        now = asyncio.get_running_loop().time()
         server = server_key(incarnation)
         settled: dict[bytes, dict[int, float]] = {}
         for key in keys:
             expires_at = self.table.exposures.servers(key).get(server)
             if expires_at is not None:
                 self.table.settle(key, server)
+                self._log.record_cleared(key, incarnation, clearance, now)
                 settled[key] = {server: expires_at}
         if settled:
             self._share.report_settled(settled)
@@ -483,4 +498,8 @@
         self._share.sweep(now)
         for incarnation, waiting in list(self._interrupted.items()):
             kept = [one for one in waiting if one.expires_at >= now]
+            for one in waiting:
+                if one not in kept:
+                    server_id = one.server.id
+                    self._log.record_cleared(one.key, server_id, Clearance.EXPIRED, now)
             self._keep_interrupted(incarnation, kept)
