--- a/tests/relay/test_late_crashes.py
+++ b/tests/relay/test_late_crashes.py
@@ -83,7 +83,11 @@
 
 
 async def send(
-    harness: RelayHarness, name: str, attempt: int, body: str = FATAL_BODY
+    harness: RelayHarness,
+    name: str,
+    attempt: int,
+    body: str = FATAL_BODY,
+    **headers: str,
 ) -> Reply:
     caller = await harness.open()
     await caller.send(
@@ -93,6 +97,7 @@
         X_Program_Id="p1",
         X_Session_Id="l1",
         X_Deadline_Ms=str(round(ATTEMPT_S * 1000)),
+        **headers,
     )
     reply = await caller.read()
     caller.writer.close()
