A server that leaves while it has a request takes a place of it

Callers saw: a request that makes each server which reads it say that it is leaving, and end 50 ms later, was sent on by each attempt: 8 of 8.

Cause: servers that are leaving were left out of the count, so that a planned stop refuses nobody. Whether the stop was planned is not known.

Change: such a server takes a place as any other, but its end isn't counted as a crash: an innocent request that planned stops cut is confined to three servers for a while, not quarantined. Requests beyond the number that wait for evidence take their places too.

Evidence: four listed tests failed before and pass; test_end_of_a_leaving_server_is_no_crash and test_request_that_planned_stops_cut_is_served pass before and after.

--- a/wisteriastair/relay/crashes.py
+++ b/wisteriastair/relay/crashes.py
@@ -3,7 +3,8 @@
 A connection that breaks off does not show a crash: servers and middleboxes also reset
 connections, and links are cut.  The server has crashed if its port refuses connections
 afterwards, if another incarnation takes its place, or if the platform removes its entry
-and its machine does not answer.  A server that is leaving does not count.
+and its machine does not answer.  A server that is leaving ends anyway, so its end does
+not count as a crash.
 
 Until then the server may have crashed, whatever it has sent: it lived when it did, not
 after.  Only a request that was answered with success or did not run has done no harm.
@@ -83,9 +84,9 @@
         Set when the crash has been shared with other relays.
     """
 
-    def __init__(self, job: Job, server: Server, risk: Risk) -> None:
-        is_excused = risk in EXCUSED_RISKS
-        self.suspicion = Suspicion.EXCUSED if is_excused else Suspicion.OPEN
+    def __init__(self, job: Job, state: ServerState, risk: Risk) -> None:
+        server = state.server
+        self.suspicion = _suspicion(state, risk)
         self.survival_s = SURVIVAL_S if risk in LATE_RISKS else 0.0
         self.key = job.identity.key()
         self.identity = job.envelope
@@ -99,6 +100,15 @@
         self.shared: anyio.Event | None = None
 
 
+def _suspicion(state: ServerState, risk: Risk) -> Suspicion:
+    """Return what the end of a server would say of a request that it had.
+
+    A server that is leaving ends anyway.
+    """
+    is_excused = risk in EXCUSED_RISKS or not state.accepts_requests()
+    return Suspicion.EXCUSED if is_excused else Suspicion.OPEN
+
+
 class CrashMonitor:
     """Counts the servers that crashed under each request.
 
@@ -204,8 +214,6 @@
         """
         job.sent_to = None
         interrupted = self._add_interrupted(job, state, risk)
-        if interrupted is None:
-            return False
         with anyio.CancelScope(shield=risk is Risk.FAILED):
             if risk is Risk.BROKEN_OFF:
                 self._start_probe(state.server)
@@ -221,7 +229,8 @@
     def record_end(self, job: Job) -> None:
         """Record the end of a request, which a server may have left unanswered."""
         state, job.sent_to = job.sent_to, None
-        if state is not None and self._add_interrupted(job, state, Risk.SILENT):
+        if state is not None:
+            self._add_interrupted(job, state, Risk.SILENT)
             self._start_probe(state.server)
         jobs = self._running.get(job.envelope)
         if jobs is not None and job in jobs:
@@ -265,17 +274,16 @@
 
     def _add_interrupted(
         self, job: Job, state: ServerState, risk: Risk
-    ) -> _Interrupted | None:
-        """Remember an interrupted request; None if its server is leaving."""
-        waiting = self._interrupted.get(state.incarnation, [])
-        for interrupted in waiting:
-            if interrupted.request == job.caller_req.id:
-                return interrupted
-        if not state.accepts_requests() or self._interrupted_count >= MAX_INTERRUPTED:
-            return None
-        interrupted = _Interrupted(job, state.server, risk)
-        self._interrupted.setdefault(state.incarnation, []).append(interrupted)
-        self._interrupted_count += 1
+    ) -> _Interrupted:
+        """Remember an interrupted request."""
+        interrupted = _Interrupted(job, state, risk)
+        waiting = self._interrupted.setdefault(state.incarnation, [])
+        same = [one for one in waiting if one.request == interrupted.request]
+        if same:
+            waiting[waiting.index(same[0])] = interrupted
+        elif self._interrupted_count < MAX_INTERRUPTED:
+            waiting.append(interrupted)
+            self._interrupted_count += 1
         self._expose(interrupted, risk, interrupted.at)
         return interrupted
 
@@ -315,7 +323,7 @@
                 state = job.sent_to
                 if state is None or job.is_reported or job.first_event_s:
                     continue
-                if now - job.sent_at >= OVERDUE_S and state.accepts_requests():
+                if now - job.sent_at >= OVERDUE_S:
                     self._report_running(job, now)
 
     def _report_running(self, job: Job, now: float) -> None:
@@ -326,7 +334,8 @@
         if self._answered.is_recent(key, now):
             return
         server = server_key(job.sent_to.incarnation)
-        if self.table.expose(key, server, now + EXPOSURE_S):
+        suspicion = _suspicion(job.sent_to, Risk.RUNNING)
+        if self.table.expose(key, server, now + EXPOSURE_S, suspicion):
             job.has_place = True
             server_id = job.sent_to.server.id
             request = job.caller_req.id
