Signs of life give back no place of a request

Cause: a listener at the address, an answer of whoever it is (421 included), 1.5 s of life or 10 s without news gave the place back. Who listens is not known, and that a server lives on says nothing of its end.

Change: a place stays until the request is answered or did not run, until the server leaves by plan (its own word, after it was seen alive, or more than a second after the request had ended there), or until 30 s after the last attempt, which covers the retries of a caller and its program. Signs of life only decide whether a later end counts as a crash, and are shared as part of the place. A server whose place another incarnation takes counts for its running requests.

--- a/wisteriastair/keeper/crashes.py
+++ b/wisteriastair/keeper/crashes.py
@@ -112,6 +112,11 @@
 
     def _on_added(self, key: bytes) -> None:
         is_early = self.table.at_risk(key) < self._min_shared
+        if is_early and self.table.has_survivors_only(key):
+            # Relays that were told of it hear of its survival, and no others.
+            self._changed |= self._shared & {key}
+            self._shared.discard(key)
+            return
         if is_early and len(self._shared) >= MAX_SHARED_EARLY:
             return
         self._shared.add(key)
--- a/wisteriastair/relay/crashes.py
+++ b/wisteriastair/relay/crashes.py
@@ -8,13 +8,16 @@
 
 Until then the server may have crashed, whatever it has sent: it lived when it did, not
 after.  Only a request that was answered with success or did not run has done no harm.
-Such servers are bounded together with the crashed ones (`scheduling.exposure`).
+Such servers are bounded together with the crashed ones (`scheduling.exposure`).  Signs
+of life only decide whether a later end counts as a crash: a listener at the address may
+be another server, and one that lives may still end.
 """
 
 from __future__ import annotations
 
 import asyncio
 import logging
+import math
 from enum import StrEnum
 from typing import Final
 
@@ -30,7 +33,7 @@
 )
 from ..scheduling.digest import server_key
 from ..scheduling.exposure import EXPOSURE_S, Suspicion
-from ..scheduling.fleet import Server, ServerState
+from ..scheduling.fleet import Fleet, Server, ServerState
 from .crashlog import Clearance, CrashLog, Risk
 from .crashshare import CrashShare
 from .job import Job
@@ -43,12 +46,17 @@
 # Longest wait of a request for a keeper that tells the other relays of its crash, in
 # seconds.  If its caller had the answer first, the next attempt could overtake that.
 MAX_SHARE_WAIT_S: Final = 0.1
-# Seconds after which a server that still listens has survived: time for a process to
-# end, to start again at the same address, and for the entry of its next incarnation.
+# Seconds after which the end of a server that still listens is no crash any more:
+# time for a process to end, to start again at the same address, and for the entry of
+# its next incarnation.
 RESTART_WAIT_S: Final = 1.5
-# Seconds after which a response shows that a server has survived that sent something or
+# The same after a response to a later request, if the server has sent something or
 # reset the connection: one that ends may still answer others meanwhile.
 SURVIVAL_S: Final = 0.5
+# Seconds after the end of a request at a server after which the word that it is
+# leaving has nothing to do with the request: the word arrives some time after it was
+# given.
+PLANNED_STOP_S: Final = 1.0
 LATE_RISKS: Final = (Risk.BROKEN_OFF, Risk.FAILED, Risk.SPOILED)
 # Seconds without a response after which keepers are told of a request: shorter than the
 # patience of callers, whose next attempt may overtake the report of their leaving.
@@ -143,6 +151,7 @@
         self._lines = LineLimit()
         self._log = CrashLog(metrics)
         self._group: TaskGroup
+        self._fleet: Fleet
         pool.on_refused = self._on_refused
         share.on_suspect = self._on_suspect
 
@@ -150,6 +159,11 @@
         """Set the task group for probes."""
         self._group = group
 
+    def attach(self, fleet: Fleet) -> None:
+        """Hear of servers that leave."""
+        self._fleet = fleet
+        fleet.on_leaving = self._on_leaving
+
     # Requests
 
     def refusal(self, job: Job) -> Failure | None:
@@ -169,6 +183,9 @@
         Requests without a program may be those of many callers.
         """
         key = self.table.find(job.identity)
+        if key is not None:
+            left = self.table.exposures.have_left(key)
+            self._release(key, left, Clearance.LEFT, job.now())
         running = []
         if job.caller_req.program:
             running = [
@@ -244,8 +261,9 @@
         job.sent_to = None
         if job.has_place:
             job.has_place = False
+            server = server_key(state.incarnation)
             key = job.identity.key()
-            self._record_survival([key], state.incarnation, Clearance.NOT_RUN)
+            self._release(key, [server], Clearance.NOT_RUN, job.now())
 
     def record_answer(self, job: Job) -> None:
         """Forget a request that a server has answered with success."""
@@ -385,28 +403,46 @@
         else:
             self._record_crash(server.incarnation, Evidence.REMOVED)
 
+    def _on_leaving(self, incarnation: str) -> None:
+        now = asyncio.get_running_loop().time()
+        # While the store is away, the server may have said so long before.
+        min_age_s = math.inf if self._fleet.store_unstable else PLANNED_STOP_S
+        ended_before = now - min_age_s
+        self.table.exposures.record_leaving(server_key(incarnation), ended_before)
+
     def _on_refused(self, incarnation: str) -> None:
         self._record_crash(incarnation, Evidence.REFUSED)
 
     def record_server(self, server: Server) -> None:
         """Record the entry of a server, which may take the place of a crashed one."""
-        for waiting in list(self._interrupted.values()):
-            known = waiting[0].server
+        for known in self._servers_with_requests():
             is_same_place = server.id == known.id or server.address == known.address
             if is_same_place and server.incarnation != known.incarnation:
+                self._interrupt_running(known, Risk.REMOVED)
                 self._record_crash(known.incarnation, Evidence.REPLACED)
 
-    def record_removed(self, server: Server) -> None:
-        """Record that the platform removed the entry of a server that was in service.
+    def _servers_with_requests(self) -> list[Server]:
+        """Return the servers that have requests or whose requests were interrupted."""
+        servers = [waiting[0].server for waiting in self._interrupted.values()]
+        for jobs in self._running.values():
+            servers += [job.sent_to.server for job in jobs if job.sent_to is not None]
+        return list(dict.fromkeys(servers))
 
-        Its lease has expired, or the server leaves without notice; then it listens.
-        """
+    def _interrupt_running(self, server: Server, risk: Risk) -> None:
+        """Count a server that is gone for the requests that are running there."""
         for jobs in self._running.values():
             for job in jobs:
                 state = job.sent_to
                 if state is not None and state.incarnation == server.incarnation:
-                    # It would not count any more once its entry is removed.
-                    self._add_interrupted(job, state, Risk.REMOVED)
+                    self._add_interrupted(job, state, risk)
+
+    def record_removed(self, server: Server) -> None:
+        """Record that the platform removed the entry of a server that was in service.
+
+        Its lease has expired, or the server leaves without notice; then it listens.
+        """
+        # It would be excused once its entry is removed.
+        self._interrupt_running(server, Risk.REMOVED)
         is_exposed = self.table.exposures.requests_of(server_key(server.incarnation))
         if is_exposed or server.incarnation in self._interrupted:
             self._group.start_soon(self._probe_removed, server)
@@ -431,24 +467,24 @@
             self._keep_interrupted(incarnation, kept)
         for one in waiting:
             one.decided.set()
+        now = asyncio.get_running_loop().time()
         later_keys = {one.key for one in kept}
-        keys = [one.key for one in waiting if one.key not in later_keys]
-        self._record_survival(keys, incarnation, Clearance.SURVIVED)
+        for key in {one.key for one in waiting} - later_keys:
+            if self.table.exposures.record_survival(key, server_key(incarnation)):
+                self._log.record_survival(key, incarnation, now)
+                self._share.report_crash(key)
 
-    def _record_survival(
-        self, keys: list[bytes], incarnation: str, clearance: Clearance
+    def _release(
+        self, key: bytes, servers: list[int], clearance: Clearance, now: float
     ) -> None:
-        now = asyncio.get_running_loop().time()
-        server = server_key(incarnation)
-        settled: dict[bytes, dict[int, float]] = {}
-        for key in keys:
-            expires_at = self.table.exposures.servers(key).get(server)
-            if expires_at is not None:
-                self.table.settle(key, server)
-                self._log.record_cleared(key, incarnation, clearance, now)
-                settled[key] = {server: expires_at}
+        """Give back the places that servers take of a request."""
+        expiries = self.table.exposures.servers(key)
+        settled = {s: expiries[s] for s in servers if s in expiries}
+        for server in settled:
+            self.table.settle(key, server)
+            self._log.record_cleared(key, str(server), clearance, now)
         if settled:
-            self._share.report_settled(settled)
+            self._share.report_settled({key: settled})
 
     def _record_crash(self, incarnation: str, evidence: Evidence) -> None:
         now = asyncio.get_running_loop().time()
--- a/wisteriastair/relay/crashlog.py
+++ b/wisteriastair/relay/crashlog.py
@@ -34,7 +34,7 @@
 
     NOT_RUN = "not run"
     ANSWERED = "answered"
-    SURVIVED = "survived"
+    LEFT = "left by plan"
     EXPIRED = "expired"
 
 
@@ -67,6 +67,12 @@
                 },
             )
 
+    def record_survival(self, key: bytes, server: str, now: float) -> None:
+        """Record that a server lives on after a request, and keeps its place."""
+        if self._lines.allows(now):
+            extra = {"key": key.hex(), "server": server}
+            log.info("server lives on after a request", extra=extra)
+
     def record_cleared(
         self, key: bytes, server: str, clearance: Clearance, now: float
     ) -> None:
--- a/wisteriastair/relay/dispatch.py
+++ b/wisteriastair/relay/dispatch.py
@@ -134,6 +134,7 @@
         self.fleet = fleet
         self.pool = pool
         self.crashes = crashes
+        crashes.attach(fleet)
         self.retry_policy = RetryPolicy()
         self.on_write: Callable[[], None] = lambda: None
         self.bad_load_reports = 0
@@ -369,7 +370,8 @@
             risk = Risk.ABANDONED if is_dropped else Risk.BROKEN_OFF
             return OutcomeUnknown(server_id, exchange.end.reason, risk)
         timer.last_at = now
-        self.crashes.record_life(state.incarnation, timer.started_at)
+        if head.status != MISDIRECTED_STATUS:
+            self.crashes.record_life(state.incarnation, timer.started_at)
         self._record_load(state, head, timer, now)
         if head.status not in SUCCESS_STATUSES:
             # A server may hang after the head of a success, but not after a refusal.
--- a/wisteriastair/scheduling/crashes.py
+++ b/wisteriastair/scheduling/crashes.py
@@ -236,6 +236,12 @@
         """Return the number of servers that crashed or may turn out to have."""
         return len(self.servers(key) | self.exposures.servers(key).keys())
 
+    def has_survivors_only(self, key: bytes) -> bool:
+        """Return whether all servers of a request are known to live on after it."""
+        places = self.exposures.places(key).values()
+        is_survivor = [place.suspicion is Suspicion.SURVIVED for place in places]
+        return not self.servers(key) and all(is_survivor)
+
     def expose(
         self,
         key: bytes,
--- a/wisteriastair/scheduling/exposure.py
+++ b/wisteriastair/scheduling/exposure.py
@@ -7,8 +7,9 @@
 
 Therefore a request has a bounded set of servers that have crashed or may yet turn out
 to have. While the set is full, further attempts go to its members only, which costs no
-other server. A server leaves the set when it answers a request that was sent to it some
-time later, or when it still listens after the time in which a crash would have shown.
+other server. That a server lives on, however long, proves nothing of its end: a server
+leaves the set when it did not run the request, when the request is answered, or when it
+leaves by plan after it was seen alive.
 """
 
 from __future__ import annotations
@@ -17,9 +18,9 @@
 from enum import IntEnum
 from typing import Final
 
-# Seconds after which a server without evidence of a crash counts as alive: longer than
-# the platform keeps the entry of a silent server.
-EXPOSURE_S: Final = 10.0
+# Seconds after its last end at a server for which a request takes a place there: longer
+# than the retries of a caller and of a program together.
+EXPOSURE_S: Final = 30.0
 # Requests that are remembered; some 300 bytes each.
 MAX_EXPOSED_REQUESTS: Final = 4096
 # Seconds by which the same end of a request may seem later in a message.
@@ -31,18 +32,27 @@
 
     OPEN : it has crashed under the request.
     EXCUSED : it may have ended for another reason.
+    SURVIVED : it has lived on since, so it ended for another reason.
     """
 
     OPEN = 0
     EXCUSED = 1
+    SURVIVED = 2
 
 
 class Place:
-    """A server that takes a place of a request."""
+    """A server that takes a place of a request.
+
+    Attributes
+    ----------
+    has_left : bool
+        Whether it has said that it is leaving, for another reason than the request.
+    """
 
     def __init__(self, expires_at: float, suspicion: Suspicion) -> None:
         self.expires_at = expires_at
         self.suspicion = suspicion
+        self.has_left = False
 
     def merge(self, expires_at: float, suspicion: Suspicion) -> bool:
         """Apply what is known of the server; return whether the suspicion changed.
@@ -115,6 +125,32 @@
         self._next_expiry = min(self._next_expiry, expires_at)
         return True
 
+    def record_survival(self, key: bytes, server: int) -> bool:
+        """Record that a server lives on after a request; return whether it is new."""
+        place = self.places(key).get(server)
+        if place is None or place.suspicion is Suspicion.SURVIVED:
+            return False
+        place.suspicion = Suspicion.SURVIVED
+        return True
+
+    def record_leaving(self, server: int, ended_before: float) -> None:
+        """Record that a server says that it is leaving.
+
+        Parameters
+        ----------
+        ended_before : float
+            Time before which requests ended that are not the reason.
+        """
+        for key in self.requests_of(server):
+            place = self.places(key)[server]
+            is_survivor = place.suspicion is Suspicion.SURVIVED
+            is_old = place.expires_at - EXPOSURE_S <= ended_before
+            place.has_left |= is_survivor or is_old
+
+    def have_left(self, key: bytes) -> list[int]:
+        """Return the servers of a request that have left by plan."""
+        return [server for server, p in self.places(key).items() if p.has_left]
+
     def oldest_if_full(self) -> bytes | None:
         """Return the request to forget before another one; None if there is room."""
         if len(self._requests) < MAX_EXPOSED_REQUESTS:
--- a/wisteriastair/scheduling/fleet.py
+++ b/wisteriastair/scheduling/fleet.py
@@ -17,7 +17,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from functools import partial
 from typing import Final, NamedTuple
 
@@ -249,6 +249,8 @@
     def __init__(self, drain_s: float = 2.0) -> None:
         # Set by the store client while the store is unreachable or has just come back.
         self.store_unstable = False
+        # Called with the incarnation of a server that says that it is leaving.
+        self.on_leaving: Callable[[str], None] = lambda incarnation: None
         self._last_resort_s = LAST_RESORT_FRACTION * drain_s
         self._servers: dict[str, ServerState] = {}
         # Servers that have had requests recently.
@@ -289,6 +291,8 @@
         """
         state = self._servers.get(server.id)
         if state is not None and _is_same_incarnation(state.server, server):
+            if server.draining and not state.server.draining:
+                self.on_leaving(state.incarnation)
             state.server = server
             state.removed_at = None
             self._forget_lists(server.service)
