An answer acquits a request only if it had the same headers

Callers saw: a request that one header makes fatal was sent on by each attempt (8 of 8) if the same request without it was answered in between.

Cause: the key of a request has no headers, since some differ between attempts, and the answer to any request with the key forgot all that was known of it.

Change: the bound is kept by the key as before. A digest of the headers that all attempts have in common says which of them were at risk; an answer forgets a request only if these are the same, at relays and keepers. Of requests without a program, which many callers send alike, it is part of the key: a caller that sends a fatal header neither hides behind the answers of others nor quarantines their page. An unknown header that differs between attempts costs leniency, not the bound.

--- a/tests/scheduling/test_exposure.py
+++ b/tests/scheduling/test_exposure.py
@@ -13,6 +13,7 @@
     make_entry,
     settle_entry,
 )
+from wisteriastair.scheduling.exposure import Suspicion
 
 IDENTITY = RequestIdentity("", "POST", "h", "/x", "p1", "l1", "", b"body")
 KEY = IDENTITY.key()
@@ -106,3 +107,47 @@
     for number in range(exposure.MAX_EXPOSED_REQUESTS + 10):
         table.expose(number.to_bytes(16, "big"), 1, 10.0)
     assert len(table.exposures) == exposure.MAX_EXPOSED_REQUESTS
+
+
+def test_answer_with_other_headers_forgets_nothing() -> None:
+    """Neither while one variant is known nor once attempts have had several."""
+    table = make_table(1)
+    table.add_variant(KEY, b"a")
+    assert not table.forget(KEY, b"b")
+    received = CrashTable()
+    add_entry(received, make_entry(table, KEY, 0.0), 0.0)
+    assert not received.forget(KEY, b"b")
+    assert received.forget(KEY, b"a")
+    table.add_variant(KEY, b"b")
+    assert not table.forget(KEY, b"a")
+    assert table.forget(KEY)
+    assert not table.variant(KEY)
+
+
+def test_variant_survives_the_crash_of_the_last_server() -> None:
+    """The only place of a request turns into a crash."""
+    table = make_table(1)
+    table.add_variant(KEY, b"a")
+    table.add(KEY, [1], 60.0)
+    assert not table.forget(KEY, b"b")
+
+
+def test_server_that_lives_on_keeps_its_place_until_it_leaves() -> None:
+    """Its word that it is leaving counts only if the request is not the reason."""
+    table = make_table(1, 2, 3)
+    exposures = table.exposures
+    assert exposures.record_survival(KEY, 1)
+    assert table.allowed_servers(KEY) == frozenset({1, 2, 3})
+    ended_at = 10.0 - exposure.EXPOSURE_S
+    for server in (1, 2):
+        exposures.record_leaving(server, ended_at - 1.0)
+    exposures.record_leaving(3, ended_at)
+    assert exposures.have_left(KEY) == [1, 3]
+
+
+def test_survival_of_an_earlier_attempt_says_nothing_of_the_next_one() -> None:
+    """A server that got the request again may crash under it."""
+    table = make_table(1)
+    table.exposures.record_survival(KEY, 1)
+    table.expose(KEY, 1, 12.0)
+    assert table.exposures.places(KEY)[1].suspicion is Suspicion.OPEN
--- a/wisteriastair/core/crashwire.py
+++ b/wisteriastair/core/crashwire.py
@@ -50,6 +50,8 @@
         What operators are told of the request.
     exposed : list of ExposedServer
         Servers that may turn out to have crashed.
+    variant : bytes
+        Digest of the headers of its attempts; empty if it is unknown.
     """
 
     key: bytes
@@ -57,6 +59,7 @@
     remaining_ms: int
     description: str = ""
     exposed: list[ExposedServer] = []
+    variant: bytes = b""
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True, tag=17):
@@ -69,7 +72,8 @@
     op : int
         Number of the report; 0 if no reply is needed.
     answered : list of bytes
-        Keys of remembered requests that a server has answered.
+        Keys of remembered requests that a server has answered, each followed by the
+        digest of its headers if that is known.
     wants_all : bool
         Whether the relay has missed an update.
     settled : list of SettledServers
@@ -92,7 +96,7 @@
         Revisions of the sender's table before and after the changes; a base of 0 means
         that the message has the whole table.
     forgotten : list of bytes
-        Keys of requests that are forgotten.
+        Keys of requests that are forgotten, as in `CrashReport.answered`.
     op : int
         Report that this replies to; 0 for none.
     settled : list of SettledServers
--- a/wisteriastair/keeper/crashes.py
+++ b/wisteriastair/keeper/crashes.py
@@ -19,6 +19,7 @@
     SettledServers,
 )
 from ..scheduling.crashes import (
+    KEY_BYTES,
     MAX_ENTRIES,
     CrashTable,
     add_entry,
@@ -58,7 +59,8 @@
         self._revision = 1
         self._shared: set[bytes] = set()
         self._changed: set[bytes] = set()
-        self._forgotten: set[bytes] = set()
+        # Digests of their headers, empty if these do not matter.
+        self._forgotten: dict[bytes, bytes] = {}
         self._settled: list[SettledServers] = []
         self._announced_at = 0.0
         # Subscribed relays, by member id.
@@ -85,8 +87,8 @@
                 self.has_unsaved = True
                 if settled.key in self._shared:
                     self._settled.append(settled)
-        for key in report.answered[:MAX_ENTRIES]:
-            self.forget(key)
+        for answered in report.answered[:MAX_ENTRIES]:
+            self.forget(answered[:KEY_BYTES], answered[KEY_BYTES:])
         # Other relays first: the reply releases the answer to the caller.
         messages = self.next_updates(now)
         if is_new or report.wants_all:
@@ -121,7 +123,7 @@
             return
         self._shared.add(key)
         self._changed.add(key)
-        self._forgotten.discard(key)
+        self._forgotten.pop(key, None)
         if self.table.is_quarantined(key):
             log.warning(
                 "request quarantined",
@@ -132,13 +134,21 @@
                 },
             )
 
-    def forget(self, key: bytes) -> None:
-        """Forget a request; relays are told if they were told of it."""
-        self.has_unsaved |= self.table.forget(key)
+    def forget(self, key: bytes, variant: bytes = b"") -> None:
+        """Forget a request; relays are told if they were told of it.
+
+        Parameters
+        ----------
+        variant : bytes
+            Digest of its headers. A request that was at risk with other ones stays.
+        """
+        self.has_unsaved |= self.table.forget(key, variant)
+        if key in self.table:
+            return
         if key in self._shared:
             self._shared.discard(key)
             self._changed.discard(key)
-            self._forgotten.add(key)
+            self._forgotten[key] = variant
 
     def _snapshot(self, now: float) -> CrashUpdate:
         shared = [key for key in self._shared if key in self.table]
@@ -165,7 +175,7 @@
                 base,
                 self._revision,
                 entries,
-                list(self._forgotten),
+                [key + variant for key, variant in self._forgotten.items()],
                 settled=self._settled,
             )
             self._changed.clear()
--- a/wisteriastair/platform/headers.py
+++ b/wisteriastair/platform/headers.py
@@ -43,6 +43,12 @@
 )
 
 
+# Headers that differ between the attempts of one request.
+ATTEMPT_HEADERS: Final = frozenset(
+    (b"x-request-id", b"x-deadline-ms", b"x-finish-ms", b"last-event-id")
+)
+
+
 class CallerRequest(NamedTuple):
     """Request headers of a caller, decoded.
 
@@ -181,6 +187,15 @@
     )
 
 
+def common_headers(req: Request) -> Headers:
+    """Return the headers that all attempts of a request have in common."""
+    return [
+        (name, value)
+        for name, value in end_to_end_headers(req.headers)
+        if name.lower() not in ATTEMPT_HEADERS
+    ]
+
+
 def forwarded_headers(
     req: Request,
     *,
--- a/wisteriastair/relay/crashes.py
+++ b/wisteriastair/relay/crashes.py
@@ -97,6 +97,7 @@
         self.suspicion = _suspicion(state, risk)
         self.survival_s = SURVIVAL_S if risk in LATE_RISKS else 0.0
         self.key = job.identity.key()
+        self.variant = _risk_variant(job)
         self.identity = job.envelope
         self.request = job.caller_req.id
         self.program = job.caller_req.program
@@ -117,6 +118,11 @@
     return Suspicion.EXCUSED if is_excused else Suspicion.OPEN
 
 
+def _risk_variant(job: Job) -> bytes:
+    """Return the digest of a request's headers, if its key does not include it."""
+    return job.variant if job.caller_req.program else b""
+
+
 class CrashMonitor:
     """Counts the servers that crashed under each request.
 
@@ -266,20 +272,29 @@
             self._release(key, [server], Clearance.NOT_RUN, job.now())
 
     def record_answer(self, job: Job) -> None:
-        """Forget a request that a server has answered with success."""
+        """Forget a request that a server has answered with success.
+
+        The answer says nothing of the same request with other headers.
+        """
         self._drop_interrupted(job)
-        job.sent_to = None
+        state, job.sent_to = job.sent_to, None
         self._answered.add(job.identity, job.now())
         key = self.table.find(job.identity)
-        if key is not None:
-            self._forget(key)
+        if key is None or self._forget(key, _risk_variant(job)):
+            return
+        if job.has_place and state is not None:
+            server = server_key(state.incarnation)
+            self._release(key, [server], Clearance.ANSWERED, job.now())
 
-    def _forget(self, key: bytes) -> None:
-        self.table.forget(key)
+    def _forget(self, key: bytes, variant: bytes = b"") -> bool:
+        """Forget a request; return whether it was remembered with these headers."""
+        if not self.table.forget(key, variant):
+            return False
         self._log.record_cleared(
             key, "", Clearance.ANSWERED, asyncio.get_running_loop().time()
         )
-        self._share.report_answer(key)
+        self._share.report_answer(key, variant)
+        return True
 
     def _on_suspect(self, key: bytes, now: float) -> None:
         if self._answered.is_recent(key, now):
@@ -326,13 +341,14 @@
         if self._answered.is_recent(key, now):
             return
         server = server_key(interrupted.server.incarnation)
-        if self.table.expose(
-            key, server, interrupted.expires_at, interrupted.suspicion
-        ):
+        expires_at, suspicion = interrupted.expires_at, interrupted.suspicion
+        if self.table.expose(key, server, expires_at, suspicion):
             self._log.record_exposed(
                 key, interrupted.server.id, interrupted.request, risk, now
             )
-            interrupted.shared = self._share.report_crash(key)
+        self.table.add_variant(key, interrupted.variant)
+        # Also if its place is known: it is taken for longer.
+        interrupted.shared = self._share.report_crash(key)
 
     def _report_overdue(self, now: float) -> None:
         """Tell keepers of requests that servers have not answered for some time."""
@@ -355,6 +371,7 @@
         suspicion = _suspicion(job.sent_to, Risk.RUNNING)
         if self.table.expose(key, server, now + EXPOSURE_S, suspicion):
             job.has_place = True
+            self.table.add_variant(key, _risk_variant(job))
             server_id = job.sent_to.server.id
             request = job.caller_req.id
             self._log.record_exposed(key, server_id, request, Risk.RUNNING, now)
@@ -521,6 +538,7 @@
         expires_at = now + self.table.limits.duration_s(identity)
         description = identity.description()
         if self.table.add(interrupted.key, servers, expires_at, description):
+            self.table.add_variant(interrupted.key, interrupted.variant)
             interrupted.shared = self._share.report_crash(interrupted.key)
             self._metrics.server_crashes.labels(evidence.value).inc()
             self._log_crash(interrupted, evidence, now)
--- a/wisteriastair/relay/crashshare.py
+++ b/wisteriastair/relay/crashshare.py
@@ -25,6 +25,7 @@
 from ..core.hashing import address_of
 from ..core.ledgerwire import LedgerMessage
 from ..scheduling.crashes import (
+    KEY_BYTES,
     MAX_ENTRIES,
     MS_PER_S,
     CrashTable,
@@ -116,11 +117,17 @@
         now = asyncio.get_running_loop().time()
         self._send_report(opened, self._make_report(keys, now), now)
 
-    def report_answer(self, key: bytes) -> None:
-        """Tell all keepers that a server has answered a remembered request."""
+    def report_answer(self, key: bytes, variant: bytes = b"") -> None:
+        """Tell all keepers that a server has answered a remembered request.
+
+        Parameters
+        ----------
+        variant : bytes
+            Digest of its headers.
+        """
         now = asyncio.get_running_loop().time()
         opened = _OpenReport(CrashReport(0), set(), now)
-        self._send_report(opened, CrashReport(0, answered=[key]), now)
+        self._send_report(opened, CrashReport(0, answered=[key + variant]), now)
 
     def report_settled(self, settled: dict[bytes, dict[int, float]]) -> None:
         """Tell all keepers of servers that have survived requests.
@@ -204,8 +211,8 @@
                 self.on_suspect(entry.key, now)
         for settled in update.settled[:MAX_ENTRIES]:
             settle_entry(self.table, settled, now)
-        for key in update.forgotten[:MAX_ENTRIES]:
-            self.table.forget(key)
+        for forgotten in update.forgotten[:MAX_ENTRIES]:
+            self.table.forget(forgotten[:KEY_BYTES], forgotten[KEY_BYTES:])
         opened = self._open.get(update.op)
         if opened is not None:
             opened.waiting_for.discard(address)
--- a/wisteriastair/relay/job.py
+++ b/wisteriastair/relay/job.py
@@ -16,8 +16,8 @@
 from ..errors import Failure
 from ..http1.caller import CallerConnection
 from ..http1.messages import Request
-from ..platform.headers import CallerRequest
-from ..scheduling.crashes import RequestIdentity
+from ..platform.headers import CallerRequest, common_headers
+from ..scheduling.crashes import RequestIdentity, headers_digest
 from ..scheduling.fleet import ServerState
 from .admission import AdmissionCheck, NoAdmissionCheck
 from .answers import send_failure
@@ -156,8 +156,14 @@
             caller_req.session,
             caller_req.previous_id,
             req.body,
+            b"" if caller_req.program else self.variant,
         )
 
+    @cached_property
+    def variant(self) -> bytes:
+        """Digest of the headers that all attempts of this request have in common."""
+        return headers_digest(common_headers(self.req))
+
     @cached_property
     def envelope(self) -> RequestIdentity:
         """Identity without the body, which may be large."""
--- a/wisteriastair/scheduling/crashes.py
+++ b/wisteriastair/scheduling/crashes.py
@@ -42,6 +42,8 @@
 # Bytes of each half of a request key.
 DIGEST_BYTES: Final = 8
 KEY_BYTES: Final = 2 * DIGEST_BYTES
+# Stands for different headers. No digest has this length.
+MIXED_VARIANTS: Final = b"*"
 # Seconds for which the answer to a request without a program is remembered. A page
 # that begins to crash servers is counted after this time.
 ANSWERED_AGE_S: Final = 10.0
@@ -96,6 +98,9 @@
         Name of the customer, and the first line of the request.
     program, session, previous_turn : str
         Ids that the caller sent; empty if it sent none.
+    variant : bytes
+        Digest of the headers, of a request without a program. Many callers send the
+        same page, and one of them may send a header that crashes servers.
     """
 
     customer: str
@@ -106,10 +111,20 @@
     session: str
     previous_turn: str
     body: bytes
+    variant: bytes = b""
 
     def envelope_digest(self) -> bytes:
         """Return the digest of all but the body, the first half of the key."""
-        return _digest("\x00".join(self[:-1]).encode())
+        parts = (
+            self.customer,
+            self.method,
+            self.host,
+            self.target,
+            self.program,
+            self.session,
+            self.previous_turn,
+        )
+        return _digest("\x00".join(parts).encode() + self.variant)
 
     def description(self) -> str:
         """Return what operators are told of the request; the query may be private."""
@@ -130,6 +145,12 @@
     return blake2b(data, digest_size=DIGEST_BYTES).digest()
 
 
+def headers_digest(headers: Iterable[tuple[bytes, bytes]]) -> bytes:
+    """Return the digest of headers, whatever their order."""
+    pairs = sorted(name.lower() + b":" + value for name, value in headers)
+    return _digest(b"\n".join(pairs))
+
+
 class AnsweredRequests:
     """Requests without a program that servers have answered in the last seconds.
 
@@ -191,6 +212,8 @@
         # Number of remembered requests by the digest of their envelopes. Digesting a
         # large body for each request would cost more than choosing its server.
         self._envelopes: dict[bytes, int] = {}
+        # Digest of the headers with which each request was at risk, if known.
+        self._variants: dict[bytes, bytes] = {}
         # No request expires earlier.
         self._next_expiry = math.inf
 
@@ -292,6 +315,18 @@
             self._envelopes[envelope] = count
         else:
             del self._envelopes[envelope]
+        if change < 0 and key not in self:
+            self._variants.pop(key, None)
+
+    def variant(self, key: bytes) -> bytes:
+        """Return the digest of the headers of a request; empty if it is unknown."""
+        return self._variants.get(key, b"")
+
+    def add_variant(self, key: bytes, variant: bytes) -> None:
+        """Record with which headers a request was at risk."""
+        if variant and key in self:
+            known = self._variants.setdefault(key, variant)
+            self._variants[key] = variant if variant == known else MIXED_VARIANTS
 
     def count(self, key: bytes) -> int:
         """Return the number of servers that crashed under a request."""
@@ -345,6 +380,7 @@
         if len(key) != KEY_BYTES:
             return False
         servers = list(servers)
+        variant = self.variant(key)
         for server in servers:
             self.settle(key, server)
         known = self.servers(key)
@@ -364,10 +400,19 @@
             self._take(next(iter(entries)))
         entries[key] = crashes
         self._count_envelope(key, 1)
+        self.add_variant(key, variant)
         return True
 
-    def forget(self, key: bytes) -> bool:
-        """Forget a request; return whether it was remembered."""
+    def forget(self, key: bytes, variant: bytes = b"") -> bool:
+        """Forget a request; return whether it was remembered.
+
+        Parameters
+        ----------
+        variant : bytes
+            Digest of its headers. A request that was at risk with other ones stays.
+        """
+        if variant and self._variants.get(key, variant) != variant:
+            return False
         is_exposed = self._forget_exposures(key)
         return self._take(key) is not None or is_exposed
 
@@ -400,7 +445,14 @@
         for server, place in table.exposures.places(key).items()
     ]
     servers = sorted(table.servers(key))
-    return RequestCrashes(key, servers, remaining_ms, table.description(key), exposed)
+    return RequestCrashes(
+        key,
+        servers,
+        remaining_ms,
+        table.description(key),
+        exposed,
+        table.variant(key),
+    )
 
 
 def add_entry(table: CrashTable, entry: RequestCrashes, now: float) -> bool:
@@ -419,6 +471,7 @@
                 now + exposed_s,
                 _suspicion(exposed.suspicion),
             )
+    table.add_variant(entry.key, entry.variant)
     return is_new
 
 
