Relays that reach no keeper send a program's requests to the same servers

Callers saw: eight attempts in turn at eight relays that no keeper hears ended 8 servers, 16 on routes that may try two.

Cause: the places of a request are summed at keepers; without them each relay had the whole bound.

Change: keepers reply to the renewals of a relay's subscription. A relay that has heard none of them for 2.5 s sends the requests of a session of a program to three servers that all relays compute alike; one that is gone without notice stays one of them for 30 s. Costs a reply a second from each keeper.

--- a/wisteriastair/relay/crashes.py
+++ b/wisteriastair/relay/crashes.py
@@ -37,6 +37,7 @@
 from .crashlog import Clearance, CrashLog, Risk
 from .crashshare import CrashShare
 from .job import Job
+from .lineservers import LineServers
 from .loglimit import LineLimit
 from .pool import ConnectionPool, ProbeResult
 
@@ -158,6 +159,7 @@
         self._log = CrashLog(metrics)
         self._group: TaskGroup
         self._fleet: Fleet
+        self._line_servers: LineServers
         pool.on_refused = self._on_refused
         share.on_suspect = self._on_suspect
 
@@ -168,6 +170,7 @@
     def attach(self, fleet: Fleet) -> None:
         """Hear of servers that leave."""
         self._fleet = fleet
+        self._line_servers = LineServers(fleet)
         fleet.on_leaving = self._on_leaving
 
     # Requests
@@ -188,24 +191,27 @@
         Attempts of one program that run at the same time are attempts of one request.
         Requests without a program may be those of many callers.
         """
-        key = self.table.find(job.identity)
-        if key is not None:
-            left = self.table.exposures.have_left(key)
-            self._release(key, left, Clearance.LEFT, job.now())
-        running = []
-        if job.caller_req.program:
-            running = [
-                server_key(other.sent_to.incarnation)
-                for other in self._running.get(job.envelope, ())
-                if other is not job
-                and other.sent_to is not None
-                and other.req.body == job.req.body
-            ]
-        if key is not None:
-            return self.table.allowed_servers(key, running)
-        if len(set(running)) < self.table.limits.max_crashes:
-            return None
-        return frozenset(running)
+        key = self.table.find(job.identity) or b""
+        left = self.table.exposures.have_left(key)
+        self._release(key, left, Clearance.LEFT, job.now())
+        running = self._running_servers(job)
+        allowed = self.table.allowed_servers(key, running)
+        is_alone = job.caller_req.program and self._share.is_isolated(job.now())
+        if allowed is not None or not is_alone:
+            return allowed
+        return self.table.next_servers(key, running, self._line_servers.ranked(job))
+
+    def _running_servers(self, job: Job) -> list[int]:
+        """Return the keys of the servers that run other attempts of a request."""
+        if not job.caller_req.program:
+            return []
+        return [
+            server_key(other.sent_to.incarnation)
+            for other in self._running.get(job.envelope, ())
+            if other is not job
+            and other.sent_to is not None
+            and other.req.body == job.req.body
+        ]
 
     def may_send(self, job: Job, state: ServerState) -> bool:
         """Return whether a request may be sent to a server."""
@@ -436,6 +442,8 @@
             is_same_place = server.id == known.id or server.address == known.address
             if is_same_place and server.incarnation != known.incarnation:
                 self._interrupt_running(known, Risk.REMOVED)
+                now = asyncio.get_running_loop().time()
+                self._line_servers.record_gone(known, now)
                 self._record_crash(known.incarnation, Evidence.REPLACED)
 
     def _servers_with_requests(self) -> list[Server]:
@@ -460,6 +468,7 @@
         """
         # It would be excused once its entry is removed.
         self._interrupt_running(server, Risk.REMOVED)
+        self._line_servers.record_gone(server, asyncio.get_running_loop().time())
         is_exposed = self.table.exposures.requests_of(server_key(server.incarnation))
         if is_exposed or server.incarnation in self._interrupted:
             self._group.start_soon(self._probe_removed, server)
@@ -566,6 +575,7 @@
         self.table.expire(now)
         self._report_overdue(now)
         self._share.sweep(now)
+        self._line_servers.expire(now)
         for incarnation, waiting in list(self._interrupted.items()):
             kept = [one for one in waiting if one.expires_at >= now]
             for one in waiting:
--- a/wisteriastair/relay/crashshare.py
+++ b/wisteriastair/relay/crashshare.py
@@ -10,6 +10,8 @@
 from __future__ import annotations
 
 import asyncio
+import logging
+import math
 from collections.abc import Callable
 from typing import Final, Protocol
 
@@ -40,10 +42,16 @@
 MAX_SENDS: Final = 20
 # Interval in seconds of the reports that renew the subscription to updates.
 RENEWAL_INTERVAL_S: Final = 1.0
+# Seconds without a message of any keeper after which none is believed to hear this
+# relay: two renewals lost.
+SILENCE_S: Final = 2.5
 # Entries in one report.
 MAX_REPORTED: Final = 256
 
 
+log = logging.getLogger(__name__)
+
+
 class MessageSender(Protocol):
     """Sends messages to other processes."""
 
@@ -84,7 +92,9 @@
         # Member id and last revision of each keeper that was heard, by address.
         self._members: dict[str, str] = {}
         self._revisions: dict[str, int] = {}
-        self._renewed_at = float("-inf")
+        self._renewed_at = -math.inf
+        self._heard_at = -math.inf
+        self._was_isolated = True
         self._subscribed_to: list[str] = []
         self._new: list[bytes] = []
         self._next_report: _OpenReport | None = None
@@ -94,6 +104,10 @@
         """Set the transport."""
         self._sender = sender
 
+    def is_isolated(self, now: float) -> bool:
+        """Return whether no keeper is known to hear this relay."""
+        return now - self._heard_at > SILENCE_S
+
     # Reports
 
     def report_crash(self, key: bytes) -> anyio.Event:
@@ -176,8 +190,15 @@
         if is_due or keepers != self._subscribed_to:
             self._renewed_at = now
             self._subscribed_to = keepers
+            # With a number, so that keepers reply.
+            self._op += 1
             for address in keepers:
-                self._send(address, CrashReport(0))
+                self._send(address, CrashReport(self._op))
+        is_isolated = self.is_isolated(now)
+        if is_isolated and not self._was_isolated:
+            silent_ms = round((now - self._heard_at) * 1000)
+            log.warning("no keeper sums crashes", extra={"silent_ms": silent_ms})
+        self._was_isolated = is_isolated
         for op, opened in list(self._open.items()):
             opened.waiting_for &= set(keepers)
             if not opened.waiting_for or opened.sends >= MAX_SENDS:
@@ -205,6 +226,7 @@
     def receive(self, sender: str, update: CrashUpdate, now: float) -> None:
         """Apply an update."""
         address = address_of(sender)
+        self._heard_at = now
         self._record_keeper(sender, address, now)
         for entry in update.crashes[:MAX_ENTRIES]:
             if add_entry(self.table, entry, now):
--- a/wisteriastair/scheduling/crashes.py
+++ b/wisteriastair/scheduling/crashes.py
@@ -249,11 +249,32 @@
         also_exposed : iterable of int
             Servers at which attempts of the request are running.
         """
-        crashed = self.servers(key)
-        exposed = {*self.exposures.servers(key), *also_exposed} - crashed
-        if len(crashed) + len(exposed) < self.limits.max_crashes:
+        exposed = self._exposed(key, also_exposed)
+        if len(self.servers(key)) + len(exposed) < self.limits.max_crashes:
             return None
-        return frozenset(exposed)
+        return exposed
+
+    def next_servers(
+        self, key: bytes, also_exposed: Iterable[int], ranked: Iterable[int]
+    ) -> frozenset[int]:
+        """Return the servers that have a request, and those that may get it next.
+
+        Parameters
+        ----------
+        also_exposed : iterable of int
+            Servers at which attempts of the request are running.
+        ranked : iterable of int
+            Further servers, the first one first.
+        """
+        crashed = self.servers(key)
+        exposed = self._exposed(key, also_exposed)
+        free = self.limits.max_crashes - len(crashed) - len(exposed)
+        others = [s for s in ranked if s not in crashed and s not in exposed]
+        return exposed | frozenset(others[: max(0, free)])
+
+    def _exposed(self, key: bytes, also_exposed: Iterable[int]) -> frozenset[int]:
+        exposed = {*self.exposures.servers(key), *also_exposed}
+        return frozenset(exposed - self.servers(key))
 
     def at_risk(self, key: bytes) -> int:
         """Return the number of servers that crashed or may turn out to have."""
