--- a/tests/relay/harness.py
+++ b/tests/relay/harness.py
@@ -133,12 +133,14 @@
         self.exchanges: list[Exchange] = []
         self.connections_accepted = 0
         self.address = ""
+        # The port to listen on; 0 for any.
+        self.port = 0
         self.has_crashed = False
         self._server: asyncio.Server
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        self._server = await asyncio.start_server(self._serve, HOST, self.port)
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"{HOST}:{port}"
 
--- a/tests/soak/crashes.py
+++ b/tests/soak/crashes.py
@@ -8,6 +8,11 @@
 FATAL_PREFIX: Final = "fatal-"
 # Servers that may crash under one request.
 MAX_CRASHES: Final = 3
+# How servers end so that the evidence comes after the end of the request.
+LATE_WAYS: Final = ("reset", "error", "silence", "at once")
+# How they end with an answer or a word that proves nothing of it, or with another
+# server at their address.
+UNPROVED_WAYS: Final = (*LATE_WAYS, "504", "503", "spoiled", "leaving", "successor")
 
 
 class _Attempt(NamedTuple):
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -26,7 +26,7 @@
 
 from tests.platform.standin_store import standin_store
 from tests.relay.harness import Caller, Reply
-from tests.soak.crashes import FATAL_PREFIX
+from tests.soak.crashes import FATAL_PREFIX, LATE_WAYS, UNPROVED_WAYS
 from tests.soak.customers import (
     API_KEYS,
     FLOODING_CUSTOMER,
@@ -401,6 +401,7 @@
     relays: int = 2,
     crashes: bool = False,
     late_crashes: bool = False,
+    unproved_crashes: bool = False,
 ) -> Result:
     """Run one seed.
 
@@ -412,11 +413,16 @@
         Whether some requests crash the servers that start them.
     late_crashes : bool
         Whether this shows later than the request ends.
+    unproved_crashes : bool
+        Whether these servers also end after answers or words that do not show it.
     """
     rng = random.Random(f"{seed} callers and servers")
     # A separate generator makes the faults of a seed the same in each run.
     faults_rng = random.Random(f"{seed} faults")
     checker = GuaranteeChecker()
+    ways: tuple[str, ...] = LATE_WAYS if late_crashes else ()
+    if unproved_crashes:
+        ways = UNPROVED_WAYS
     async with standin_store() as store:
         slow_factor = SLOW_FACTOR if stops else 1.0
         deployment = SoakDeployment(
@@ -428,7 +434,7 @@
             relays,
             slow_factor,
             has_pressure=seed % 2 == 0,
-            late_crashes=late_crashes,
+            crash_ways=ways,
         )
         await deployment.start_servers()
         for name in deployment.machines:
@@ -450,9 +456,7 @@
                 group.start_soon(callers.send_endless)
                 group.start_soon(leavers.run)
                 group.start_soon(deployment.replace_crashed_servers)
-                for number in range(
-                    FATAL_CALLER_COUNT if crashes or late_crashes else 0
-                ):
+                for number in range(FATAL_CALLER_COUNT if crashes or ways else 0):
                     fatal_rng = random.Random(f"{seed} fatal {number}")
                     group.start_soon(callers.send_fatal, str(number), fatal_rng)
                 for _ in range(SLOW_READER_COUNT):
@@ -519,6 +523,11 @@
         action="store_true",
         help="the same, and a crash shows after its request has ended",
     )
+    parser.add_argument(
+        "--unproved-crashes",
+        action="store_true",
+        help="the same, after answers and words that prove nothing of it as well",
+    )
     args = parser.parse_args()
     failed = 0
     for seed in range(args.seed, args.seed + args.count):
@@ -532,6 +541,7 @@
             args.relays,
             args.crashes,
             args.late_crashes,
+            args.unproved_crashes,
         )
         status_counts = " ".join(
             f"{s}:{n}" for s, n in sorted(result.status_counts.items())
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -12,6 +12,7 @@
 import subprocess
 import sys
 import time
+from base64 import b64decode
 from pathlib import Path
 from typing import Final, NamedTuple
 
@@ -59,6 +60,14 @@
 # For which a server without power answers nothing on a connection, in seconds.
 SILENCE_S: Final = 60.0
 ENTRY_REMOVAL_S: Final = 1.0
+# Time between the word of a server that it is leaving and its end, in seconds.
+LEAVING_S: Final = 0.05
+LEAVING: Final = {"state": "draining"}
+FAILURES: Final = {"503": "503 Service Unavailable", "504": "504 Gateway Timeout"}
+# Answer to a request that names another server.
+MISDIRECTED: Final = (
+    "HTTP/1.1 421 Misdirected Request\nX-Not-Executed: 1\nContent-Length: 0\n\n"
+)
 # Interval in which the time that processes wait for a processor is sampled, and the
 # wait per interval above which a process counts as starved: half of ``lossSlackMs``,
 # and far shorter than the time after which keepers are considered failed.
@@ -158,6 +167,10 @@
         return 0.0
 
 
+def _key(server: ScriptedServer) -> str:
+    return f"servers/{server.id}"
+
+
 class SoakDeployment:
     """Processes, servers and store of one soak.
 
@@ -183,7 +196,7 @@
         relays: int = 2,
         slow_factor: float = 1.0,
         has_pressure: bool = False,
-        late_crashes: bool = False,
+        crash_ways: tuple[str, ...] = (),
     ) -> None:
         self.store = store
         self.checker = checker
@@ -194,7 +207,9 @@
         self._folder = folder
         self._rng = rng
         self._crash_rng = random.Random(0)
-        self._late_rng = random.Random(1) if late_crashes else None
+        # How servers crash under requests; at once without any.
+        self._crash_ways = crash_ways
+        self._late_rng = random.Random(1)
         # Bodies of the requests under which a server crashes, by its id.
         self._crashing: dict[str, set[str]] = {}
         self._variant = variant
@@ -241,7 +256,7 @@
             "slots": 8,
             "state": "ready",
         }
-        self.store.put(f"servers/{server.id}", json.dumps(entry).encode())
+        self.store.put(_key(server), json.dumps(entry).encode())
 
     def _make_server(self, server_id: str, number: int) -> ScriptedServer:
         serve = self._engine if number < ENGINE_COUNT else self._plain
@@ -251,10 +266,7 @@
             request_id = exchange.header("X-Request-Id")
             if exchange.header("X-Expect-Instance") not in ("", server_id):
                 # This server has the address of another one that has crashed.
-                await exchange.write_text(
-                    "HTTP/1.1 421 Misdirected Request\nX-Not-Executed: 1\n"
-                    "Content-Length: 0\n\n"
-                )
+                await exchange.write_text(MISDIRECTED)
                 return
             if server.has_crashed:
                 # It is silent, on a connection from before.
@@ -298,13 +310,13 @@
         if not is_first:
             exchange.reset()
             return
-        if self._late_rng is None:
-            server.crash()
-        else:
+        if self._crash_ways:
             await self._crash_late(server, exchange, active, self._late_rng)
+        else:
+            server.crash()
         now = time.monotonic()
         self._replace_at[number] = now + self._crash_rng.uniform(*REPLACEMENT_S)
-        self._remove_entry_at[f"servers/{server.id}"] = now + ENTRY_REMOVAL_S
+        self._remove_entry_at[_key(server)] = now + ENTRY_REMOVAL_S
 
     async def _crash_late(
         self,
@@ -314,10 +326,12 @@
         rng: random.Random,
     ) -> None:
         """Crash so that the evidence comes after the end of the request."""
-        way = rng.choice(("reset", "error", "silence", "at once"))
-        if way == "silence":
+        way = rng.choice(self._crash_ways)
+        if way in ("silence", "successor"):
             server.has_crashed = True
             server.stop()
+            if way == "successor":
+                await self._start_successor(server)
             return
         if way == "reset":
             exchange.reset()
@@ -325,10 +339,28 @@
         elif way == "error":
             await exchange.answer("failed", status="500 Internal Server Error")
             await asyncio.sleep(rng.uniform(0.0, MAX_CRASH_DELAY_S))
+        elif way in FAILURES:
+            await exchange.answer("failed", status=FAILURES[way])
+        elif way == "spoiled":
+            await exchange.write_text("HTTP/1.1 200 OK\nContent-Length: 0\n\n")
+        elif way == "leaving":
+            entry = json.loads(b64decode(self.store.items[_key(server)]["value"]))
+            self.store.put(_key(server), json.dumps(entry | LEAVING).encode())
+            await asyncio.sleep(LEAVING_S)
         for active_id in active:
             self.checker.record_reset(active_id)
         server.crash()
 
+    async def _start_successor(self, server: ScriptedServer) -> None:
+        """Start a server that serves nothing of ours at the address of another one."""
+
+        async def reject(exchange: Exchange) -> None:
+            await exchange.write_text(MISDIRECTED)
+
+        successor = ScriptedServer(f"{server.id}-successor", reject)
+        successor.port = int(server.address.rpartition(":")[2])
+        await successor.start()
+
     async def replace_crashed_servers(self) -> None:
         """Replace crashed servers by others with new ids and addresses."""
         while not self.stopped:
