A place that a removed entry took is given back if the request did not run

Callers saw nothing but a refusal: a server whose entry is removed rejects the request that it has, and kept a place of it for 30 s, although it states that it has not run it.

Cause: the place was taken for the entry, not for the report of the running request, which is the one that was given back. The test failed before (one place left).

--- a/tests/relay/test_unproved_servers.py
+++ b/tests/relay/test_unproved_servers.py
@@ -314,3 +314,24 @@
         assert reply.status == 200
 
     run_scenario(servers, scenario)
+
+
+def test_place_is_given_back_if_a_server_did_not_run_the_request() -> None:
+    """Its entry is removed while it has the request, which it then rejects."""
+
+    async def reject(exchange: Exchange) -> None:
+        await asyncio.sleep(0.1)
+        await exchange.answer("", status="503 Full", extra_head="X-Not-Executed: 1\n")
+
+    async def scenario(harness: RelayHarness) -> None:
+        crashes = harness.dispatcher.crashes
+        async with anyio.create_task_group() as group:
+            group.start_soon(send, harness, "unsafe", 0)
+            await anyio.sleep(0.05)
+            state = harness.fleet.get("s0")
+            assert state is not None
+            crashes.record_removed(state.server)
+            assert len(crashes.table.exposures) == 1
+        assert len(crashes.table.exposures) == 0
+
+    run_scenario([ScriptedServer("s0", reject)], scenario)
--- a/wisteriastair/relay/crashes.py
+++ b/wisteriastair/relay/crashes.py
@@ -460,6 +460,7 @@
                 state = job.sent_to
                 if state is not None and state.incarnation == server.incarnation:
                     self._add_interrupted(job, state, risk)
+                    job.has_place = True
 
     def record_removed(self, server: Server) -> None:
         """Record that the platform removed the entry of a server that was in service.
