Innocent requests beside servers that end: none refused; no isolation without peers

A relay without a transport (tests, one process) counted as one that no keeper hears, and sent the requests of a program to three servers only.

--- a/wisteriastair/relay/crashshare.py
+++ b/wisteriastair/relay/crashshare.py
@@ -105,8 +105,12 @@
         self._sender = sender
 
     def is_isolated(self, now: float) -> bool:
-        """Return whether no keeper is known to hear this relay."""
-        return now - self._heard_at > SILENCE_S
+        """Return whether no keeper is known to hear this relay.
+
+        A relay without a transport has no peers.
+        """
+        is_silent = now - self._heard_at > SILENCE_S
+        return self._sender is not None and is_silent
 
     # Reports
 
