A rejected attempt gives back only the place that it took

A server that had reset a request and lived on got it again and was full: its place was given back, so that the request could go to a further server while the reset one might still end.

Cause: a running attempt owned the place if its report said anything new, which a change of the suspicion does too. The test failed before.

--- a/tests/relay/test_unproved_servers.py
+++ b/tests/relay/test_unproved_servers.py
@@ -335,3 +335,28 @@
         assert len(crashes.table.exposures) == 0
 
     run_scenario([ScriptedServer("s0", reject)], scenario)
+
+
+def test_place_of_an_earlier_attempt_stays_if_the_next_one_is_rejected() -> None:
+    """A server resets a request, lives on, and is full when it gets it again."""
+    is_full = False
+
+    async def serve(exchange: Exchange) -> None:
+        if exchange.body.decode() != FATAL_BODY:
+            await answer_ok(exchange)
+        elif is_full:
+            full = "X-Not-Executed: 1\n"
+            await exchange.answer("", status="503 Full", extra_head=full)
+        else:
+            exchange.reset()
+
+    async def scenario(harness: RelayHarness) -> None:
+        nonlocal is_full
+        await send(harness, "unsafe", 0)
+        await anyio.sleep(0.6)
+        await send(harness, "unsafe", 1, "innocent")
+        is_full = True
+        await send(harness, "unsafe", 2)
+        assert len(harness.dispatcher.crashes.table.exposures) == 1
+
+    run_scenario([ScriptedServer("s0", serve)], scenario)
--- a/wisteriastair/relay/crashes.py
+++ b/wisteriastair/relay/crashes.py
@@ -375,8 +375,9 @@
             return
         server = server_key(job.sent_to.incarnation)
         suspicion = _suspicion(job.sent_to, Risk.RUNNING)
+        had_place = server in self.table.exposures.servers(key)
         if self.table.expose(key, server, now + EXPOSURE_S, suspicion):
-            job.has_place = True
+            job.has_place = not had_place
             self.table.add_variant(key, _risk_variant(job))
             server_id = job.sent_to.server.id
             request = job.caller_req.id
@@ -459,8 +460,10 @@
             for job in jobs:
                 state = job.sent_to
                 if state is not None and state.incarnation == server.incarnation:
+                    key = job.identity.key()
+                    places = self.table.exposures.servers(key)
+                    job.has_place |= server_key(server.incarnation) not in places
                     self._add_interrupted(job, state, risk)
-                    job.has_place = True
 
     def record_removed(self, server: Server) -> None:
         """Record that the platform removed the entry of a server that was in service.
