--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 
 SEED ?= 1
 N ?= 60
-# More for a soak: --stops, --crashes, --late-crashes, --relays 20
+# More for a soak: --stops, --crashes, --late-crashes, --unproved-crashes, --relays 20
 SOAK ?=
 
 
