Requests beyond those that wait for evidence don't end the relay

A request that failed while 4,096 others were waiting left an empty list for its server, and the next entry in the store raised IndexError, which ends the relay with all its requests.

--- a/tests/relay/test_unproved_servers.py
+++ b/tests/relay/test_unproved_servers.py
@@ -28,6 +28,7 @@
     lose_power,
     send,
 )
+from wisteriastair.relay import crashes
 
 ATTEMPTS = 8
 ROUTES = ["unsafe", "long", "talk"]
@@ -360,3 +361,23 @@
         assert len(harness.dispatcher.crashes.table.exposures) == 1
 
     run_scenario([ScriptedServer("s0", serve)], scenario)
+
+
+def test_places_are_taken_beyond_the_requests_that_wait_for_evidence(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """More requests fail at once than are remembered; then an entry arrives."""
+    monkeypatch.setattr(crashes, "MAX_INTERRUPTED", 0)
+
+    async def reset(exchange: Exchange) -> None:
+        exchange.reset()
+
+    async def scenario(harness: RelayHarness) -> None:
+        await send(harness, "unsafe", 0)
+        state = harness.fleet.get("s0")
+        assert state is not None
+        monitor = harness.dispatcher.crashes
+        monitor.record_server(state.server._replace(born=1))
+        assert len(monitor.table.exposures) == 1
+
+    run_scenario([ScriptedServer("s0", reset)], scenario)
--- a/wisteriastair/relay/crashes.py
+++ b/wisteriastair/relay/crashes.py
@@ -316,12 +316,12 @@
     ) -> _Interrupted:
         """Remember an interrupted request."""
         interrupted = _Interrupted(job, state, risk)
-        waiting = self._interrupted.setdefault(state.incarnation, [])
+        waiting = self._interrupted.get(state.incarnation, [])
         same = [one for one in waiting if one.request == interrupted.request]
         if same:
             waiting[waiting.index(same[0])] = interrupted
         elif self._interrupted_count < MAX_INTERRUPTED:
-            waiting.append(interrupted)
+            self._interrupted[state.incarnation] = [*waiting, interrupted]
             self._interrupted_count += 1
         self._expose(interrupted, risk, interrupted.at)
         return interrupted
