--- a/tests/relay/test_late_crashes.py
+++ b/tests/relay/test_late_crashes.py
@@ -19,7 +19,7 @@
 )
 from tests.relay.test_crashshare import KEY, run_world
 from wisteriastair.http1.server import ServerConnection
-from wisteriastair.relay.crashes import SURVIVAL_S
+from wisteriastair.relay.interrupted import SURVIVAL_S
 from wisteriastair.relay.pool import ProbeResult
 from wisteriastair.scheduling.fleet import Server
 
--- a/tests/relay/test_unproved_servers.py
+++ b/tests/relay/test_unproved_servers.py
@@ -28,7 +28,7 @@
     lose_power,
     send,
 )
-from wisteriastair.relay import crashes
+from wisteriastair.relay import interrupted
 
 ATTEMPTS = 8
 ROUTES = ["unsafe", "long", "talk"]
@@ -367,7 +367,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """More requests fail at once than are remembered; then an entry arrives."""
-    monkeypatch.setattr(crashes, "MAX_INTERRUPTED", 0)
+    monkeypatch.setattr(interrupted, "MAX_INTERRUPTED", 0)
 
     async def reset(exchange: Exchange) -> None:
         exchange.reset()
--- a/wisteriastair/relay/crashes.py
+++ b/wisteriastair/relay/crashes.py
@@ -36,6 +36,13 @@
 from ..scheduling.fleet import Fleet, Server, ServerState
 from .crashlog import Clearance, CrashLog, Risk
 from .crashshare import CrashShare
+from .interrupted import (
+    SURVIVAL_S,
+    Interrupted,
+    InterruptedRequests,
+    risk_variant,
+    suspicion_of,
+)
 from .job import Job
 from .lineservers import LineServers
 from .loglimit import LineLimit
@@ -51,22 +58,13 @@
 # time for a process to end, to start again at the same address, and for the entry of
 # its next incarnation.
 RESTART_WAIT_S: Final = 1.5
-# The same after a response to a later request, if the server has sent something or
-# reset the connection: one that ends may still answer others meanwhile.
-SURVIVAL_S: Final = 0.5
 # Seconds after the end of a request at a server after which the word that it is
 # leaving has nothing to do with the request: the word arrives some time after it was
 # given.
 PLANNED_STOP_S: Final = 1.0
-LATE_RISKS: Final = (Risk.BROKEN_OFF, Risk.FAILED, Risk.SPOILED)
 # Seconds without a response after which keepers are told of a request: shorter than the
 # patience of callers, whose next attempt may overtake the report of their leaving.
 OVERDUE_S: Final = 1.0
-# Ends of requests that do not show a crash, even if the server ends soon after.
-EXCUSED_RISKS: Final = (Risk.SPOILED, Risk.ABANDONED)
-# Interrupted requests that wait for evidence.
-MAX_INTERRUPTED: Final = 4096
-
 log = logging.getLogger(__name__)
 
 
@@ -78,52 +76,6 @@
     REMOVED = "removed"
 
 
-class _Interrupted:
-    """A request whose server may have crashed.
-
-    Attributes
-    ----------
-    suspicion : Suspicion
-        What the end of the server would say of the request.
-    survival_s : float
-        Seconds after which a response shows that the server has survived.
-    decided : anyio.Event
-        Set when the server is known to have crashed or to listen.
-    shared : anyio.Event or None
-        Set when the crash has been shared with other relays.
-    """
-
-    def __init__(self, job: Job, state: ServerState, risk: Risk) -> None:
-        server = state.server
-        self.suspicion = _suspicion(state, risk)
-        self.survival_s = SURVIVAL_S if risk in LATE_RISKS else 0.0
-        self.key = job.identity.key()
-        self.variant = _risk_variant(job)
-        self.identity = job.envelope
-        self.request = job.caller_req.id
-        self.program = job.caller_req.program
-        self.server = server
-        self.at = job.now()
-        self.expires_at = self.at + EXPOSURE_S
-        self.has_crashed = False
-        self.decided = anyio.Event()
-        self.shared: anyio.Event | None = None
-
-
-def _suspicion(state: ServerState, risk: Risk) -> Suspicion:
-    """Return what the end of a server would say of a request that it had.
-
-    A server that is leaving ends anyway.
-    """
-    is_excused = risk in EXCUSED_RISKS or not state.accepts_requests()
-    return Suspicion.EXCUSED if is_excused else Suspicion.OPEN
-
-
-def _risk_variant(job: Job) -> bytes:
-    """Return the digest of a request's headers, if its key does not include it."""
-    return job.variant if job.caller_req.program else b""
-
-
 class CrashMonitor:
     """Counts the servers that crashed under each request.
 
@@ -147,8 +99,7 @@
         self._share = share
         self._pool = pool
         self._metrics = metrics
-        self._interrupted: dict[str, list[_Interrupted]] = {}
-        self._interrupted_count = 0
+        self._interrupted = InterruptedRequests()
         self._probing: set[str] = set()
         # Incarnations whose survival is being checked.
         self._checking: set[str] = set()
@@ -269,7 +220,7 @@
 
     def record_not_run(self, job: Job, state: ServerState) -> None:
         """Record that a server has not run a request, or was not reached."""
-        self._drop_interrupted(job)
+        self._interrupted.drop(job)
         job.sent_to = None
         if job.has_place:
             job.has_place = False
@@ -282,11 +233,11 @@
 
         The answer says nothing of the same request with other headers.
         """
-        self._drop_interrupted(job)
+        self._interrupted.drop(job)
         state, job.sent_to = job.sent_to, None
         self._answered.add(job.identity, job.now())
         key = self.table.find(job.identity)
-        if key is None or self._forget(key, _risk_variant(job)):
+        if key is None or self._forget(key, risk_variant(job)):
             return
         if job.has_place and state is not None:
             server = server_key(state.incarnation)
@@ -306,43 +257,19 @@
         if self._answered.is_recent(key, now):
             self._forget(key)
 
-    async def _wait_for_share(self, interrupted: _Interrupted) -> None:
+    async def _wait_for_share(self, interrupted: Interrupted) -> None:
         if interrupted.shared is not None:
             with anyio.move_on_after(MAX_SHARE_WAIT_S):
                 await interrupted.shared.wait()
 
-    def _add_interrupted(
-        self, job: Job, state: ServerState, risk: Risk
-    ) -> _Interrupted:
+    def _add_interrupted(self, job: Job, state: ServerState, risk: Risk) -> Interrupted:
         """Remember an interrupted request."""
-        interrupted = _Interrupted(job, state, risk)
-        waiting = self._interrupted.get(state.incarnation, [])
-        same = [one for one in waiting if one.request == interrupted.request]
-        if same:
-            waiting[waiting.index(same[0])] = interrupted
-        elif self._interrupted_count < MAX_INTERRUPTED:
-            self._interrupted[state.incarnation] = [*waiting, interrupted]
-            self._interrupted_count += 1
+        interrupted = Interrupted(job, state, risk)
+        self._interrupted.add(interrupted)
         self._expose(interrupted, risk, interrupted.at)
         return interrupted
 
-    def _drop_interrupted(self, job: Job) -> None:
-        """Drop a request that was remembered while it was running, and has ended."""
-        if job.sent_to is None or job.sent_to.incarnation not in self._interrupted:
-            return
-        incarnation = job.sent_to.incarnation
-        waiting = self._interrupted[incarnation]
-        kept = [one for one in waiting if one.request != job.caller_req.id]
-        self._keep_interrupted(incarnation, kept)
-
-    def _keep_interrupted(self, incarnation: str, kept: list[_Interrupted]) -> None:
-        self._interrupted_count += len(kept) - len(self._interrupted[incarnation])
-        if kept:
-            self._interrupted[incarnation] = kept
-        else:
-            del self._interrupted[incarnation]
-
-    def _expose(self, interrupted: _Interrupted, risk: Risk, now: float) -> None:
+    def _expose(self, interrupted: Interrupted, risk: Risk, now: float) -> None:
         key = interrupted.key
         if self._answered.is_recent(key, now):
             return
@@ -374,11 +301,11 @@
         if self._answered.is_recent(key, now):
             return
         server = server_key(job.sent_to.incarnation)
-        suspicion = _suspicion(job.sent_to, Risk.RUNNING)
+        suspicion = suspicion_of(job.sent_to, Risk.RUNNING)
         had_place = server in self.table.exposures.servers(key)
         if self.table.expose(key, server, now + EXPOSURE_S, suspicion):
             job.has_place = not had_place
-            self.table.add_variant(key, _risk_variant(job))
+            self.table.add_variant(key, risk_variant(job))
             server_id = job.sent_to.server.id
             request = job.caller_req.id
             self._log.record_exposed(key, server_id, request, Risk.RUNNING, now)
@@ -397,7 +324,7 @@
         finally:
             self._probing.discard(server.incarnation)
         if result is ProbeResult.LISTENS:
-            for interrupted in self._interrupted.get(server.incarnation, ()):
+            for interrupted in self._interrupted.at(server.incarnation):
                 interrupted.decided.set()
             self._start_check(server)
 
@@ -449,7 +376,7 @@
 
     def _servers_with_requests(self) -> list[Server]:
         """Return the servers that have requests or whose requests were interrupted."""
-        servers = [waiting[0].server for waiting in self._interrupted.values()]
+        servers = self._interrupted.servers()
         for jobs in self._running.values():
             servers += [job.sent_to.server for job in jobs if job.sent_to is not None]
         return list(dict.fromkeys(servers))
@@ -491,10 +418,9 @@
 
     def _settle(self, incarnation: str, until: float) -> None:
         """Drop the requests that were interrupted before a server was seen alive."""
-        waiting = self._interrupted.get(incarnation, [])
+        waiting = self._interrupted.at(incarnation)
         kept = [one for one in waiting if one.at + one.survival_s >= until]
-        if waiting:
-            self._keep_interrupted(incarnation, kept)
+        self._interrupted.keep(incarnation, kept)
         for one in waiting:
             one.decided.set()
         now = asyncio.get_running_loop().time()
@@ -518,8 +444,8 @@
 
     def _record_crash(self, incarnation: str, evidence: Evidence) -> None:
         now = asyncio.get_running_loop().time()
-        waiting = self._interrupted.pop(incarnation, [])
-        self._interrupted_count -= len(waiting)
+        waiting = self._interrupted.at(incarnation)
+        self._interrupted.keep(incarnation, [])
         for interrupted in waiting:
             if interrupted.expires_at < now:
                 continue
@@ -544,7 +470,7 @@
                 self._share.report_crash(key)
 
     def _count_crash(
-        self, interrupted: _Interrupted, evidence: Evidence, now: float
+        self, interrupted: Interrupted, evidence: Evidence, now: float
     ) -> None:
         servers = [server_key(interrupted.server.incarnation)]
         identity = interrupted.identity
@@ -557,7 +483,7 @@
             self._log_crash(interrupted, evidence, now)
 
     def _log_crash(
-        self, interrupted: _Interrupted, evidence: Evidence, now: float
+        self, interrupted: Interrupted, evidence: Evidence, now: float
     ) -> None:
         if not self._lines.allows(now):
             return
@@ -580,10 +506,6 @@
         self._report_overdue(now)
         self._share.sweep(now)
         self._line_servers.expire(now)
-        for incarnation, waiting in list(self._interrupted.items()):
-            kept = [one for one in waiting if one.expires_at >= now]
-            for one in waiting:
-                if one not in kept:
-                    server_id = one.server.id
-                    self._log.record_cleared(one.key, server_id, Clearance.EXPIRED, now)
-            self._keep_interrupted(incarnation, kept)
+        for one in self._interrupted.expire(now):
+            server_id = one.server.id
+            self._log.record_cleared(one.key, server_id, Clearance.EXPIRED, now)
