Tests: relays of a test reject requests that name a server

An answer of 200 forgets a request, one of 404 looks like a lost turn.

Change: as any other server at that address, these relays answer 421, not run. The test failed before.

--- a/tests/relay/harness.py
+++ b/tests/relay/harness.py
@@ -26,6 +26,7 @@
     WeightedService,
 )
 from wisteriastair.http1.caller import CallerConnection
+from wisteriastair.http1.messages import Request, header
 from wisteriastair.nodemetrics import RelayMetrics
 from wisteriastair.peers.transport import Transport
 from wisteriastair.relay.admission import AdmissionGate
@@ -217,6 +218,17 @@
 )
 
 
+class AddressedHandler(RelayHandler):
+    """Rejects requests to servers, whose ports the relay of a test may get later."""
+
+    async def handle(self, req: Request, caller_conn: CallerConnection) -> None:
+        """Answer a caller's request."""
+        if header(req.headers, b"x-expect-instance"):
+            caller_conn.respond(421, [(b"X-Not-Executed", b"1")], b"")
+            return
+        await super().handle(req, caller_conn)
+
+
 class RelayHarness:
     """The handler under test, its port, servers and keepers."""
 
@@ -340,7 +352,7 @@
     keepers.quota = quota
     quota.start(cast(Transport[LedgerMessage], keepers))
     admission = AdmissionGate(fleet, metrics, has_memory_pressure=limits is not None)
-    handler = RelayHandler(
+    handler = AddressedHandler(
         dispatcher, streams, quota, lambda: True, metrics, pressure, admission
     )
     services = {"svc": Service("svc", 100, EngineSpec(8, 100_000, 25))}
--- a/tests/relay/test_unproved_servers.py
+++ b/tests/relay/test_unproved_servers.py
@@ -381,3 +381,15 @@
         assert len(monitor.table.exposures) == 1
 
     run_scenario([ScriptedServer("s0", reset)], scenario)
+
+
+def test_relay_of_another_test_is_no_server() -> None:
+    """It may get the port of a server that has crashed, and must run nothing for it."""
+    server = ScriptedServer("s0", answer_ok)
+
+    async def scenario(harness: RelayHarness) -> None:
+        reply = await harness.request("unsafe", X_Expect_Instance="s0")
+        assert reply.status == 421
+        assert not server.exchanges
+
+    run_scenario([server], scenario)
