--- a/tests/relay/test_unproved_servers.py
+++ b/tests/relay/test_unproved_servers.py
@@ -226,21 +226,18 @@
 @pytest.mark.parametrize("name", ROUTES)
 def test_answer_to_a_request_with_another_header_does_not_acquit(name: str) -> None:
     """A header makes a request fatal, and the same request without it is answered."""
+    crashed: set[str] = set()
 
-    def make_script(number: int) -> Crash:
-        async def serve(server: ScriptedServer, exchange: Exchange) -> None:
-            if exchange.header("X-Variant") == "fatal":
-                crashed.add(server.id)
-                server.crash()
-            elif name == "unsafe":
-                await answer_ok(exchange)
-            else:
-                await exchange.stream("id: 1\ndata: x\n\n")
-
-        return serve
+    async def serve(server: ScriptedServer, exchange: Exchange) -> None:
+        if exchange.header("X-Variant") == "fatal":
+            crashed.add(server.id)
+            server.crash()
+        elif name == "unsafe":
+            await answer_ok(exchange)
+        else:
+            await exchange.stream("id: 1\ndata: x\n\n")
 
-    crashed: set[str] = set()
-    fatal = FatalRequest(make_script(0))
+    fatal = FatalRequest(serve)
 
     async def scenario(harness: RelayHarness) -> None:
         for attempt in range(ATTEMPTS):
