A server that leaves while a request has been running there keeps its place

A request that makes each server leave 1.2 s after it got it, and end 50 ms later, reached 5 servers: its place, reported when it was sent, was over a second old and looked like that of a request which had ended long before.

Change: only the last end that this relay has seen counts, if no attempt has reached the server since and none is running there; a place that is taken again is not that of a server that has left.

--- a/tests/relay/test_unproved_servers.py
+++ b/tests/relay/test_unproved_servers.py
@@ -130,6 +130,35 @@
     run_scenario(fatal.servers, scenario)
 
 
+@pytest.mark.parametrize("name", ["unsafe", "talk"])
+def test_server_that_leaves_while_it_has_run_a_request_for_long_keeps_its_place(
+    name: str,
+) -> None:
+    """The running request was reported more than a second before."""
+    harnesses: list[RelayHarness] = []
+
+    async def leave(server: ScriptedServer, exchange: Exchange) -> None:
+        fleet = harnesses[0].fleet
+        state = fleet.get(server.id)
+        assert state is not None
+        await asyncio.sleep(1.2)
+        fleet.put(state.server._replace(draining=True))
+        await asyncio.sleep(0.05)
+        server.crash()
+
+    fatal = FatalRequest(leave)
+
+    async def scenario(harness: RelayHarness) -> None:
+        harnesses.append(harness)
+        for attempt in range(MAX_CRASHES + 2):
+            caller = await harness.open()
+            await caller.send(name, f"q{attempt}", FATAL_BODY, X_Program_Id="p1")
+            await caller.read()
+        assert fatal.crashed() <= MAX_CRASHES
+
+    run_scenario(fatal.servers, scenario)
+
+
 class Successor:
     """Another server at the address of one that has lost power."""
 
--- a/tests/scheduling/test_exposure.py
+++ b/tests/scheduling/test_exposure.py
@@ -133,16 +133,16 @@
 
 
 def test_server_that_lives_on_keeps_its_place_until_it_leaves() -> None:
-    """Its word that it is leaving counts only if the request is not the reason."""
+    """It takes the place again if it gets the request after that."""
     table = make_table(1, 2, 3)
     exposures = table.exposures
     assert exposures.record_survival(KEY, 1)
+    assert exposures.survived_by(1) == [KEY]
     assert table.allowed_servers(KEY) == frozenset({1, 2, 3})
-    ended_at = 10.0 - exposure.EXPOSURE_S
-    for server in (1, 2):
-        exposures.record_leaving(server, ended_at - 1.0)
-    exposures.record_leaving(3, ended_at)
-    assert exposures.have_left(KEY) == [1, 3]
+    exposures.record_leaving(KEY, 1)
+    assert exposures.have_left(KEY) == [1]
+    table.expose(KEY, 1, 12.0)
+    assert not exposures.have_left(KEY)
 
 
 def test_survival_of_an_earlier_attempt_says_nothing_of_the_next_one() -> None:
--- a/wisteriastair/relay/crashes.py
+++ b/wisteriastair/relay/crashes.py
@@ -32,7 +32,7 @@
     RequestIdentity,
 )
 from ..scheduling.digest import server_key
-from ..scheduling.exposure import EXPOSURE_S, Suspicion
+from ..scheduling.exposure import EXPOSURE_S, MAX_ECHO_S, Suspicion
 from ..scheduling.fleet import Fleet, Server, ServerState
 from .crashlog import Clearance, CrashLog, Risk
 from .crashshare import CrashShare
@@ -355,11 +355,29 @@
             self._record_crash(server.incarnation, Evidence.REMOVED)
 
     def _on_leaving(self, incarnation: str) -> None:
-        now = asyncio.get_running_loop().time()
-        # While the store is away, the server may have said so long before.
-        min_age_s = math.inf if self._fleet.store_unstable else PLANNED_STOP_S
-        ended_before = now - min_age_s
-        self.table.exposures.record_leaving(server_key(incarnation), ended_before)
+        exposures, server = self.table.exposures, server_key(incarnation)
+        for key in exposures.survived_by(server):
+            exposures.record_leaving(key, server)
+        if self._fleet.store_unstable:
+            # The server may have said so long before.
+            return
+        ended_before = asyncio.get_running_loop().time() - PLANNED_STOP_S
+        running = self._running_keys(incarnation)
+        for one in self._interrupted.at(incarnation):
+            expires_at = exposures.servers(one.key).get(server, math.inf)
+            # Otherwise another attempt has reached the server since.
+            is_last = expires_at <= one.expires_at + MAX_ECHO_S
+            if one.at <= ended_before and is_last and one.key not in running:
+                exposures.record_leaving(one.key, server)
+
+    def _running_keys(self, incarnation: str) -> set[bytes]:
+        """Return the requests that are running at a server."""
+        return {
+            job.identity.key()
+            for jobs in self._running.values()
+            for job in jobs
+            if job.sent_to is not None and job.sent_to.incarnation == incarnation
+        }
 
     def _on_refused(self, incarnation: str) -> None:
         self._record_crash(incarnation, Evidence.REFUSED)
--- a/wisteriastair/scheduling/exposure.py
+++ b/wisteriastair/scheduling/exposure.py
@@ -25,6 +25,8 @@
 MAX_EXPOSED_REQUESTS: Final = 4096
 # Seconds by which the same end of a request may seem later in a message.
 MAX_SKEW_S: Final = 0.5
+# Seconds by which a place may seem to be taken later if a message brings it back.
+MAX_ECHO_S: Final = 0.1
 
 
 class Suspicion(IntEnum):
@@ -64,6 +66,8 @@
             self.suspicion = suspicion
         elif expires_at >= self.expires_at - MAX_SKEW_S:
             self.suspicion = max(before, suspicion)
+        if expires_at > self.expires_at + MAX_ECHO_S:
+            self.has_left = False
         self.expires_at = max(self.expires_at, expires_at)
         return self.suspicion is not before
 
@@ -133,19 +137,19 @@
         place.suspicion = Suspicion.SURVIVED
         return True
 
-    def record_leaving(self, server: int, ended_before: float) -> None:
-        """Record that a server says that it is leaving.
-
-        Parameters
-        ----------
-        ended_before : float
-            Time before which requests ended that are not the reason.
-        """
-        for key in self.requests_of(server):
-            place = self.places(key)[server]
-            is_survivor = place.suspicion is Suspicion.SURVIVED
-            is_old = place.expires_at - EXPOSURE_S <= ended_before
-            place.has_left |= is_survivor or is_old
+    def record_leaving(self, key: bytes, server: int) -> None:
+        """Record that a server leaves, for another reason than a request."""
+        place = self.places(key).get(server)
+        if place is not None:
+            place.has_left = True
+
+    def survived_by(self, server: int) -> list[bytes]:
+        """Return the requests after which a server is known to have lived on."""
+        return [
+            key
+            for key in self.requests_of(server)
+            if self.places(key)[server].suspicion is Suspicion.SURVIVED
+        ]
 
     def have_left(self, key: bytes) -> list[int]:
         """Return the servers of a request that have left by plan."""
