--- a/tests/relay/test_unproved_servers.py
+++ b/tests/relay/test_unproved_servers.py
@@ -297,6 +297,26 @@
     run_world(fatal.servers, scenario, 8)
 
 
+@pytest.mark.parametrize("name", ROUTES)
+def test_relays_whose_keepers_have_just_fallen_silent_use_the_same_servers(
+    name: str,
+) -> None:
+    """The attempts come before the relays know that no keeper hears them."""
+
+    async def crash(server: ScriptedServer, exchange: Exchange) -> None:
+        server.crash()
+
+    fatal = FatalRequest(crash)
+
+    async def scenario(network: CrashNetwork, relays: list[RelayHarness]) -> None:
+        network.unreachable = set(network.addresses())
+        for attempt, relay in enumerate(relays):
+            await send(relay, name, attempt)
+        assert fatal.crashed() <= MAX_CRASHES
+
+    run_world(fatal.servers, scenario, 8)
+
+
 @pytest.mark.parametrize("name", ["unsafe", "long", "talk"])
 def test_attempts_at_eight_relays_at_once_crash_no_fourth_server(name: str) -> None:
     """No relay knows of the others' attempts before it has sent its own."""
