Late knowledge of requests is logged and counted

Nothing said that an answer went out before a keeper knew of the failed attempt, that a server ended just after it had answered or rejected a request, or which attempts were one request. Now: how long answers wait for a keeper, and a line and a counter for each that did not get its reply; the requests that a server had answered or rejected within two seconds of its end; the key of a request that was sent and not answered with success, on its last line.

--- a/wisteriastair/nodemetrics.py
+++ b/wisteriastair/nodemetrics.py
@@ -133,6 +133,23 @@
             ["evidence"],
             registry=self.registry,
         )
+        self.ends_after_response = Counter(
+            "wisteriastair_server_ends_after_response",
+            "Requests of the last two seconds of servers that ended, by their response",
+            ["response"],
+            registry=self.registry,
+        )
+        self.crash_share_wait = Histogram(
+            "wisteriastair_crash_share_seconds",
+            "Seconds for which answers waited for a keeper to know of an end",
+            buckets=LEDGER_BUCKETS,
+            registry=self.registry,
+        )
+        self.crash_share_timeouts = Counter(
+            "wisteriastair_crash_share_timeouts",
+            "Answers that were sent before a keeper was known to know of an end",
+            registry=self.registry,
+        )
         self.resent_requests = Counter(
             "wisteriastair_resent_requests",
             "Requests sent to a server after another attempt of this relay failed",
--- a/wisteriastair/relay/crashes.py
+++ b/wisteriastair/relay/crashes.py
@@ -44,6 +44,7 @@
     suspicion_of,
 )
 from .job import Job
+from .lastrequests import LastRequest, LastRequests
 from .lineservers import LineServers
 from .loglimit import LineLimit
 from .pool import ConnectionPool, ProbeResult
@@ -106,6 +107,7 @@
         # Requests that are running, by all but their bodies.
         self._running: dict[RequestIdentity, list[Job]] = {}
         self._answered = AnsweredRequests()
+        self._last_requests = LastRequests()
         self._lines = LineLimit()
         self._log = CrashLog(metrics)
         self._group: TaskGroup
@@ -222,6 +224,7 @@
         """Record that a server has not run a request, or was not reached."""
         self._interrupted.drop(job)
         job.sent_to = None
+        self._record_last(job, state, Clearance.NOT_RUN)
         if job.has_place:
             job.has_place = False
             server = server_key(state.incarnation)
@@ -235,6 +238,8 @@
         """
         self._interrupted.drop(job)
         state, job.sent_to = job.sent_to, None
+        if state is not None:
+            self._record_last(job, state, Clearance.ANSWERED)
         self._answered.add(job.identity, job.now())
         key = self.table.find(job.identity)
         if key is None or self._forget(key, risk_variant(job)):
@@ -243,6 +248,10 @@
             server = server_key(state.incarnation)
             self._release(key, [server], Clearance.ANSWERED, job.now())
 
+    def _record_last(self, job: Job, state: ServerState, clearance: Clearance) -> None:
+        last = LastRequest(job.caller_req.id, clearance, job.now())
+        self._last_requests.add(state.incarnation, last)
+
     def _forget(self, key: bytes, variant: bytes = b"") -> bool:
         """Forget a request; return whether it was remembered with these headers."""
         if not self.table.forget(key, variant):
@@ -258,9 +267,15 @@
             self._forget(key)
 
     async def _wait_for_share(self, interrupted: Interrupted) -> None:
-        if interrupted.shared is not None:
-            with anyio.move_on_after(MAX_SHARE_WAIT_S):
-                await interrupted.shared.wait()
+        if interrupted.shared is None:
+            return
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        with anyio.move_on_after(MAX_SHARE_WAIT_S) as scope:
+            await interrupted.shared.wait()
+        self._metrics.crash_share_wait.observe(loop.time() - started_at)
+        if scope.cancelled_caught:
+            self._log.record_unshared(interrupted.key, interrupted.request, loop.time())
 
     def _add_interrupted(self, job: Job, state: ServerState, risk: Risk) -> Interrupted:
         """Remember an interrupted request."""
@@ -462,6 +477,8 @@
 
     def _record_crash(self, incarnation: str, evidence: Evidence) -> None:
         now = asyncio.get_running_loop().time()
+        for last in self._last_requests.take(incarnation, now):
+            self._log.record_ended_after(incarnation, last.request, last.clearance, now)
         waiting = self._interrupted.at(incarnation)
         self._interrupted.keep(incarnation, [])
         for interrupted in waiting:
@@ -523,6 +540,7 @@
         self.table.expire(now)
         self._report_overdue(now)
         self._share.sweep(now)
+        self._last_requests.expire(now)
         self._line_servers.expire(now)
         for one in self._interrupted.expire(now):
             server_id = one.server.id
--- a/wisteriastair/relay/crashlog.py
+++ b/wisteriastair/relay/crashlog.py
@@ -87,3 +87,25 @@
                     "evidence": clearance.value,
                 },
             )
+
+    def record_unshared(self, key: bytes, request: str, now: float) -> None:
+        """Record that no keeper is known to have an end when its caller is answered."""
+        self._metrics.crash_share_timeouts.inc()
+        if self._lines.allows(now):
+            extra = {"key": key.hex(), "request": request}
+            log.warning("other relays may not know of a request", extra=extra)
+
+    def record_ended_after(
+        self, server: str, request: str, clearance: Clearance, now: float
+    ) -> None:
+        """Record that a server ended shortly after what it said of a request."""
+        self._metrics.ends_after_response.labels(clearance.value).inc()
+        if self._lines.allows(now):
+            log.info(
+                "server ended after a request",
+                extra={
+                    "server": server,
+                    "request": request,
+                    "response": clearance.value,
+                },
+            )
--- a/wisteriastair/relay/job.py
+++ b/wisteriastair/relay/job.py
@@ -23,6 +23,10 @@
 from .answers import send_failure
 from .permission import QuotaCheck
 
+# Statuses of requests whose key is not logged.
+UNSUSPICIOUS_STATUSES: Final = range(200, 400)
+# Largest body of a request whose key is logged, in bytes.
+MAX_KEYED_BODY: Final = 65_536
 # For a request without a deadline on a route without a time limit.
 DEFAULT_TIMEOUT_S: Final = 30.0
 
@@ -205,11 +209,16 @@
         predicted = {}
         if self.predicted_ms:
             predicted["predicted_ms"] = round(self.predicted_ms)
+        key = {}
+        is_keyed = self.was_sent and self.status not in UNSUSPICIOUS_STATUSES
+        if is_keyed and len(self.req.body) <= MAX_KEYED_BODY:
+            key["key"] = self.identity.key().hex()
         log.info(
             "request ended" if self.status else "request broken off",
             extra={
                 **stopping,
                 **predicted,
+                **key,
                 "request": self.caller_req.id,
                 "program": self.caller_req.program,
                 "customer": self.customer_name or "",
