--- a/tests/relay/harness.py
+++ b/tests/relay/harness.py
@@ -14,6 +14,7 @@
 
 import anyio
 
+from tests.relay.crash_network import network_of
 from tests.relay.keepers import QUOTA_BOUNDS, Keepers
 from wisteriastair.core.ledgerwire import LedgerMessage
 from wisteriastair.core.routes import (
@@ -326,7 +327,7 @@
     """Run a handler with some servers; with `limits`, memory pressure is on.
 
     Several harnesses may have the same servers; `share` connects their counts of
-    crashes.
+    crashes, and their ledgers.
     """
     loop = asyncio.get_running_loop()
     fleet = Fleet()
@@ -342,7 +343,10 @@
     share = share or CrashShare(CrashTable(), list)
     crashes = CrashMonitor(pool, metrics, share)
     dispatcher = Dispatcher(fleet, pool, "d", crashes)
-    keepers = Keepers(3)
+    network = network_of(share)
+    keepers = Keepers(3, cores=network.ledger if network else None)
+    if network is not None:
+        keepers.delay_s = lambda: network.delay_s
     order = EngineOrder(fleet, has_memory_pressure=limits is not None)
     chains = ChainCache(CACHE_BYTES)
     streams = StreamRelay(dispatcher, keepers.client, chains, order)
--- a/tests/relay/keepers.py
+++ b/tests/relay/keepers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from wisteriastair.core.keeper import KeeperCore
 from wisteriastair.core.ledgerwire import (
@@ -27,30 +28,48 @@
     )
 
 
+def make_cores(count: int, max_failures: int) -> dict[str, KeeperCore]:
+    view = View(1, members(count))
+    return {
+        m.address: KeeperCore(
+            m,
+            max_failures,
+            view=view,
+            entries=[],
+            now=0.0,
+            quota_bounds=QUOTA_BOUNDS,
+        )
+        for m in view.members
+    }
+
+
 class Keepers:
     """Keepers and the network between them and one client.
 
+    Parameters
+    ----------
+    cores : dict or None
+        Cores that other clients have as well; None for cores of its own.
+
     Attributes
     ----------
     unreachable : set of str
         Addresses that receive no messages.
     frozen : set of str
         Addresses whose messages wait until `thaw`.
+    delay_s : callable
+        Returns the time on the way of a message.
     """
 
-    def __init__(self, count: int, max_failures: int = 1) -> None:
+    def __init__(
+        self,
+        count: int,
+        max_failures: int = 1,
+        cores: dict[str, KeeperCore] | None = None,
+    ) -> None:
         self.view = View(1, members(count))
-        self.cores = {
-            m.address: KeeperCore(
-                m,
-                max_failures,
-                view=self.view,
-                entries=[],
-                now=0.0,
-                quota_bounds=QUOTA_BOUNDS,
-            )
-            for m in self.view.members
-        }
+        self.cores = make_cores(count, max_failures) if cores is None else cores
+        self.delay_s: Callable[[], float] = float
         self.unreachable: set[str] = set()
         self.frozen: set[str] = set()
         self._waiting: list[tuple[str, str, bytes]] = []
@@ -84,7 +103,8 @@
     def _schedule(self, sender: str, to: str, message: LedgerMessage) -> None:
         if to not in self.unreachable:
             loop = asyncio.get_running_loop()
-            loop.call_soon(self._deliver, sender, to, encode_ledger(message))
+            data = encode_ledger(message)
+            loop.call_later(self.delay_s(), self._deliver, sender, to, data)
 
     def _deliver(self, sender: str, to: str, data: bytes) -> None:
         if to in self.frozen:
