Keepers grant each request one server beyond those that all relays know

A keeper grants the first server that any relay asks for, saves that before it replies, and names it to all who ask later. A keeper that may have forgotten its claims grants none until they would have expired.

--- a/wisteriastair/core/crashwire.py
+++ b/wisteriastair/core/crashwire.py
@@ -62,6 +62,21 @@
     variant: bytes = b""
 
 
+class ServerClaim(msgspec.Struct, frozen=True, array_like=True):
+    """A server that a request claims, or has claimed.
+
+    Attributes
+    ----------
+    key : bytes
+        Digest of the request.
+    server : int
+        Key of the server's incarnation; 0 in a reply for none.
+    """
+
+    key: bytes
+    server: int
+
+
 class CrashReport(msgspec.Struct, frozen=True, array_like=True, tag=17):
     """Crashes that a relay found, to some keepers, which reply to it.
 
@@ -78,6 +93,8 @@
         Whether the relay has missed an update.
     settled : list of SettledServers
         Servers that have not crashed under requests reported before.
+    claims : list of ServerClaim
+        Claims of requests; a keeper replies with those that it has granted.
     """
 
     op: int
@@ -85,6 +102,7 @@
     answered: list[bytes] = []
     wants_all: bool = False
     settled: list[SettledServers] = []
+    claims: list[ServerClaim] = []
 
 
 class CrashUpdate(msgspec.Struct, frozen=True, array_like=True, tag=18):
@@ -101,6 +119,8 @@
         Report that this replies to; 0 for none.
     settled : list of SettledServers
         Servers that have not crashed.
+    claims : list of ServerClaim
+        The granted claims of a report.
     """
 
     base: int
@@ -109,3 +129,4 @@
     forgotten: list[bytes] = []
     op: int = 0
     settled: list[SettledServers] = []
+    claims: list[ServerClaim] = []
--- a/wisteriastair/keeper/crashes.py
+++ b/wisteriastair/keeper/crashes.py
@@ -16,8 +16,10 @@
     CrashReport,
     CrashUpdate,
     RequestCrashes,
+    ServerClaim,
     SettledServers,
 )
+from ..scheduling.claims import CLAIM_KEY_BYTES, ClaimTable
 from ..scheduling.crashes import (
     KEY_BYTES,
     MAX_ENTRIES,
@@ -45,16 +47,19 @@
     ----------
     table : CrashTable
         The sums.
+    claims : ClaimTable or None
+        Servers that requests have claimed; None for a process that has none to forget.
 
     Attributes
     ----------
-    has_unsaved : bool
+    has_unsaved_sums : bool
         Whether the sums have changed since `entries` returned them.
     """
 
-    def __init__(self, table: CrashTable) -> None:
+    def __init__(self, table: CrashTable, claims: ClaimTable | None = None) -> None:
         self.table = table
-        self.has_unsaved = False
+        self.claims = ClaimTable() if claims is None else claims
+        self.has_unsaved_sums = False
         # Never 0, which stands for no knowledge.
         self._revision = 1
         self._shared: set[bytes] = set()
@@ -66,6 +71,11 @@
         # Subscribed relays, by member id.
         self._expires_at: dict[str, float] = {}
 
+    @property
+    def has_unsaved(self) -> bool:
+        """Whether a reply must wait until sums or claims are saved."""
+        return self.has_unsaved_sums or self.claims.has_unsaved
+
     @property
     def _min_shared(self) -> int:
         return max(1, self.table.limits.max_crashes - 1)
@@ -80,11 +90,11 @@
         for entry in report.crashes[:MAX_ENTRIES]:
             if add_entry(self.table, entry, now):
                 self._on_added(entry.key)
-                self.has_unsaved = True
+                self.has_unsaved_sums = True
             known.append(entry.key)
         for settled in report.settled[:MAX_ENTRIES]:
             if settle_entry(self.table, settled, now):
-                self.has_unsaved = True
+                self.has_unsaved_sums = True
                 if settled.key in self._shared:
                     self._settled.append(settled)
         for answered in report.answered[:MAX_ENTRIES]:
@@ -96,10 +106,23 @@
         if report.op:
             # The sums of the reported requests: the relay may complete a quarantine.
             entries = [make_entry(self.table, k, now) for k in known if k in self.table]
-            reply = CrashUpdate(self._revision, self._revision, entries, op=report.op)
+            reply = CrashUpdate(
+                self._revision,
+                self._revision,
+                entries,
+                op=report.op,
+                claims=self._grant(report.claims, now),
+            )
             messages.append((sender, reply))
         return messages
 
+    def _grant(self, claims: list[ServerClaim], now: float) -> list[ServerClaim]:
+        return [
+            ServerClaim(c.key, self.claims.claim(c.key, c.server, now))
+            for c in claims[:MAX_ENTRIES]
+            if len(c.key) == CLAIM_KEY_BYTES
+        ]
+
     def restore(self, entries: list[RequestCrashes], now: float) -> None:
         """Add what was known before a restart."""
         for entry in entries:
@@ -108,7 +131,7 @@
 
     def entries(self, now: float) -> list[RequestCrashes]:
         """Return all sums, to be saved."""
-        self.has_unsaved = False
+        self.has_unsaved_sums = False
         keys = self.table.keys()
         return [make_entry(self.table, key, now) for key in keys]
 
@@ -142,7 +165,7 @@
         variant : bytes
             Digest of its headers. A request that was at risk with other ones stays.
         """
-        self.has_unsaved |= self.table.forget(key, variant)
+        self.has_unsaved_sums |= self.table.forget(key, variant)
         if key in self.table:
             return
         if key in self._shared:
--- a/wisteriastair/keeper/crashfile.py
+++ b/wisteriastair/keeper/crashfile.py
@@ -1,7 +1,8 @@
 """Requests under which servers crashed or may have, on the disk of a keeper.
 
 All processes may end at the same moment.  A request would then have its whole bound
-again, and more servers would crash under it.
+again, and more servers would crash under it.  The same holds for the servers that
+requests have claimed.
 """
 
 from __future__ import annotations
@@ -13,12 +14,15 @@
 import msgspec
 
 from ..core.crashwire import RequestCrashes
+from ..scheduling.claims import SavedClaim
 from .checkedfile import add_checksum, read_file, replace_file
 
 FILE_NAME: Final = "crashes"
+CLAIMS_FILE_NAME: Final = "claims"
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _DECODER: Final = msgspec.msgpack.Decoder(list[RequestCrashes])
+_CLAIMS_DECODER: Final = msgspec.msgpack.Decoder(list[SavedClaim])
 
 log = logging.getLogger(__name__)
 
@@ -56,3 +60,38 @@
             If the file cannot be written.
         """
         replace_file(self._path, add_checksum(_ENCODER.encode(entries)))
+
+
+class ClaimFile:
+    """The claims that one keeper has granted, on its disk.
+
+    Parameters
+    ----------
+    folder : str
+        Data folder; created if it does not exist.
+    """
+
+    def __init__(self, folder: str) -> None:
+        self._path = os.path.join(folder, CLAIMS_FILE_NAME)
+
+    def load(self) -> list[SavedClaim] | None:
+        """Read the file; None if there is none that can be read."""
+        body = read_file(self._path)
+        if body is None:
+            return None
+        try:
+            return _CLAIMS_DECODER.decode(body)
+        except msgspec.DecodeError as exc:
+            extra = {"path": self._path, "reason": repr(exc)}
+            log.warning("file does not decode", extra=extra)
+            return None
+
+    def save(self, claims: list[SavedClaim]) -> None:
+        """Replace the file; blocks until that is durable.
+
+        Raises
+        ------
+        OSError
+            If the file cannot be written.
+        """
+        replace_file(self._path, add_checksum(_ENCODER.encode(claims)))
--- a/wisteriastair/keeper/daemon.py
+++ b/wisteriastair/keeper/daemon.py
@@ -59,9 +59,10 @@
 )
 from ..platform.mirror import Mirror
 from ..platform.store import Store, StoreError, StoreItem, Swapped
+from ..scheduling.claims import CLAIM_S, ClaimTable
 from ..scheduling.crashes import CrashTable
 from .crashes import CrashKeeper
-from .crashfile import CrashFile
+from .crashfile import ClaimFile, CrashFile
 from .documents import Documents
 from .log import Log
 from .picture import PictureKeeper
@@ -115,6 +116,8 @@
         )
         self._crashes = CrashKeeper(CrashTable(cfg.crash_limits))
         self._crash_file = CrashFile(os.path.join(cfg.data_dir, "store"))
+        self._is_saving_crashes = False
+        self._claim_file = ClaimFile(os.path.join(cfg.data_dir, "store"))
         self._crashes_changed = anyio.Event()
         # Replies that are sent once the sums are saved.
         self._crash_replies: list[tuple[str, CrashUpdate]] = []
@@ -156,6 +159,7 @@
         most of them belong to accounts that expire.
         """
         loaded = self._log.load(now)
+        self._restore_claims(now, has_run=loaded.view.number > 0)
         self._documents.load()
         self._crashes.restore(self._crash_file.load(), now)
         me = Member(
@@ -193,6 +197,12 @@
             },
         )
 
+    def _restore_claims(self, now: float, *, has_run: bool) -> None:
+        claims = self._claim_file.load()
+        is_lost = claims is None and has_run
+        self._crashes.claims = ClaimTable(now + CLAIM_S if is_lost else now)
+        self._crashes.claims.restore(claims or [], now)
+
     def _start_tasks(self, group: TaskGroup) -> None:
         group.start_soon(self._mirror.run)
         group.start_soon(self._save_documents)
@@ -260,7 +270,7 @@
 
         A reply releases the answer to the caller, which may send the request again.
         """
-        if not self._crashes.has_unsaved:
+        if not self._crashes.has_unsaved and not self._is_saving_crashes:
             self._send_crashes(messages)
             return
         self._send_crashes([m for m in messages if not m[1].op])
@@ -325,14 +335,31 @@
             await self._crashes_changed.wait()
             self._crashes_changed = anyio.Event()
             replies, self._crash_replies = self._crash_replies, []
-            entries = self._crashes.entries(time.monotonic())
+            self._is_saving_crashes = True
             try:
-                await anyio.to_thread.run_sync(self._crash_file.save, entries)
+                await self._save_crash_files()
             except OSError as exc:
                 log.warning("crashes not saved", extra={"reason": repr(exc)})
+            finally:
+                self._is_saving_crashes = False
             self._send_crashes(replies)
             await anyio.sleep(SAVE_CRASHES_PAUSE_S)
 
+    async def _save_crash_files(self) -> None:
+        """Save what has changed of crashes and claims.
+
+        Raises
+        ------
+        OSError
+            If a file cannot be written.
+        """
+        if self._crashes.has_unsaved_sums:
+            entries = self._crashes.entries(time.monotonic())
+            await anyio.to_thread.run_sync(self._crash_file.save, entries)
+        if self._crashes.claims.has_unsaved:
+            claims = self._crashes.claims.saved()
+            await anyio.to_thread.run_sync(self._claim_file.save, claims)
+
     def _update_gauges(self) -> None:
         core = self._core
         values = {
--- a/wisteriastair/relay/crashshare.py
+++ b/wisteriastair/relay/crashshare.py
@@ -22,10 +22,12 @@
     CrashReport,
     CrashUpdate,
     ExposedServer,
+    ServerClaim,
     SettledServers,
 )
 from ..core.hashing import address_of
 from ..core.ledgerwire import LedgerMessage
+from ..scheduling.claims import NO_CLAIM, ClaimTable, majority_claim
 from ..scheduling.crashes import (
     KEY_BYTES,
     MAX_ENTRIES,
@@ -45,6 +47,8 @@
 # Seconds without a message of any keeper after which none is believed to hear this
 # relay: two renewals lost.
 SILENCE_S: Final = 2.5
+# Longest wait for the keepers that grant a claim, in seconds; several round trips.
+MAX_CLAIM_WAIT_S: Final = 0.1
 # Entries in one report.
 MAX_REPORTED: Final = 256
 
@@ -71,6 +75,36 @@
         self.replied = anyio.Event()
 
 
+class _OpenClaim:
+    """A claim of a request, and what keepers have replied.
+
+    Attributes
+    ----------
+    granted : dict
+        By keeper: the server that it names for the request.
+    """
+
+    def __init__(self, keepers: list[str]) -> None:
+        self.keepers = keepers
+        self.granted: dict[str, int] = {}
+        self.updated = anyio.Event()
+
+    def server(self) -> int:
+        """Return the server that the request has claimed; `NO_CLAIM` for none."""
+        return majority_claim(list(self.granted.values()), len(self.keepers))
+
+    def is_decided(self) -> bool:
+        """Whether further replies change nothing."""
+        return self.server() != NO_CLAIM or len(self.granted) == len(self.keepers)
+
+    def record(self, keeper: str, claims: list[ServerClaim]) -> None:
+        """Record the reply of a keeper."""
+        if keeper in self.keepers and claims:
+            self.granted[keeper] = claims[0].server
+            if self.is_decided():
+                self.updated.set()
+
+
 class CrashShare:
     """Reports crashes to keepers and applies their updates.
 
@@ -89,6 +123,9 @@
         self._keepers = keepers
         self._op = 0
         self._open: dict[int, _OpenReport] = {}
+        self._open_claims: dict[int, _OpenClaim] = {}
+        # Claims of a relay without keepers.
+        self._own_claims = ClaimTable()
         # Member id and last revision of each keeper that was heard, by address.
         self._members: dict[str, str] = {}
         self._revisions: dict[str, int] = {}
@@ -104,13 +141,35 @@
         """Set the transport."""
         self._sender = sender
 
-    def is_isolated(self, now: float) -> bool:
-        """Return whether no keeper is known to hear this relay.
+    async def claim(self, key: bytes, server: int) -> int:
+        """Claim a server for a request at a majority of the keepers.
 
-        A relay without a transport has no peers.
+        A relay without a transport has no peers, and grants its claims itself.
+
+        Returns
+        -------
+        int
+            Key of the server that the request has claimed, which may be another one;
+            `NO_CLAIM` if it has none, or if too few keepers reply in time.
         """
-        is_silent = now - self._heard_at > SILENCE_S
-        return self._sender is not None and is_silent
+        now = asyncio.get_running_loop().time()
+        if self._sender is None:
+            return self._own_claims.claim(key, server, now)
+        keepers = self._keepers()
+        if not keepers:
+            return NO_CLAIM
+        self._op += 1
+        opened = self._open_claims[self._op] = _OpenClaim(keepers)
+        op = self._op
+        try:
+            for address in keepers:
+                report = CrashReport(op, claims=[ServerClaim(key, server)])
+                self._sender.send(address, report)
+            with anyio.move_on_after(MAX_CLAIM_WAIT_S):
+                await opened.updated.wait()
+        finally:
+            del self._open_claims[op]
+        return opened.server()
 
     # Reports
 
@@ -198,7 +257,7 @@
             self._op += 1
             for address in keepers:
                 self._send(address, CrashReport(self._op))
-        is_isolated = self.is_isolated(now)
+        is_isolated = self._sender is not None and now - self._heard_at > SILENCE_S
         if is_isolated and not self._was_isolated:
             silent_ms = round((now - self._heard_at) * 1000)
             log.warning("no keeper sums crashes", extra={"silent_ms": silent_ms})
@@ -239,6 +298,9 @@
             settle_entry(self.table, settled, now)
         for forgotten in update.forgotten[:MAX_ENTRIES]:
             self.table.forget(forgotten[:KEY_BYTES], forgotten[KEY_BYTES:])
+        claim = self._open_claims.get(update.op)
+        if claim is not None:
+            claim.record(address, update.claims)
         opened = self._open.get(update.op)
         if opened is not None:
             opened.waiting_for.discard(address)
