Claims are asked for less often and answered sooner

Now a claim is asked for if the servers by hash are gone, ejected, hanging or full, and only sums are followed by a pause. Times after the change: not measured yet.

--- a/wisteriastair/keeper/daemon.py
+++ b/wisteriastair/keeper/daemon.py
@@ -335,6 +335,7 @@
             await self._crashes_changed.wait()
             self._crashes_changed = anyio.Event()
             replies, self._crash_replies = self._crash_replies, []
+            has_sums = self._crashes.has_unsaved_sums
             self._is_saving_crashes = True
             try:
                 await self._save_crash_files()
@@ -343,7 +344,9 @@
             finally:
                 self._is_saving_crashes = False
             self._send_crashes(replies)
-            await anyio.sleep(SAVE_CRASHES_PAUSE_S)
+            if has_sums:
+                # Reports come in bursts, when a server ends with its requests.
+                await anyio.sleep(SAVE_CRASHES_PAUSE_S)
 
     async def _save_crash_files(self) -> None:
         """Save what has changed of crashes and claims.
--- a/wisteriastair/relay/dispatch.py
+++ b/wisteriastair/relay/dispatch.py
@@ -261,8 +261,8 @@
             return False
         if state is None or not state.is_usable(now):
             return True
-        if state.is_slower_than(other, now):
-            return True
+        if state.pace.is_avoided(now):
+            return not other.pace.is_avoided(now)
         return not state.has_free_slots(now) and other.has_free_slots(now)
 
     def _chooser(self, service: str) -> FinishChooser:
--- a/wisteriastair/scheduling/fleet.py
+++ b/wisteriastair/scheduling/fleet.py
@@ -43,8 +43,6 @@
 LAST_RESORT_FRACTION: Final = 0.5
 # Seconds after a refused connection for which a server is believed to be gone.
 REFUSED_S: Final = 2.0
-# Ratio of the mean response times above which a server is much slower than another.
-SLOWER_FACTOR: Final = 2.0
 # Load reports older than this are ignored, in seconds.
 MAX_LOAD_AGE_S: Final = 1.0
 # Weights of this process's own requests and of the requests of other processes.
@@ -173,12 +171,6 @@
         has_free_slots = waiting <= 0 and running + sent_since < self.server.slots
         return RecentLoad(age_s, others, waiting, has_free_slots)
 
-    def is_slower_than(self, other: ServerState, now: float) -> bool:
-        """Return whether another server has been much faster."""
-        if self.pace.is_avoided(now) and not other.pace.is_avoided(now):
-            return True
-        return self.mean_response_s > SLOWER_FACTOR * other.mean_response_s > 0
-
     def has_free_slots(self, now: float) -> bool:
         """Return whether a request would not wait, as far as is known."""
         report = self.recent_report(now)
