--- a/wisteriastair/relay/crashes.py
+++ b/wisteriastair/relay/crashes.py
@@ -26,19 +26,15 @@
 
 from ..errors import Code, Failure
 from ..nodemetrics import RelayMetrics
-from ..scheduling.claims import NO_CLAIM, claim_key
 from ..scheduling.crashes import (
     SINGLE_QUARANTINE_S,
     AnsweredRequests,
-    RequestIdentity,
 )
 from ..scheduling.digest import server_key
 from ..scheduling.exposure import EXPOSURE_S, MAX_ECHO_S, Suspicion
 from ..scheduling.fleet import Fleet, Server, ServerState
-from ..scheduling.proven import ProvenRequests
 from .crashlog import Clearance, CrashLog, Risk
 from .crashshare import CrashShare
-from .hashservers import HashServers
 from .interrupted import (
     SURVIVAL_S,
     Interrupted,
@@ -50,6 +46,8 @@
 from .lastrequests import LastRequest, LastRequests
 from .loglimit import LineLimit
 from .pool import ConnectionPool, ProbeResult
+from .requestservers import RequestServers
+from .running import RunningRequests
 
 # Longest wait of a request for the probe of its server, in seconds.  A port that is
 # closed refuses within a round trip.
@@ -68,10 +66,6 @@
 # Seconds without a response after which keepers are told of a request: shorter than the
 # patience of callers, whose next attempt may overtake the report of their leaving.
 OVERDUE_S: Final = 1.0
-# Servers that a request may claim at the same time.
-CLAIM_PLACES: Final = 1
-# Servers that a request may claim one after the other, as some leave by plan.
-MAX_CLAIMS_OF_REQUEST: Final = 8
 log = logging.getLogger(__name__)
 
 
@@ -94,6 +88,11 @@
         Counts crashes.
     share : CrashShare
         The counts, shared with other relays.
+
+    Attributes
+    ----------
+    servers : RequestServers
+        Chooses which servers a request may be sent to.
     """
 
     def __init__(
@@ -110,16 +109,14 @@
         self._probing: set[str] = set()
         # Incarnations whose survival is being checked.
         self._checking: set[str] = set()
-        # Requests that are running, by all but their bodies.
-        self._running: dict[RequestIdentity, list[Job]] = {}
+        self._running = RunningRequests()
         self._answered = AnsweredRequests()
-        self._proven = ProvenRequests()
         self._last_requests = LastRequests()
         self._lines = LineLimit()
         self._log = CrashLog(metrics)
+        self.servers = RequestServers(share, self._running, self._log)
         self._group: TaskGroup
         self._fleet: Fleet
-        self._hash_servers: HashServers
         pool.on_refused = self._on_refused
         share.on_suspect = self._on_suspect
 
@@ -130,7 +127,7 @@
     def attach(self, fleet: Fleet) -> None:
         """Hear of servers that leave."""
         self._fleet = fleet
-        self._hash_servers = HashServers(fleet)
+        self.servers.attach(fleet)
         fleet.on_leaving = self._on_leaving
 
     # Requests
@@ -146,103 +143,11 @@
         return Failure(Code.QUARANTINED, detail, "no")
 
     def allowed_servers(self, job: Job) -> frozenset[int] | None:
-        """Return the keys of the only servers that may get a request; None for all.
-
-        Attempts of one program that run at the same time are attempts of one request.
-        Requests without a program may be those of many callers.
-        """
+        """Return the keys of the only servers that may get a request; None for all."""
         key = self.table.find(job.identity) or b""
         left = self.table.exposures.have_left(key)
         self._release(key, left, Clearance.LEFT, job.now())
-        running = self._running_servers(job)
-        exposed = self.table.allowed_servers(key, running)
-        if exposed is not None:
-            return exposed
-        places = job.places
-        if places.is_free or self._is_harmless(job):
-            return None
-        by_hash = self._hash_servers.choose(
-            job.service, job.hash_item, self._hash_places(job), job.now()
-        )
-        exposed = self.table.exposed(key, running)
-        return exposed | places.used | places.claimed | by_hash
-
-    def _is_harmless(self, job: Job) -> bool:
-        """Return whether a request is known to end no servers."""
-        is_proven = self._proven.is_proven(job.identity, job.now())
-        return is_proven or self.table.is_pardoned(job.identity)
-
-    def is_confined(self, job: Job, *, has_tried: bool) -> bool:
-        """Return whether other servers must not get a request.
-
-        Parameters
-        ----------
-        has_tried : bool
-            Whether the servers that may get it have rejected it.
-        """
-        key = self.table.find(job.identity) or b""
-        if self.table.allowed_servers(key, self._running_servers(job)) is not None:
-            return True
-        return not has_tried and self.allowed_servers(job) is not None
-
-    def _hash_places(self, job: Job) -> int:
-        """Return how many servers of a request all relays compute alike."""
-        others = self._claim_places(job) + job.places.is_reserved
-        return max(0, self.table.limits.max_crashes - others)
-
-    def _claim_places(self, job: Job) -> int:
-        """Return how many servers a request may claim."""
-        others = 1 + job.places.is_reserved
-        return max(0, min(CLAIM_PLACES, self.table.limits.max_crashes - others))
-
-    def may_claim(self, job: Job) -> bool:
-        """Return whether keepers may be asked for one more server."""
-        places = job.places
-        if places.is_unanswered or len(places.claimed) >= self._claim_places(job):
-            return False
-        key = self.table.find(job.identity) or b""
-        return self.table.allowed_servers(key, self._running_servers(job)) is None
-
-    async def claim(self, job: Job, state: ServerState) -> bool:
-        """Claim a server for a request; return whether it has one more.
-
-        It may have claimed another one before, at this relay or at others.
-        """
-        places, server = job.places, server_key(state.incarnation)
-        started_at = job.now()
-        claimed = NO_CLAIM
-        while places.next_claim < MAX_CLAIMS_OF_REQUEST:
-            key = claim_key(job.request_digest, places.next_claim)
-            claimed = await self._share.claim(key, server)
-            if claimed == NO_CLAIM:
-                break
-            places.next_claim += 1
-            # A server that leaves by plan gives its place back.
-            if not self._hash_servers.has_left(claimed):
-                break
-        places.is_unanswered = claimed == NO_CLAIM
-        places.claimed |= {claimed} - {NO_CLAIM}
-        self._log.record_claim(
-            job.request_digest,
-            job.caller_req.id,
-            claimed,
-            is_new=claimed == server,
-            took_s=job.now() - started_at,
-            now=job.now(),
-        )
-        return claimed != NO_CLAIM
-
-    def _running_servers(self, job: Job) -> list[int]:
-        """Return the keys of the servers that run other attempts of a request."""
-        if not job.caller_req.program:
-            return []
-        return [
-            server_key(other.sent_to.incarnation)
-            for other in self._running.get(job.envelope, ())
-            if other is not job
-            and other.sent_to is not None
-            and other.req.body == job.req.body
-        ]
+        return self.servers.allowed(job)
 
     def may_send(self, job: Job, state: ServerState) -> bool:
         """Return whether a request may be sent to a server."""
@@ -258,9 +163,7 @@
         if job.caller_req.program and self.table.find(job.identity) is not None:
             # This process may end before the server does.
             self._report_running(job, job.sent_at)
-        jobs = self._running.setdefault(job.envelope, [])
-        if job not in jobs:
-            jobs.append(job)
+        self._running.add(job)
 
     async def record_failure(self, job: Job, state: ServerState, risk: Risk) -> bool:
         """Record that a server has not answered a request with success.
@@ -293,11 +196,7 @@
         if state is not None:
             self._add_interrupted(job, state, Risk.SILENT)
             self._start_probe(state.server)
-        jobs = self._running.get(job.envelope)
-        if jobs is not None and job in jobs:
-            jobs.remove(job)
-            if not jobs:
-                del self._running[job.envelope]
+        self._running.remove(job)
 
     def record_not_run(self, job: Job, state: ServerState, *, was_read: bool) -> None:
         """Record that a server has not run a request.
@@ -330,7 +229,7 @@
             self._record_last(job, state, Clearance.ANSWERED)
         self._answered.add(job.identity, job.now())
         if state is not None:
-            self._proven.add(job.identity, state.incarnation, job.now())
+            self.servers.proven.add(job.identity, state.incarnation, job.now())
         key = self.table.find(job.identity)
         if key is None or self._forget(key, risk_variant(job)):
             return
@@ -370,7 +269,7 @@
     def _add_interrupted(self, job: Job, state: ServerState, risk: Risk) -> Interrupted:
         """Remember an interrupted request."""
         interrupted = Interrupted(job, state, risk)
-        self._proven.forget(job.identity)
+        self.servers.proven.forget(job.identity)
         self._interrupted.add(interrupted)
         self._expose(interrupted, risk, interrupted.at)
         return interrupted
@@ -391,13 +290,11 @@
 
     def _report_overdue(self, now: float) -> None:
         """Tell keepers of requests that servers have not answered for some time."""
-        for jobs in self._running.values():
-            for job in jobs:
-                state = job.sent_to
-                if state is None or job.is_reported or job.first_event_s:
-                    continue
-                if now - job.sent_at >= OVERDUE_S:
-                    self._report_running(job, now)
+        for job in self._running.sent():
+            if job.is_reported or job.first_event_s:
+                continue
+            if now - job.sent_at >= OVERDUE_S:
+                self._report_running(job, now)
 
     def _report_running(self, job: Job, now: float) -> None:
         """Tell keepers of the server that has a request."""
@@ -468,7 +365,7 @@
             # The server may have said so long before.
             return
         ended_before = asyncio.get_running_loop().time() - PLANNED_STOP_S
-        running = self._running_keys(incarnation)
+        running = {job.identity.key() for job in self._running.at(incarnation)}
         for one in self._interrupted.at(incarnation):
             expires_at = exposures.servers(one.key).get(server, math.inf)
             # Otherwise another attempt has reached the server since.
@@ -476,44 +373,26 @@
             if one.at <= ended_before and is_last and one.key not in running:
                 exposures.record_leaving(one.key, server)
 
-    def _running_keys(self, incarnation: str) -> set[bytes]:
-        """Return the requests that are running at a server."""
-        return {
-            job.identity.key()
-            for jobs in self._running.values()
-            for job in jobs
-            if job.sent_to is not None and job.sent_to.incarnation == incarnation
-        }
-
     def _on_refused(self, incarnation: str) -> None:
         self._fleet.record_refused(incarnation, asyncio.get_running_loop().time())
         self._record_crash(incarnation, Evidence.REFUSED)
 
     def record_server(self, server: Server) -> None:
         """Record the entry of a server, which may take the place of a crashed one."""
-        for known in self._servers_with_requests():
+        servers = [*self._interrupted.servers(), *self._running.servers()]
+        for known in dict.fromkeys(servers):
             is_same_place = server.id == known.id or server.address == known.address
             if is_same_place and server.incarnation != known.incarnation:
                 self._interrupt_running(known, Risk.REMOVED)
                 self._record_crash(known.incarnation, Evidence.REPLACED)
 
-    def _servers_with_requests(self) -> list[Server]:
-        """Return the servers that have requests or whose requests were interrupted."""
-        servers = self._interrupted.servers()
-        for jobs in self._running.values():
-            servers += [job.sent_to.server for job in jobs if job.sent_to is not None]
-        return list(dict.fromkeys(servers))
-
     def _interrupt_running(self, server: Server, risk: Risk) -> None:
         """Count a server that is gone for the requests that are running there."""
-        for jobs in self._running.values():
-            for job in jobs:
-                state = job.sent_to
-                if state is not None and state.incarnation == server.incarnation:
-                    key = job.identity.key()
-                    places = self.table.exposures.servers(key)
-                    job.has_place |= server_key(server.incarnation) not in places
-                    self._add_interrupted(job, state, risk)
+        for job in self._running.at(server.incarnation):
+            assert job.sent_to is not None, "the server has the request"
+            places = self.table.exposures.servers(job.identity.key())
+            job.has_place |= server_key(server.incarnation) not in places
+            self._add_interrupted(job, job.sent_to, risk)
 
     def record_removed(self, server: Server) -> None:
         """Record that the platform removed the entry of a server that was in service.
@@ -535,7 +414,7 @@
             Time at which that request was sent. A response to an earlier one may have
             been on its way when the server crashed.
         """
-        self._proven.record_life(incarnation, sent_at)
+        self.servers.proven.record_life(incarnation, sent_at)
         if incarnation in self._interrupted:
             self._settle(incarnation, sent_at)
 
@@ -631,8 +510,7 @@
         self._report_overdue(now)
         self._share.sweep(now)
         self._last_requests.expire(now)
-        self._hash_servers.refresh(now)
-        self._proven.expire(now)
+        self.servers.sweep(now)
         for one in self._interrupted.expire(now):
             server_id = one.server.id
             self._log.record_cleared(one.key, server_id, Clearance.EXPIRED, now)
--- a/wisteriastair/relay/dispatch.py
+++ b/wisteriastair/relay/dispatch.py
@@ -242,7 +242,7 @@
         while True:
             allowed = self.crashes.allowed_servers(job)
             state = choose(tried | unreachable, allowed=allowed)
-            if allowed is None or not self.crashes.may_claim(job):
+            if allowed is None or not self.crashes.servers.may_claim(job):
                 return state
             other = choose(tried | unreachable)
             if other is None or server_key(other.incarnation) in allowed:
@@ -250,7 +250,7 @@
             if not self._is_better(other, state):
                 return state
             if await self.pool.is_reachable(other.server):
-                await self.crashes.claim(job, other)
+                await self.crashes.servers.claim(job, other)
             else:
                 unreachable |= {other.server.id}
 
--- a/wisteriastair/relay/plain.py
+++ b/wisteriastair/relay/plain.py
@@ -83,7 +83,7 @@
         if state is None or len(excluded) >= MAX_REFUSALS:
             detail = "no server has room" if excluded else "no server is there"
             code = Code.SERVERS_FULL if excluded else Code.NO_SERVER
-            if dispatcher.crashes.is_confined(job, has_tried=bool(excluded)):
+            if dispatcher.crashes.servers.is_confined(job, has_tried=bool(excluded)):
                 detail, code = UNACCOUNTED_DETAIL, Code.NO_SERVER
             if possible_runs:
                 return Failure(Code.SERVER_LOST, job.reason, "unknown")
--- a/wisteriastair/relay/streams.py
+++ b/wisteriastair/relay/streams.py
@@ -240,7 +240,9 @@
                 if turn.response_started or resume_count:
                     return Failure(Code.SERVER_LOST, job.reason, "unknown")
                 detail = "no server has room" if excluded else "no server is there"
-                if self._dispatcher.crashes.is_confined(job, has_tried=bool(excluded)):
+                if self._dispatcher.crashes.servers.is_confined(
+                    job, has_tried=bool(excluded)
+                ):
                     return Failure(
                         Code.NO_SERVER, UNACCOUNTED_DETAIL, "no", RETRY_AFTER_S
                     )
