--- a/Makefile
+++ b/Makefile
@@ -24,8 +24,11 @@
 types: $(STAMP)
 	$(BIN)/mypy
 
+# Crowds measure the memory of processes and run one at a time.
 unit: $(STAMP)
-	$(BIN)/pytest --numprocesses auto --maxprocesses 4 --dist worksteal
+	$(BIN)/pytest --numprocesses auto --maxprocesses 4 --dist worksteal \
+	    --ignore tests/crowds
+	$(BIN)/pytest tests/crowds
 
 clean:
 	rm -rf build dist out .mypy_cache .ruff_cache .pytest_cache
--- a/tests/platform/settings_file.py
+++ b/tests/platform/settings_file.py
@@ -19,6 +19,7 @@
     front: str = "",
     ready: str = "",
     memory_mb: int = 150,
+    max_fds: int = 4100,
     contracts: tuple[str, ...] = (),
     grace_s: int = 8,
 ) -> Path:
@@ -45,7 +46,7 @@
 dataDir = "{data_dir}"
 listen = {{ front = "{front}", ready = "{ready}" }}
 platform = {{ address = "{store}" }}
-limits = {{ memoryMb = {memory_mb} }}
+limits = {{ memoryMb = {memory_mb}, maxFds = {max_fds} }}
 tolerate = {{ machines = 1 }}
 
 [bounds]
--- a/tests/relay/machines.py
+++ b/tests/relay/machines.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import resource
 import subprocess
 import sys
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -64,6 +65,8 @@
         self.ready = free_port()
         self.contracts: tuple[str, ...] = ()
         self.grace_s = 8
+        # Limits of each process that differ from those of `write_settings`.
+        self.limits: dict[str, int] = {}
         self._internal = free_port()
         self._folder = folder
         self._store = store
@@ -84,8 +87,15 @@
             ready=f"{ip}:{self.ready}",
             contracts=self.contracts,
             grace_s=self.grace_s,
+            **self.limits,
         )
 
+    def _limit_descriptors(self) -> None:
+        """Apply the limit that the platform sets for each process."""
+        limit = self.limits.get("max_fds")
+        if limit is not None:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))
+
     @asynccontextmanager
     async def run(
         self, role: str, ip: str, store: str = ""
@@ -96,6 +106,7 @@
             [sys.executable, "-m", "wisteriastair", role],
             env=os.environ | {"WISTERIASTAIR_BOOT": boot},
             stdout=subprocess.DEVNULL,
+            preexec_fn=self._limit_descriptors,
         )
         self._running.append(process)
         try:
