One account of what connections hold, in each mode; unfinished requests give way

Cause: make_relay_pressure gave no account without the contract, and the meter of responses counted no requests. With it, unfinished bodies counted like complete ones for the marks at which requests are refused, and nobody was dropped for arriving slowly. Heads and what their objects take were on no account, queued requests neither; a hundred heads at once were all admitted, chunked bodies as 0.

Change: the account is always in force. A request that has not arrived completely is counted apart, with its head and 160 bytes for each header. Above the high-water mark the unfinished ones are dropped: those that stopped, then large ones, latest first; small ones only above the budget. They get 503, which is a true "not run", since only complete requests are sent. Refusals follow from what is complete. A large body must leave room for small ones while it is sent, whether or not its length is announced; alone it is always accepted. Callers that have waited 5 s for a server that sends nothing give way above the mark. A connection reads on while at most 64 KiB of requests wait. Without the contract, small requests are never refused for what is held; streams wait for slow callers as before.

Test changed, as strict: the counts of reasons in test_pressure.py are compared with all reasons, of which there are more now. The harness gives its relay an account in both modes, as the process does.

--- a/tests/relay/harness.py
+++ b/tests/relay/harness.py
@@ -28,6 +28,7 @@
 )
 from wisteriastair.http1.caller import CallerConnection
 from wisteriastair.http1.messages import Request, header
+from wisteriastair.http1.monitor import make_meter
 from wisteriastair.nodemetrics import RelayMetrics
 from wisteriastair.peers.transport import Transport
 from wisteriastair.relay.admission import AdmissionGate
@@ -38,7 +39,7 @@
 from wisteriastair.relay.engine_order import EngineOrder
 from wisteriastair.relay.handler import RelayHandler
 from wisteriastair.relay.pool import ConnectionPool
-from wisteriastair.relay.pressure import RelayPressure, make_response_meter
+from wisteriastair.relay.pressure import RelayPressure
 from wisteriastair.relay.quota import QuotaClient
 from wisteriastair.relay.streams import StreamRelay
 from wisteriastair.scheduling.buffers import BufferLimits
@@ -337,9 +338,8 @@
         fleet.put(Server(server.id, "svc", server.address, "d", 8, False, 0.0))
     metrics = RelayMetrics()
     pressure = RelayPressure("r1", limits, 0.0, metrics) if limits else None
-    meter = pressure.meter if pressure else None
-    response_meter = meter or make_response_meter(MEMORY_BYTES, CACHE_BYTES)
-    pool = ConnectionPool(lambda server_id: None, response_meter)
+    meter = pressure.meter if pressure else make_meter(MEMORY_BYTES, CACHE_BYTES)
+    pool = ConnectionPool(lambda server_id: None, meter)
     share = share or CrashShare(CrashTable(), list)
     crashes = CrashMonitor(pool, metrics, share)
     dispatcher = Dispatcher(fleet, pool, "d", crashes)
--- a/tests/relay/test_pressure.py
+++ b/tests/relay/test_pressure.py
@@ -23,7 +23,7 @@
 from wisteriastair.core.routes import CallerLimits
 from wisteriastair.relay.admission import AdmissionGate
 from wisteriastair.relay.pressure import RelayPressure
-from wisteriastair.scheduling.buffers import BufferLimits
+from wisteriastair.scheduling.buffers import REASONS, BufferLimits
 
 # The kernel's buffers hold up to some megabytes for a connection on loopback, which
 # would hide slow callers from the relay.
@@ -114,7 +114,7 @@
         buffers = pressure_of(harness).buffers
         while not buffers.disconnected_counts["share"]:
             await anyio.sleep(0.02)
-        assert buffers.disconnected_counts == {"share": 1, "stalled": 0, "budget": 0}
+        assert buffers.disconnected_counts == dict.fromkeys(REASONS, 0) | {"share": 1}
         # The fast caller's unsent data is within its own share.
         assert 3_000_000 < buffers.peak_bytes < 7_500_000
         assert not (await slow.read()).whole
--- a/wisteriastair/http1/caller.py
+++ b/wisteriastair/http1/caller.py
@@ -23,7 +23,13 @@
 from anyio.abc import TaskGroup
 
 from ..core.routes import CallerLimits
-from ..scheduling.buffers import OVER_SHARE_TIMEOUT_S, Account
+from ..scheduling.buffers import (
+    OVER_SHARE_TIMEOUT_S,
+    SMALL_REQUEST_BYTES,
+    UNFINISHED,
+    WAITING,
+    Account,
+)
 from .messages import (
     LAST_CHUNK,
     BadRequest,
@@ -38,8 +44,11 @@
 from .metering import ConnectionMeter
 from .reading import FramingLimit, SmallReadsProtocol
 
-# Number of queued pipelined requests at which reading pauses.
+# Number and memory of queued pipelined requests at which reading pauses.
 MAX_PIPELINED_REQUESTS: Final = 8
+MAX_PIPELINED_BYTES: Final = 64 * 1024
+# Memory that a header takes besides its characters: a tuple of two objects in a list.
+HEADER_OVERHEAD_BYTES: Final = 160
 # Seconds for which data is read and discarded after the last response.  Closing with
 # unread data would reset the connection, and the response could be lost.
 LINGER_TIMEOUT_S: Final = 1.0
@@ -49,6 +58,9 @@
 OVERLOAD_RETRY_S: Final = 0.1
 BUFFERS_FULL: Final = "buffers are full"
 SLOW_CALLER: Final = "the caller reads too slowly"
+CLOSE_REASONS: Final = {
+    WAITING: "the server sends nothing while others need room",
+}
 # Interval at which a caller above its share is measured while its server waits.
 SHARE_POLL_S: Final = 0.02
 HEAD_METHOD: Final = "HEAD"
@@ -90,9 +102,9 @@
     caller_conns : set
         Set of open connections, to which this one is added while it is open.
     meter : ConnectionMeter or None
-        Budget for the bytes held for this connection.  With it, data for a caller that
-        reads slowly is buffered within the caller's share, and the caller is
-        disconnected if it stays above it; without it, backpressure applies.
+        Budget for the bytes held for this connection.  With shares, data for a caller
+        that reads slowly is buffered within the caller's share, and the caller is
+        disconnected if it stays above it; otherwise backpressure applies.
     """
 
     def __init__(
@@ -115,6 +127,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport
         self._queue: deque[Request | BadRequest] = deque()
+        self._queued_bytes = 0
         self._request_scope: anyio.CancelScope | None = None
         self._writable = asyncio.Event()
         self._writable.set()
@@ -125,7 +138,7 @@
         # The response to a HEAD request ends with its head.
         self._sends_body = True
         self._keep_alive = True
-        self._phase_started_at = self._loop.time()
+        self._phase_started_at = self._active_at = self._loop.time()
         self._written_bytes = 0
         # Bytes that the caller had read at the last check, and when it read them.
         self._read_bytes = 0
@@ -177,6 +190,7 @@
         """Parse data from the caller."""
         if self._meter is not None:
             self._meter.traffic.received_bytes += len(data)
+        self._active_at = self._loop.time()
         if self._finishing:
             return
         self._framing.received_bytes += len(data)
@@ -189,6 +203,7 @@
         allowed_bytes = 2 * max_bytes if self._head_complete else max_bytes
         if self._framing.is_exceeded(allowed_bytes):
             self._reject(431, f"headers or framing over {max_bytes} bytes")
+        self._record_arriving()
         self._serve_next()
 
     def _parse(self, data: bytes | memoryview) -> None:
@@ -327,8 +342,6 @@
             )
             return
         self._body += body
-        if self._account is not None and self._meter is not None:
-            self._meter.buffers.keep(self._account, len(body))
 
     def on_message_complete(self) -> None:
         """Queue a complete request."""
@@ -341,16 +354,27 @@
             bytes(self._body),
             self._parser.should_keep_alive(),
             self._received_at,
+            self._request_bytes(),
         )
         self._queue.append(req)
+        self._queued_bytes += req.held_bytes
+        if self._account is not None and self._meter is not None:
+            self._meter.buffers.keep_arrived(self._account, req.held_bytes)
         self._reset_request()
-        if len(self._queue) >= MAX_PIPELINED_REQUESTS and not self._reading_paused:
+        if self._has_full_queue() and not self._reading_paused:
             self._reading_paused = True
             self._transport.pause_reading()
 
+    def _has_full_queue(self) -> bool:
+        # The first request is served at once, whatever its size.
+        is_large = self._queued_bytes > MAX_PIPELINED_BYTES
+        waiting_count = len(self._queue) - (not self.busy)
+        is_full = len(self._queue) >= MAX_PIPELINED_REQUESTS
+        return is_full or (is_large and waiting_count > 0)
+
     def _reject(self, status: int, reason: str, retry_after_s: float = 0.0) -> None:
         """Reject the request that is arriving; later data is discarded."""
-        if not self._finishing:
+        if not self._finishing and not self.closed:
             self._finishing = True
             self._phase_started_at = self._loop.time()
             request_id = header(self._headers, b"x-request-id")
@@ -359,6 +383,10 @@
             self._queue.append(
                 BadRequest(status, reason, retry_after_s, request_id, method)
             )
+            self._body = bytearray()
+            self._headers = []
+            if self._account is not None and self._meter is not None:
+                self._meter.buffers.drop_arriving(self._account)
 
     # Responses
 
@@ -372,6 +400,8 @@
         try:
             while self._queue and not self.closed:
                 req = self._queue.popleft()
+                if isinstance(req, Request):
+                    self._queued_bytes -= req.held_bytes
                 if isinstance(req, BadRequest):
                     self._sends_body = req.method != HEAD_METHOD
                     self._handler.refuse(req, self)
@@ -386,7 +416,7 @@
                 self._resume_reading()
         finally:
             self.busy = False
-            self._phase_started_at = self._loop.time()
+            self._phase_started_at = self._active_at = self._loop.time()
         if not self.closed and not self._finishing:
             self._send_continue()
 
@@ -395,6 +425,8 @@
         self._streaming = False
         self._sends_body = req.method != HEAD_METHOD
         self._keep_alive = req.keep_alive
+        if self._account is not None and self._meter is not None:
+            self._meter.buffers.start_waiting(self._account, self._loop.time())
         with anyio.CancelScope() as scope:
             self._request_scope = scope
             await self._run_handler(req)
@@ -422,11 +454,7 @@
             )
 
     def _resume_reading(self) -> None:
-        if (
-            self._reading_paused
-            and len(self._queue) < MAX_PIPELINED_REQUESTS
-            and not self.closed
-        ):
+        if self._reading_paused and not self._has_full_queue() and not self.closed:
             self._reading_paused = False
             self._transport.resume_reading()
 
@@ -474,7 +502,7 @@
 
         With a budget, it has as long as the caller is within its share.
         """
-        if self._account is None or self._meter is None:
+        if self._account is None or self._meter is None or not self._meter.has_shares:
             return self._writable.is_set()
         return self._meter.buffers.is_within_share(self._account)
 
@@ -484,7 +512,7 @@
         With a budget, the caller is disconnected if that takes too long: a server whose
         response remains unread aborts it.
         """
-        if self._account is None or self._meter is None:
+        if self._account is None or self._meter is None or not self._meter.has_shares:
             await self._writable.wait()
             return
         buffers, account = self._meter.buffers, self._account
@@ -507,13 +535,38 @@
             self._account, len(data), self._transport.get_write_buffer_size()
         )
 
+    def _request_bytes(self) -> int:
+        """Return the memory that the arriving request takes."""
+        limits = self._handler.limits()
+        # Besides the body, chunk sizes and trailers are not kept.
+        head_bytes = self._framing.received_bytes - self._framing.body_bytes
+        head_bytes = max(0, min(head_bytes, 2 * limits.max_header_bytes))
+        header_bytes = HEADER_OVERHEAD_BYTES * len(self._headers)
+        return len(self._body) + head_bytes + header_bytes
+
+    def _record_arriving(self) -> None:
+        if self._account is None or self._meter is None or self._finishing:
+            return
+        size = self._request_bytes()
+        if size == 0:
+            return
+        if size > SMALL_REQUEST_BYTES and not self._meter.buffers.has_room(size):
+            self._reject(503, BUFFERS_FULL, OVERLOAD_RETRY_S)
+            return
+        self._meter.buffers.set_arriving(self._account, size, self._active_at)
+
     def _free_request(self, req: Request) -> None:
         if self._account is not None and self._meter is not None:
-            self._meter.buffers.free(self._account, len(req.body))
+            self._meter.buffers.free(self._account, req.held_bytes)
 
     def _disconnect(self, reason: str) -> None:
-        """Reset the connection to free what is held for it."""
-        self.close_reason = f"{SLOW_CALLER}: {reason}"
+        """Free what is held, by rejecting the unfinished request or by a reset."""
+        if reason == UNFINISHED:
+            # Nothing was sent to a server, so another process can run the request.
+            self._reject(503, BUFFERS_FULL, OVERLOAD_RETRY_S)
+            self._serve_next()
+            return
+        self.close_reason = CLOSE_REASONS.get(reason, f"{SLOW_CALLER}: {reason}")
         self.abort()
 
     def _close_account(self) -> None:
--- a/wisteriastair/http1/messages.py
+++ b/wisteriastair/http1/messages.py
@@ -38,6 +38,8 @@
         Path and query as sent.
     received_at : float
         Time at which the head was complete, on the event loop's clock.
+    held_bytes : int
+        Memory that the request takes, in bytes.
     """
 
     method: str
@@ -46,6 +48,7 @@
     body: bytes
     keep_alive: bool
     received_at: float
+    held_bytes: int = 0
 
     @property
     def path(self) -> str:
--- a/wisteriastair/http1/metering.py
+++ b/wisteriastair/http1/metering.py
@@ -13,11 +13,12 @@
 
     Attributes
     ----------
-    counts_requests : bool
-        Whether requests to servers are counted besides what is unread of responses.
-        Otherwise, all that is kept of responses is counted.
+    has_shares : bool
+        Whether a stream is read from its server as long as the caller's unsent data is
+        within its share.  Otherwise it is read while the write buffer has capacity,
+        and what is retained of it is counted, too.
     """
 
     buffers: BufferBudget
     traffic: Traffic
-    counts_requests: bool = True
+    has_shares: bool = True
--- a/wisteriastair/http1/server.py
+++ b/wisteriastair/http1/server.py
@@ -301,10 +301,9 @@
         """Account for a request: it stays in memory until its exchange ends."""
         assert self._meter is not None and self._account is not None
         exchange.on_buffered = self._change_kept
-        self._meter.traffic.sent_bytes += size
-        if not self._meter.counts_requests:
+        if not self._meter.has_shares:
             exchange.on_retained = self._change_kept
-            return
+        self._meter.traffic.sent_bytes += size
         self._keep(size)
         self._meter.buffers.record_written(
             self._account, size, self._transport.get_write_buffer_size()
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -27,6 +27,7 @@
 from ..core.watchers import crash_keepers, make_subscription
 from ..http1.caller import CallerConnection
 from ..http1.listener import listen
+from ..http1.monitor import BufferMonitor, make_meter
 from ..logs import dropped_line_count
 from ..nodemetrics import RelayMetrics, serve_metrics
 from ..nodeoptions import NodeOptions
@@ -63,7 +64,7 @@
 from .ledger import LedgerClient
 from .picture import PictureClient
 from .pool import ConnectionPool
-from .pressure import make_relay_pressure, make_response_meter
+from .pressure import make_relay_pressure
 from .quota import QuotaClient
 from .streams import StreamRelay
 
@@ -99,11 +100,12 @@
         self._metrics = RelayMetrics()
         cache_bytes = int(cfg.memory_bytes * CHAIN_CACHE_FRACTION)
         self._pressure = make_relay_pressure(cfg, cache_bytes, self._metrics)
-        self._meter = self._pressure.meter if self._pressure else None
-        self._response_meter = self._meter or make_response_meter(
-            cfg.memory_bytes, cache_bytes
+        self._meter = (
+            self._pressure.meter
+            if self._pressure
+            else make_meter(cfg.memory_bytes, cache_bytes)
         )
-        self._pool = ConnectionPool(self._on_unexpected_data, self._response_meter)
+        self._pool = ConnectionPool(self._on_unexpected_data, self._meter)
         self._ledger = LedgerClient(cfg.domain, cfg.max_failures)
         self._picture = PictureClient(
             self._fleet,
@@ -184,6 +186,8 @@
             group.start_soon(self._request_documents, transport)
             if self._pressure is not None:
                 group.start_soon(self._pressure.run)
+            else:
+                group.start_soon(BufferMonitor(self._meter.buffers).run)
             await serve_metrics(self._cfg.ip_address, self._metrics.registry, group)
             group.start_soon(self._watch_signals)
             await self._serve(group)
@@ -427,6 +431,7 @@
         table = self._handler.table
         now = asyncio.get_running_loop().time()
         servers_avoided, servers_slow = self._dispatcher.count_paced_servers()
+        buffers = self._meter.buffers
         values = {
             "config_version": table.version if table else 0,
             "view_number": self._ledger.view.number,
@@ -436,6 +441,11 @@
             "ledger_reachable": self._ledger.is_reachable,
             "servers_known": len(self._fleet),
             "caller_channels": len(self._caller_conns),
+            "held_bytes": buffers.held_bytes,
+            "arriving_bytes": buffers.arriving_bytes,
+            "held_bytes_peak": buffers.peak_bytes,
+            "held_bytes_limit": buffers.limits.budget_bytes,
+            "buffer_refusals": buffers.refused_count,
             "server_channels_opened": self._pool.opened_count,
             "store_calls": self._store.call_count,
             "store_revision": self._mirror.revision,
@@ -458,7 +468,7 @@
         }
         for name, value in values.items():
             self._metrics.gauges[name].set(value)
-        for reason, count in self._response_meter.buffers.disconnected_counts.items():
+        for reason, count in buffers.disconnected_counts.items():
             self._metrics.buffer_disconnects.labels(reason).set(count)
 
     async def _probe_ledger(self) -> None:
--- a/wisteriastair/relay/pressure.py
+++ b/wisteriastair/relay/pressure.py
@@ -15,6 +15,7 @@
 from ..core.routes import RequestKind, Route
 from ..errors import Code, Failure
 from ..http1.metering import ConnectionMeter
+from ..http1.monitor import LOG_INTERVAL_S, REFRESH_INTERVAL_S, BufferMonitor
 from ..nodemetrics import RelayMetrics
 from ..nodeoptions import NodeOptions
 from ..platform.headers import CallerRequest
@@ -22,11 +23,6 @@
 from ..scheduling.relay_load import OverloadReadiness, RelayLoad, Traffic
 
 LAG_INTERVAL_S: Final = 0.05
-# Send buffers are measured again this often.  A caller that reads is thus counted with
-# what it held up to this time ago.
-REFRESH_INTERVAL_S: Final = 0.25
-# Closed callers and changes of state are logged together at most this often.
-LOG_INTERVAL_S: Final = 1.0
 # Delay before a retry of a new program that was refused; the retry usually reaches
 # another relay.
 NEW_PROGRAM_RETRY_S: Final = 0.1
@@ -72,7 +68,7 @@
         self._refreshed_at = 0.0
         self._logged_at = 0.0
         self._logged_state = (False, False, True)
-        self._logged_disconnects = dict(self.buffers.disconnected_counts)
+        self._monitor = BufferMonitor(self.buffers)
 
     async def run(self) -> None:
         """Measure until cancelled."""
@@ -96,7 +92,7 @@
             Seconds since 1970.
         """
         self._refreshed_at = now
-        self.buffers.refresh(now)
+        self._monitor.refresh(now)
         self.load.record_traffic(self.meter.traffic, now)
         is_overloaded = self.load.is_overloaded or self.buffers.is_refusing
         self.is_ready = self._readiness.is_ready(is_overloaded, now, wall_s)
@@ -129,41 +125,27 @@
 
     def _update_metrics(self) -> None:
         gauges = self._metrics.gauges
-        gauges["held_bytes"].set(self.buffers.held_bytes)
-        gauges["held_bytes_peak"].set(self.buffers.peak_bytes)
-        gauges["held_bytes_limit"].set(self.buffers.limits.budget_bytes)
-        gauges["buffer_refusals"].set(self.buffers.refused_count)
         gauges["loop_lag_seconds"].set(self.load.lag_s)
         gauges["link_use"].set(self.load.link_use)
 
     def _log_changes(self, now: float) -> None:
         state = (self.buffers.is_refusing, self.load.is_overloaded, self.is_ready)
-        disconnects = dict(self.buffers.disconnected_counts)
+        if state == self._logged_state:
+            return
+        is_refusing, is_overloaded, is_ready = state
         fields: dict[str, float] = {
             "held_bytes": self.buffers.held_bytes,
             "limit_bytes": self.buffers.limits.budget_bytes,
             "refused": self.buffers.refused_count,
+            "refuses_requests": is_refusing,
+            "refuses_programs": is_overloaded,
+            "ready": is_ready,
+            "lag_ms": round(self.load.lag_s * 1000, 1),
+            "link_use": round(self.load.link_use, 3),
         }
-        if disconnects != self._logged_disconnects:
-            new: dict[str, float] = {
-                reason: count - self._logged_disconnects[reason]
-                for reason, count in disconnects.items()
-            }
-            log.warning("connections closed to free buffers", extra=fields | new)
-        if state != self._logged_state:
-            is_refusing, is_overloaded, is_ready = state
-            load_fields: dict[str, float] = {
-                "refuses_requests": is_refusing,
-                "refuses_programs": is_overloaded,
-                "ready": is_ready,
-                "lag_ms": round(self.load.lag_s * 1000, 1),
-                "link_use": round(self.load.link_use, 3),
-            }
-            log.warning("load of the relay changed", extra=fields | load_fields)
-        if state != self._logged_state or disconnects != self._logged_disconnects:
-            self._logged_at = now
+        log.warning("load of the relay changed", extra=fields)
+        self._logged_at = now
         self._logged_state = state
-        self._logged_disconnects = disconnects
 
 
 def make_relay_pressure(
@@ -182,23 +164,6 @@
     return RelayPressure(cfg.name, limits, cfg.link_bytes_per_s, metrics)
 
 
-def make_response_meter(memory_bytes: int, cache_bytes: int) -> ConnectionMeter:
-    """Make the budget for unfinished responses of a relay without other limits.
-
-    Servers that send without end would otherwise fill its memory, each response up to
-    its maximum size.  The largest response is dropped first.
-
-    Parameters
-    ----------
-    memory_bytes : int
-        Memory limit of the process.
-    cache_bytes : int
-        Maximum size of the caches of the process.
-    """
-    buffers = BufferBudget(make_buffer_limits(memory_bytes, cache_bytes))
-    return ConnectionMeter(buffers, Traffic(), counts_requests=False)
-
-
 def _starts_program(route: Route, caller_req: CallerRequest) -> bool:
     """Whether a request looks like the first of its program.
 
--- a/wisteriastair/scheduling/buffers.py
+++ b/wisteriastair/scheduling/buffers.py
@@ -1,15 +1,22 @@
-"""One byte budget for what a relay holds for callers and servers.
-
-Load pattern: callers and servers that read slowly, and responses of many kilobytes, on
-relays of 128 to 552 MB whose processes are killed above their memory limit.  Without a
-common bound, every connection has buffers of its own, and their sum is not limited.
-
-Every connection has an account.  Bytes that the relay needs to answer a request
-(bodies, plain responses) are `kept`; bytes that the other side has not read yet are
-`unsent`.  Four rules apply, from the mildest:
-
-* Above the high-water mark, new requests are refused until the sum is below the
-  low-water mark.
+"""One byte budget for what a process holds for callers and servers.
+
+Load pattern: callers and servers that read slowly, responses of many kilobytes, and
+crowds of callers that do not finish their requests, on processes of 128 to 552 MB that
+are killed above their memory limit.  Without a common bound, every connection has
+buffers of its own, and their sum is not limited.
+
+Every connection has an account.  Bytes of a request that has not arrived completely
+are `arriving`.  Bytes that are needed to answer a request (complete requests, plain
+responses) are `kept`; bytes that the other side has not read yet are `unsent`.  These
+rules apply, from the mildest:
+
+* If the sum is above the high-water mark, unfinished requests are dropped: those that
+  stopped arriving first, then large ones, the latest first, so that some get through.
+  Small ones that still arrive are dropped only above the budget.  Unfinished requests
+  therefore never cause a refusal.
+* If the rest is above the high-water mark, new requests, or only large ones, are
+  refused until it is below the low-water mark.  Callers that have waited for some
+  seconds for a server that sends nothing are disconnected then.
 * A stream is read from its server while the caller's unsent data is within its share.
   Beyond it, reading pauses for at most a second, after which the caller is
   disconnected: servers abort responses that remain unread for some seconds.  The share
@@ -51,6 +58,19 @@
 OVER_SHARE_TIMEOUT_S: Final = 1.0
 # Time without any progress while the sum is above the low-water mark.
 STALL_TIMEOUT_S: Final = 5.0
+# An unfinished request of which nothing has arrived for this time gives way first.
+ARRIVAL_PAUSE_S: Final = 0.5
+# Largest size of a request that is small, with its head.
+SMALL_REQUEST_BYTES: Final = 64 * 1024
+# Bytes held for each byte of a body while it is sent: the request, its copy for the
+# server, and what the server has not read.
+COPIES: Final = 3
+# Part of the budget below which what is held does not count as load.
+IDLE_FRACTION: Final = 0.1
+# Reasons for which connections are closed.
+UNFINISHED: Final = "unfinished"
+WAITING: Final = "waiting"
+REASONS: Final = ("share", "stalled", "budget", UNFINISHED, WAITING)
 
 
 class BufferLimits(NamedTuple):
@@ -86,12 +106,19 @@
     measure : callable
         Returns the number of unsent bytes.
     disconnect : callable
-        Closes the connection at once; its argument is the reason.
+        Frees what is held; its argument is the reason.  For ``unfinished``, the
+        unfinished request is rejected; otherwise the connection is closed at once.
 
     Attributes
     ----------
+    arriving_bytes : int
+        Bytes of a request that has not arrived completely.
     kept_bytes, unsent_bytes : int
         Bytes needed for requests, and bytes that the other side has not read.
+    arriving_at, arrived_at : float
+        When the unfinished request began, and when its latest data arrived.
+    waiting_at : float or None
+        Since when a request has waited for the first data of its response.
     is_open : bool
         False after the connection has ended; the account then holds nothing.
     """
@@ -99,6 +126,10 @@
     __slots__ = (
         "is_caller",
         "is_open",
+        "arriving_bytes",
+        "arriving_at",
+        "arrived_at",
+        "waiting_at",
         "kept_bytes",
         "unsent_bytes",
         "written_bytes",
@@ -117,6 +148,10 @@
     ) -> None:
         self.is_caller = is_caller
         self.is_open = True
+        self.arriving_bytes = 0
+        self.arriving_at = 0.0
+        self.arrived_at = 0.0
+        self.waiting_at: float | None = None
         self.kept_bytes = 0
         self.unsent_bytes = 0
         # Written since the start, and read by the other side at the last refresh.
@@ -130,35 +165,49 @@
     @property
     def held_bytes(self) -> int:
         """All bytes that are held for the connection."""
-        return self.kept_bytes + self.unsent_bytes
+        return self.arriving_bytes + self.kept_bytes + self.unsent_bytes
 
 
 class BufferBudget:
     """Accounts of all connections, and the decisions about their sum.
 
+    Parameters
+    ----------
+    limits : BufferLimits
+        Limits of the sum.
+    refuses_small : bool
+        Whether small requests are refused above the high-water mark, too.  Otherwise
+        they are accepted, and the connections that hold the most give way.
+
     Attributes
     ----------
     held_bytes : int
         Sum of all accounts.
+    arriving_bytes : int
+        Part of it that belongs to unfinished requests.
     peak_bytes : int
         Largest sum since the start.
     is_refusing : bool
-        Whether new requests are refused.
+        Whether new large requests, or all new requests, are refused.
     refused_count : int
         Requests refused since the start.
     disconnected_counts : dict
-        Connections closed since the start by reason: ``share``, ``stalled`` or
-        ``budget``.
+        Connections closed and unfinished requests dropped since the start, by reason.
     """
 
-    def __init__(self, limits: BufferLimits) -> None:
+    def __init__(self, limits: BufferLimits, *, refuses_small: bool = True) -> None:
         self.limits = limits
+        self._refuses_small = refuses_small
         self.held_bytes = 0
+        self.arriving_bytes = 0
         self.peak_bytes = 0
         self.is_refusing = False
         self.refused_count = 0
-        self.disconnected_counts = {"share": 0, "stalled": 0, "budget": 0}
+        self.disconnected_counts = dict.fromkeys(REASONS, 0)
         self._accounts: set[Account] = set()
+        self._arriving: set[Account] = set()
+        # Latest time that is known; decisions within a callback need no exact one.
+        self._now = 0.0
 
     def open(
         self,
@@ -175,11 +224,46 @@
     def close(self, account: Account) -> None:
         """Return everything that is held for a connection that has ended."""
         account.is_open = False
+        account.waiting_at = None
         self._accounts.discard(account)
+        self.drop_arriving(account)
         held_bytes = account.held_bytes
         account.kept_bytes = account.unsent_bytes = 0
         self._add(-held_bytes)
 
+    def set_arriving(self, account: Account, size: int, now: float) -> None:
+        """Set the bytes held for the unfinished request of a connection."""
+        self._now = now
+        if not account.is_open:
+            return
+        if account not in self._arriving:
+            self._arriving.add(account)
+            account.arriving_at = now
+        account.arrived_at = now
+        change = size - account.arriving_bytes
+        account.arriving_bytes = size
+        self.arriving_bytes += change
+        self._add(change)
+
+    def keep_arrived(self, account: Account, size: int) -> None:
+        """Keep a request that has arrived completely."""
+        self.drop_arriving(account)
+        self.keep(account, size)
+
+    def drop_arriving(self, account: Account) -> None:
+        """Return the bytes held for an unfinished request."""
+        self._arriving.discard(account)
+        size = account.arriving_bytes
+        if size:
+            account.arriving_bytes = 0
+            self.arriving_bytes -= size
+            self._add(-size)
+
+    def start_waiting(self, account: Account, now: float) -> None:
+        """Note that a request waits for the first data of its response."""
+        if account.is_open:
+            account.waiting_at = now
+
     def keep(self, account: Account, size: int) -> None:
         """Add bytes that a request needs."""
         if account.is_open:
@@ -204,6 +288,7 @@
         if not account.is_open:
             return
         account.written_bytes += size
+        account.waiting_at = None
         if unsent_bytes != account.unsent_bytes:
             self._set_unsent(account, unsent_bytes)
 
@@ -228,18 +313,35 @@
         return max(MIN_SHARE_BYTES, int(free_bytes * SHARE_FACTOR))
 
     def admits(self, size: int) -> bool:
-        """Whether a new request with a body of the given size is accepted.
+        """Whether a request with a body of the given size is accepted.
 
         A refusal is counted.
         """
-        if not self.is_refusing and self.held_bytes + size <= self.limits.budget_bytes:
+        is_small = size <= SMALL_REQUEST_BYTES
+        is_refusing = self.is_refusing and (self._refuses_small or not is_small)
+        if not is_refusing and self.has_room(size):
             return True
         self.refused_count += 1
         return False
 
+    def has_room(self, size: int) -> bool:
+        """Whether a body of the given size can be sent to a server.
+
+        Unfinished requests give way.  A large body must leave room for small requests
+        while it is sent, unless nothing else is held.
+        """
+        limits = self.limits
+        committed_bytes = self.held_bytes - self.arriving_bytes
+        if size <= SMALL_REQUEST_BYTES or committed_bytes <= self._idle_bytes:
+            return committed_bytes + size <= limits.budget_bytes
+        return committed_bytes + COPIES * size <= limits.high_bytes
+
     def refresh(self, now: float) -> None:
         """Measure send buffers again, and disconnect callers that do not read."""
+        self._now = now
         self._measure_all()
+        if self.is_refusing:
+            self._disconnect_waiting(now)
         callers = [a for a in self._accounts if a.is_caller]
         for account in callers:
             self._update_progress(account, now)
@@ -252,6 +354,22 @@
             elif _has_elapsed(account.progress_at, now, STALL_TIMEOUT_S):
                 self._disconnect(account, "stalled")
 
+    def _disconnect_waiting(self, now: float) -> None:
+        """Disconnect callers whose servers send nothing, the most expensive first."""
+        waiting = [
+            (account.held_bytes * (now - account.waiting_at), account)
+            for account in self._accounts
+            if _has_elapsed(account.waiting_at, now, STALL_TIMEOUT_S)
+            and account.waiting_at is not None
+        ]
+        excess = self.held_bytes - self.arriving_bytes - self.limits.low_bytes
+        for _, account in sorted(waiting, key=lambda item: item[0], reverse=True):
+            if excess < 0:
+                return
+            # What is held for the server is returned when the request has ended.
+            excess -= COPIES * account.held_bytes
+            self._disconnect(account, WAITING)
+
     def _update_progress(self, account: Account, now: float) -> None:
         taken_bytes = account.written_bytes - account.unsent_bytes
         if account.unsent_bytes == 0:
@@ -275,14 +393,46 @@
 
     def _add(self, change: int) -> None:
         self.held_bytes += change
-        if self.held_bytes > self.limits.budget_bytes and change > 0:
-            self._enforce_budget()
+        if change > 0 and self.held_bytes > self.limits.high_bytes:
+            self._drop_unfinished()
+            if self.held_bytes > self.limits.budget_bytes:
+                self._enforce_budget()
         self.peak_bytes = max(self.peak_bytes, self.held_bytes)
-        if self.held_bytes > self.limits.high_bytes:
+        committed_bytes = self.held_bytes - self.arriving_bytes
+        if committed_bytes > self.limits.high_bytes:
             self.is_refusing = True
-        elif self.held_bytes < self.limits.low_bytes:
+        elif committed_bytes < self.limits.low_bytes:
             self.is_refusing = False
 
+    def _drop_unfinished(self) -> None:
+        """Drop unfinished requests until the sum is within its marks."""
+        while self._arriving and self.held_bytes > self.limits.high_bytes:
+            account = max(self._arriving, key=self._drop_order)
+            rank, _ = self._drop_order(account)
+            if rank < 0 and self.held_bytes <= self.limits.budget_bytes:
+                return
+            self.drop_arriving(account)
+            self.disconnected_counts[UNFINISHED] += 1
+            account.disconnect(UNFINISHED)
+
+    def _drop_order(self, account: Account) -> tuple[int, float]:
+        """Order unfinished requests: stopped ones, large ones, and all others.
+
+        Stopped and small ones are ordered by the memory that they take and for how
+        long, large ones by their start.
+        """
+        pause_s = self._now - account.arrived_at
+        if pause_s >= ARRIVAL_PAUSE_S:
+            return 1, account.arriving_bytes * pause_s
+        if account.arriving_bytes > SMALL_REQUEST_BYTES:
+            return 0, account.arriving_at
+        age_s = self._now - account.arriving_at
+        return -1, account.arriving_bytes * (age_s + ARRIVAL_PAUSE_S)
+
+    @property
+    def _idle_bytes(self) -> int:
+        return int(self.limits.budget_bytes * IDLE_FRACTION)
+
     def _enforce_budget(self) -> None:
         for account in self._accounts:
             if account.unsent_bytes > 0:
