Probes and scrapes are on the account of their process

Cause: their listeners made connections without a meter, in every process.

Change: listen() takes the meter of the process; a keeper has one, too, and keeps it up to date. Unfinished requests give way there as at the port for callers.

--- a/wisteriastair/http1/listener.py
+++ b/wisteriastair/http1/listener.py
@@ -9,12 +9,17 @@
 from anyio.abc import TaskGroup
 
 from .caller import CallerConnection, Handler
+from .metering import ConnectionMeter
 
 TIMEOUT_CHECK_INTERVAL_S: Final = 1.0
 
 
 async def listen(
-    handler: Handler, host: str, port: int, group: TaskGroup
+    handler: Handler,
+    host: str,
+    port: int,
+    group: TaskGroup,
+    meter: ConnectionMeter | None = None,
 ) -> asyncio.Server:
     """Serve a handler on a port.
 
@@ -22,6 +27,8 @@
     ----------
     group : TaskGroup
         Runs the handler, and enforces the timeouts of the connections.
+    meter : ConnectionMeter or None
+        Budget of the process for the bytes that connections hold.
 
     Raises
     ------
@@ -30,7 +37,7 @@
     """
     caller_conns: set[CallerConnection] = set()
     listener = await asyncio.get_running_loop().create_server(
-        lambda: CallerConnection(handler, group, caller_conns), host, port
+        lambda: CallerConnection(handler, group, caller_conns, meter), host, port
     )
     group.start_soon(_enforce_timeouts, caller_conns)
     return listener
--- a/wisteriastair/keeper/daemon.py
+++ b/wisteriastair/keeper/daemon.py
@@ -34,6 +34,7 @@
 from ..core.membership import Member, View, next_view
 from ..core.storetimes import make_store_timeouts
 from ..core.watchers import Subscribers, crash_keepers, make_subscription
+from ..http1.monitor import BufferMonitor, make_meter
 from ..logs import dropped_line_count
 from ..nodemetrics import KeeperMetrics, serve_metrics
 from ..nodeoptions import NodeOptions
@@ -145,7 +146,14 @@
         )
         async with anyio.create_task_group() as group:
             self._start_tasks(group)
-            await serve_metrics(self._cfg.ip_address, self._metrics.registry, group)
+            meter = make_meter(
+                self._cfg.memory_bytes,
+                int(TURN_MEMORY_FRACTION * self._cfg.memory_bytes),
+            )
+            group.start_soon(BufferMonitor(meter.buffers).run)
+            await serve_metrics(
+                self._cfg.ip_address, self._metrics.registry, group, meter
+            )
             await self._stop.wait()
             await self._announce_stop()
             group.cancel_scope.cancel()
--- a/wisteriastair/nodemetrics.py
+++ b/wisteriastair/nodemetrics.py
@@ -18,6 +18,7 @@
 from .http1.caller import CallerConnection, Handler
 from .http1.listener import listen
 from .http1.messages import BadRequest, Request
+from .http1.metering import ConnectionMeter
 
 # deploy/system.toml contains the same port.
 METRICS_PORT: Final = 9464
@@ -289,10 +290,10 @@
 
 
 async def serve_metrics(
-    address: str, registry: CollectorRegistry, group: TaskGroup
+    address: str, registry: CollectorRegistry, group: TaskGroup, meter: ConnectionMeter
 ) -> None:
     """Listen for scrapes; if the port is in use, metrics are not served."""
     try:
-        await listen(MetricsHandler(registry), address, METRICS_PORT, group)
+        await listen(MetricsHandler(registry), address, METRICS_PORT, group, meter)
     except OSError as exc:
         log.warning("no metrics", extra={"reason": str(exc), "port": METRICS_PORT})
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -188,7 +188,9 @@
                 group.start_soon(self._pressure.run)
             else:
                 group.start_soon(BufferMonitor(self._meter.buffers).run)
-            await serve_metrics(self._cfg.ip_address, self._metrics.registry, group)
+            await serve_metrics(
+                self._cfg.ip_address, self._metrics.registry, group, self._meter
+            )
             group.start_soon(self._watch_signals)
             await self._serve(group)
             group.cancel_scope.cancel()
@@ -204,7 +206,12 @@
                 *_host_and_port(self._cfg.caller_address),
                 backlog=LISTEN_BACKLOG,
             ),
-            await listen(self._ready, *_host_and_port(self._cfg.ready_address), group),
+            await listen(
+                self._ready,
+                *_host_and_port(self._cfg.ready_address),
+                group,
+                self._meter,
+            ),
         ]
         await self._shutdown_requested.wait()
         assert self._handler.shutdown is not None, "set together with the event"
