Connections and unread data are bounded by memory and descriptors

Callers saw: nothing answered, the readiness probe neither, once a crowd of connections had taken all descriptors; the platform would have taken the relay for dead. With enough descriptors, 1,500 connections held 63 MB unread.

Cause: no limit of connections. Without a free descriptor the event loop (Python 3.11, by reading `_accept_connection`) goes on for its whole backlog of 1,024, logs each failure with a traceback and schedules each again a second later, which multiplies. Receive buffers grow to megabytes, and what arrives counts as memory of the process.

Change: callers of a relay get a number of connections from its memory and half of its descriptors, each listener for probes 16. A new connection above the limit replaces the one without a request that was inactive longest; if all have a request, the caller whose server has sent nothing for the longest time, if that is 5 s, or else it is closed itself. The event loop accepts 16 in an iteration. Listening sockets have receive buffers of 16 KiB: 24 KiB arrive (measured), 4 MiB in one request take 7 ms on loopback. `limits.maxFds` is read.

--- a/wisteriastair/http1/caller.py
+++ b/wisteriastair/http1/caller.py
@@ -24,8 +24,10 @@
 
 from ..core.routes import CallerLimits
 from ..scheduling.buffers import (
+    CONNECTIONS,
     OVER_SHARE_TIMEOUT_S,
     SMALL_REQUEST_BYTES,
+    STALL_TIMEOUT_S,
     UNFINISHED,
     WAITING,
     Account,
@@ -60,6 +62,7 @@
 SLOW_CALLER: Final = "the caller reads too slowly"
 CLOSE_REASONS: Final = {
     WAITING: "the server sends nothing while others need room",
+    CONNECTIONS: "too many connections",
 }
 # Interval at which a caller above its share is measured while its server waits.
 SHARE_POLL_S: Final = 0.02
@@ -105,6 +108,9 @@
         Budget for the bytes held for this connection.  With shares, data for a caller
         that reads slowly is buffered within the caller's share, and the caller is
         disconnected if it stays above it; otherwise backpressure applies.
+    max_connections : int
+        Size of `caller_conns` above which a new connection replaces the one that has
+        been inactive for the longest time; 0 for no limit.
     """
 
     def __init__(
@@ -113,6 +119,7 @@
         group: TaskGroup,
         caller_conns: set[CallerConnection],
         meter: ConnectionMeter | None = None,
+        max_connections: int = 0,
     ) -> None:
         self.closed = False
         # Why the relay closed the connection to free memory; empty if it did not.
@@ -122,6 +129,7 @@
         self._group = group
         self._caller_conns = caller_conns
         self._meter = meter
+        self._max_connections = max_connections
         self._account: Account | None = None
         self._loop = asyncio.get_running_loop()
         self._parser = httptools.HttpRequestParser(self)
@@ -160,6 +168,41 @@
                 measure=transport.get_write_buffer_size,
                 disconnect=self._disconnect,
             )
+        if self._max_connections and len(self._caller_conns) > self._max_connections:
+            self._close_another()
+
+    def _close_another(self) -> None:
+        """Close the connection that has been inactive for the longest time.
+
+        If all others have a request, the one whose server has sent nothing for the
+        longest time is closed, if that is some seconds; otherwise this new one is.
+        """
+        idle = [conn for conn in self._caller_conns if not (conn.busy or conn._queue)]
+        inactive = min(idle, key=lambda conn: conn._active_at)
+        if inactive is self:
+            stalled = self._longest_waiting()
+            if stalled is not None:
+                stalled._close_for_others(WAITING)
+                return
+        inactive._close_for_others(CONNECTIONS)
+
+    def _longest_waiting(self) -> CallerConnection | None:
+        waiting = [
+            (conn._account.waiting_at, conn)
+            for conn in self._caller_conns
+            if conn._account is not None and conn._account.waiting_at is not None
+        ]
+        if not waiting:
+            return None
+        waiting_at, conn = min(waiting, key=lambda item: item[0])
+        return conn if self._active_at - waiting_at >= STALL_TIMEOUT_S else None
+
+    def _close_for_others(self, reason: str) -> None:
+        if self._account is not None and self._meter is not None:
+            self._meter.buffers.disconnect(self._account, reason)
+        else:
+            self.abort()
+        self._caller_conns.discard(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the current request and discard queued ones."""
--- a/wisteriastair/http1/listener.py
+++ b/wisteriastair/http1/listener.py
@@ -1,17 +1,56 @@
-"""Listeners for probes and scrapes, whose connections end with the process."""
+"""Listening sockets, and listeners for probes and scrapes."""
 
 from __future__ import annotations
 
 import asyncio
+import socket
+from collections.abc import Callable
 from typing import Final
 
 import anyio
 from anyio.abc import TaskGroup
 
+from ..scheduling.connections import (
+    ACCEPTS_PER_ITERATION,
+    MAX_PROBE_CONNECTIONS,
+    RECEIVE_BUFFER_BYTES,
+)
 from .caller import CallerConnection, Handler
 from .metering import ConnectionMeter
 
 TIMEOUT_CHECK_INTERVAL_S: Final = 1.0
+# Maximum number of connections that wait to be accepted.
+LISTEN_BACKLOG: Final = 512
+
+
+async def serve_socket(
+    make_connection: Callable[[], asyncio.BaseProtocol], host: str, port: int
+) -> asyncio.Server:
+    """Accept connections on a port.
+
+    What arrives on a connection before it is read is limited.  The event loop accepts
+    up to its backlog in one iteration, so that it gets a small one, and the system the
+    larger one.
+
+    Raises
+    ------
+    OSError
+        If listening on the port fails.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        sock.setblocking(False)
+        sock.bind((host, port))
+        listener = await asyncio.get_running_loop().create_server(
+            make_connection, sock=sock, backlog=ACCEPTS_PER_ITERATION
+        )
+        sock.listen(LISTEN_BACKLOG)
+    except OSError:
+        sock.close()
+        raise
+    return listener
 
 
 async def listen(
@@ -21,7 +60,7 @@
     group: TaskGroup,
     meter: ConnectionMeter | None = None,
 ) -> asyncio.Server:
-    """Serve a handler on a port.
+    """Serve probes or scrapes on a port; their connections end with the process.
 
     Parameters
     ----------
@@ -36,8 +75,12 @@
         If listening on the port fails.
     """
     caller_conns: set[CallerConnection] = set()
-    listener = await asyncio.get_running_loop().create_server(
-        lambda: CallerConnection(handler, group, caller_conns, meter), host, port
+    listener = await serve_socket(
+        lambda: CallerConnection(
+            handler, group, caller_conns, meter, MAX_PROBE_CONNECTIONS
+        ),
+        host,
+        port,
     )
     group.start_soon(_enforce_timeouts, caller_conns)
     return listener
--- a/wisteriastair/nodemetrics.py
+++ b/wisteriastair/nodemetrics.py
@@ -174,6 +174,7 @@
                 ("ledger_reachable", "1 if reservations can be expected to succeed"),
                 ("servers_known", "Backend servers known"),
                 ("caller_channels", "Open channels of callers"),
+                ("caller_channels_limit", "Most open channels of callers"),
                 ("server_channels_opened", "Channels opened to servers since start"),
                 ("store_calls", "Calls to the platform's store since start"),
                 ("store_revision", "Revision up to which changes are known"),
--- a/wisteriastair/nodeoptions.py
+++ b/wisteriastair/nodeoptions.py
@@ -15,6 +15,8 @@
 # quarantine in seconds: a day.
 MAX_MAX_CRASHES: Final = 100
 MAX_QUARANTINE_S: Final = 86_400.0
+# For settings without a limit of descriptors.
+DEFAULT_MAX_DESCRIPTORS: Final = 4_096
 
 
 class NodeOptions(NamedTuple):
@@ -67,6 +69,8 @@
     has_memory_pressure : bool
         Whether callers and servers may read slowly, and servers crash if the requests
         that they hold exceed their memory.
+    max_descriptors : int
+        Maximum number of open descriptors of the process.
     crash_limits : CrashLimits
         When a request is quarantined, and for how long.
     """
@@ -93,6 +97,7 @@
     link_bytes_per_s: float = 0.0
     has_memory_pressure: bool = False
     crash_limits: CrashLimits = CrashLimits()
+    max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
 
     @property
     def change_deadline_s(self) -> float:
--- a/wisteriastair/platform/settings.py
+++ b/wisteriastair/platform/settings.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from ..core.quota import QuotaBounds
-from ..nodeoptions import BadNodeSetting, NodeOptions
+from ..nodeoptions import DEFAULT_MAX_DESCRIPTORS, BadNodeSetting, NodeOptions
 
 SETTINGS_VARIABLE: Final = "WISTERIASTAIR_BOOT"
 RELAY_CLASS: Final = "front"
@@ -35,6 +35,7 @@
     cpu_share: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     cores: Annotated[float, msgspec.Meta(ge=0)] = 1
     link_mbps: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    max_fds: Annotated[int, msgspec.Meta(gt=0)] = DEFAULT_MAX_DESCRIPTORS
 
 
 class _Tolerate(msgspec.Struct):
@@ -154,6 +155,7 @@
         cpu_cores=settings.limits.cpu_share * settings.limits.cores,
         link_bytes_per_s=settings.limits.link_mbps * BYTES_PER_MEGABIT,
         has_memory_pressure=PRESSURE_CONTRACT in settings.contracts,
+        max_descriptors=settings.limits.max_fds,
     )
 
 
--- a/wisteriastair/relay/daemon.py
+++ b/wisteriastair/relay/daemon.py
@@ -26,7 +26,7 @@
 from ..core.storetimes import make_store_timeouts
 from ..core.watchers import crash_keepers, make_subscription
 from ..http1.caller import CallerConnection
-from ..http1.listener import listen
+from ..http1.listener import listen, serve_socket
 from ..http1.monitor import BufferMonitor, make_meter
 from ..logs import dropped_line_count
 from ..nodemetrics import RelayMetrics, serve_metrics
@@ -51,8 +51,10 @@
 from ..platform.mirror import Mirror
 from ..platform.quarantine import apply_record
 from ..platform.store import Store, StoreItem
+from ..scheduling.connections import make_connection_limits
 from ..scheduling.crashes import CrashTable
 from ..scheduling.fleet import Fleet
+from ..sockets import max_open_descriptors
 from .admission import AdmissionGate
 from .chains import ChainCache
 from .crashes import CrashMonitor
@@ -72,7 +74,6 @@
 # Pause between requests to keepers for their copies of the store's documents.  A
 # reachable store answers within the first pause.
 DOCUMENTS_REQUEST_INTERVAL_S: Final = 0.25
-LISTEN_BACKLOG: Final = 1024
 # Age of the servers' entries above which it makes no difference, in seconds.
 MAX_OBSERVED_AGE_S: Final = 3600.0
 # Fraction of the process's memory for cached chains.
@@ -105,6 +106,9 @@
             if self._pressure
             else make_meter(cfg.memory_bytes, cache_bytes)
         )
+        self._connection_limits = make_connection_limits(
+            cfg.memory_bytes, cache_bytes, max_open_descriptors(cfg.max_descriptors)
+        )
         self._pool = ConnectionPool(self._on_unexpected_data, self._meter)
         self._ledger = LedgerClient(cfg.domain, cfg.max_failures)
         self._picture = PictureClient(
@@ -197,14 +201,16 @@
         log.info("relay stopped")
 
     async def _serve(self, group: TaskGroup) -> None:
-        loop = asyncio.get_running_loop()
         listeners = [
-            await loop.create_server(
+            await serve_socket(
                 lambda: CallerConnection(
-                    self._handler, group, self._caller_conns, self._meter
+                    self._handler,
+                    group,
+                    self._caller_conns,
+                    self._meter,
+                    self._connection_limits.callers,
                 ),
                 *_host_and_port(self._cfg.caller_address),
-                backlog=LISTEN_BACKLOG,
             ),
             await listen(
                 self._ready,
@@ -448,6 +454,7 @@
             "ledger_reachable": self._ledger.is_reachable,
             "servers_known": len(self._fleet),
             "caller_channels": len(self._caller_conns),
+            "caller_channels_limit": self._connection_limits.callers,
             "held_bytes": buffers.held_bytes,
             "arriving_bytes": buffers.arriving_bytes,
             "held_bytes_peak": buffers.peak_bytes,
--- a/wisteriastair/scheduling/buffers.py
+++ b/wisteriastair/scheduling/buffers.py
@@ -70,7 +70,8 @@
 # Reasons for which connections are closed.
 UNFINISHED: Final = "unfinished"
 WAITING: Final = "waiting"
-REASONS: Final = ("share", "stalled", "budget", UNFINISHED, WAITING)
+CONNECTIONS: Final = "connections"
+REASONS: Final = ("share", "stalled", "budget", UNFINISHED, WAITING, CONNECTIONS)
 
 
 class BufferLimits(NamedTuple):
@@ -307,6 +308,11 @@
         if account.is_open:
             self._disconnect(account, "share")
 
+    def disconnect(self, account: Account, reason: str) -> None:
+        """Close a connection to make room for another one."""
+        if account.is_open:
+            self._disconnect(account, reason)
+
     def share_bytes(self) -> int:
         """Return how much unsent data a caller may have now."""
         free_bytes = self.limits.low_bytes - self.held_bytes
--- a/wisteriastair/sockets.py
+++ b/wisteriastair/sockets.py
@@ -1,4 +1,4 @@
-"""TCP options that detect half-open connections.
+"""Limit of open descriptors, and TCP options that detect half-open connections.
 
 A device between the two ends may lose the state of a connection, or drop all its
 packets, while new connections work.  Keep-alive probes and a timeout for unacknowledged
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import resource
 import socket
 from typing import Final
 
@@ -24,6 +25,20 @@
 )
 
 
+def max_open_descriptors(configured: int) -> int:
+    """Return the number of descriptors that the process may have open.
+
+    Parameters
+    ----------
+    configured : int
+        Limit in the settings; the system's limit may be lower.
+    """
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft_limit == resource.RLIM_INFINITY:
+        return configured
+    return min(configured, soft_limit)
+
+
 def set_options(sock: socket.socket) -> None:
     """Set the options on a connected socket."""
     for level, option, value in SOCKET_OPTIONS:
