Large blocks are returned to the system as soon as they are freed

Callers saw: a relay over its memory although it held little: 108 MB of 96 for chunked bodies of 12 MB from 60 connections that returned 20 times each.

Cause: the C library raises the size from which blocks are mapped, and returned when freed, to that of the largest freed one. Bodies then grow within the heap and leave it in fragments.

Change: the size is fixed at the library's own first value, 128 KiB, which turns the adjustment off.

--- a/wisteriastair/nodes.py
+++ b/wisteriastair/nodes.py
@@ -14,6 +14,7 @@
 
 import anyio
 
+from .allocator import return_large_blocks
 from .logs import set_up_daemon_logs
 from .nodeoptions import BadNodeSetting, NodeOptions, check_crash_limits
 from .platform.settings import SETTINGS_VARIABLE, load_settings
@@ -101,6 +102,7 @@
     run: Callable[[NodeOptions], BadNodeSetting | None],
 ) -> int:
     gc.set_threshold(GC_THRESHOLD)
+    return_large_blocks()
     cfg = load_settings(settings or os.environ.get(SETTINGS_VARIABLE, ""))
     if not isinstance(cfg, BadNodeSetting):
         cfg = check_crash_limits(limits) or cfg._replace(crash_limits=limits)
