--- a/wisteriastair/callers/api.py
+++ b/wisteriastair/callers/api.py
@@ -30,6 +30,7 @@
 from ..core.wire import ProgramOutcome
 from ..decoding import DECODE_ERRORS
 from ..errors import Code, Failure, error_body, http_status
+from ..scheduling.buffers import BufferBudget
 from .auth import owner_of_token
 from .gateway import Gateway
 
@@ -41,6 +42,12 @@
 NAME_PATTERN: Final = re.compile(r"^[A-Za-z0-9_\-]{1,64}$")
 
 
+# Key of the budget of the process in the extensions of a request's scope.
+BUFFERS_KEY: Final = "wisteriastair.buffers"
+# Delay before a retry of a request that was refused for lack of memory.
+BUFFERS_RETRY_S: Final = 1.0
+
+
 class StartBody(msgspec.Struct, forbid_unknown_fields=True):
     """Body of a request that starts a program."""
 
@@ -168,7 +175,13 @@
 
 
 async def read_body(req: Request, limit: int) -> bytes | Failure:
-    """Read a request body of limited size."""
+    """Read a request body of limited size, if there is memory for it."""
+    length = int(req.headers.get("content-length", 0))
+    buffers: BufferBudget | None = req.scope.get("extensions", {}).get(BUFFERS_KEY)
+    if length > limit:
+        return Failure(Code.TOO_LARGE, f"the body is over {limit} bytes")
+    if buffers is not None and not buffers.admits(length):
+        return Failure(Code.OVERLOADED, "buffers are full", "no", BUFFERS_RETRY_S)
     chunks = []
     size = 0
     try:
--- a/wisteriastair/daemons/entry.py
+++ b/wisteriastair/daemons/entry.py
@@ -111,6 +111,7 @@
                 self._stop,
                 tls_cert=self._cfg.tls_cert,
                 tls_key=self._cfg.tls_key,
+                memory_mb=self._cfg.common.memory_mb,
             )
             group.cancel_scope.cancel()
         log.info("entry stopped", extra={"member": self.member})
--- a/wisteriastair/daemons/side.py
+++ b/wisteriastair/daemons/side.py
@@ -116,7 +116,12 @@
             # makes it raise, and a planned stop would look like a crash.
             counts = self.transport.counts
             app = make_side_app(self.member, self.core, counts, lambda: self.busy_s)
-            await serve_http(app, self._cfg.common.http, self._stop)
+            await serve_http(
+                app,
+                self._cfg.common.http,
+                self._stop,
+                memory_mb=self._cfg.common.memory_mb,
+            )
             group.cancel_scope.cancel()
         log.info("side process stopped", extra={"member": self.member})
 
--- a/wisteriastair/main.py
+++ b/wisteriastair/main.py
@@ -15,6 +15,7 @@
 import anyio
 import defopt
 
+from .allocator import return_large_blocks
 from .daemons.entry import EntryShell
 from .daemons.side import SideShell
 from .logs import set_up_logs
@@ -23,6 +24,7 @@
 from .operators.losses import run_losses
 from .operators.trace import run_trace
 from .options import (
+    DEFAULT_MEMORY_MB,
     ENV_PREFIX,
     BadSetting,
     CommonOptions,
@@ -55,6 +57,7 @@
     tls_key: str = "",
     log_level: str = "info",
     trace_file: str = "",
+    memory_mb: int = DEFAULT_MEMORY_MB,
 ) -> int:
     """Run an entry, which serves callers and operators over HTTP.
 
@@ -90,6 +93,8 @@
         debug, info, warning or error.
     trace_file : str
         File for spans.
+    memory_mb : int
+        Memory in MB that the process may use.
     """
     common = CommonOptions(
         listen,
@@ -101,6 +106,7 @@
         segments,
         log_level,
         trace_file,
+        memory_mb,
     )
     cfg = EntryOptions(
         common,
@@ -115,6 +121,7 @@
     if bad_setting is not None:
         return _report_bad_setting(bad_setting)
     set_up_logs(log_level)
+    return_large_blocks()
     anyio.run(_run_entry, cfg)
     return 0
 
@@ -145,6 +152,7 @@
     prefill_tokens_s: float = 8_000.0,
     log_level: str = "info",
     trace_file: str = "",
+    memory_mb: int = DEFAULT_MEMORY_MB,
 ) -> int:
     """Run a side process: gate of backend servers, primary and standby of slots.
 
@@ -190,6 +198,8 @@
         debug, info, warning or error.
     trace_file : str
         File for spans.
+    memory_mb : int
+        Memory in MB that the process may use.
     """
     common = CommonOptions(
         listen,
@@ -201,6 +211,7 @@
         segments,
         log_level,
         trace_file,
+        memory_mb,
     )
     cfg = SideOptions(
         common,
@@ -220,6 +231,7 @@
     if bad_setting is not None:
         return _report_bad_setting(bad_setting)
     set_up_logs(log_level)
+    return_large_blocks()
     anyio.run(_run_side, cfg)
     return 0
 
--- a/wisteriastair/options.py
+++ b/wisteriastair/options.py
@@ -20,6 +20,7 @@
 ADDRESS_PATTERN: Final = re.compile(r"^[0-9.]+:[0-9]{1,5}$")
 MAX_SLOTS: Final = 65_536
 MAX_PORT: Final = 65_535
+DEFAULT_MEMORY_MB: Final = 1024
 
 
 class CommonOptions(NamedTuple):
@@ -44,6 +45,8 @@
         ``debug``, ``info``, ``warning`` or ``error``.
     trace_file : str
         File for spans, one JSON object per line; empty for none.
+    memory_mb : int
+        Memory in MB that the process may use.
     """
 
     listen: str
@@ -55,6 +58,7 @@
     segments: int = 4
     log_level: str = "info"
     trace_file: str = ""
+    memory_mb: int = DEFAULT_MEMORY_MB
 
 
 class SideOptions(NamedTuple):
@@ -148,6 +152,8 @@
         return BadSetting("--slots", str(cfg.slots), f"1 to {MAX_SLOTS}")
     if not 1 <= cfg.segments <= cfg.slots:
         return BadSetting("--segments", str(cfg.segments), f"1 to {cfg.slots}")
+    if cfg.memory_mb <= 0:
+        return BadSetting("--memory-mb", str(cfg.memory_mb), "MB above 0")
     levels = ("debug", "info", "warning", "error")
     if cfg.log_level not in levels:
         return BadSetting("--log-level", cfg.log_level, ", ".join(levels))
