What a caller's connection holds has a module of its own

HeldBytes reports to the budget of the process, or does nothing without one; the connection keeps no account itself. No change of behaviour. Crowds of the tests use addresses that no other test uses, since the port for metrics is the same.

--- a/tests/crowds/relays.py
+++ b/tests/crowds/relays.py
@@ -16,16 +16,13 @@
 from tests.crowds.watch import Watch
 from tests.platform.standin_store import standin_store
 from tests.relay.harness import Exchange, ScriptedServer
-from tests.relay.machines import (
-    CONFIG,
-    KEEPER_IP,
-    OTHER_KEEPER_IP,
-    RELAY_IP,
-    Deployment,
-    server_entry,
-)
+from tests.relay.machines import CONFIG, Deployment, server_entry
 from wisteriastair.nodemetrics import METRICS_PORT
 
+# Addresses that no other test uses, as the port for metrics is the same for all.
+RELAY_IP: Final = "127.0.0.21"
+KEEPER_IP: Final = "127.0.0.22"
+OTHER_KEEPER_IP: Final = "127.0.0.23"
 # A relay above this memory is killed by the platform.
 MEMORY_MB: Final = 96
 MAX_FDS: Final = 400
@@ -149,6 +146,7 @@
         store.put("op/config", json.dumps(config).encode())
         store.put(f"servers/{server.id}", server_entry(server, slots=10_000))
         deployment = Deployment(folder, store)
+        deployment.seeds = (f"{KEEPER_IP}:1", f"{OTHER_KEEPER_IP}:1")
         deployment.contracts = CONTRACTS[contract]
         deployment.limits = {"memory_mb": MEMORY_MB, "max_fds": MAX_FDS} | settings
         async with (
--- a/tests/relay/machines.py
+++ b/tests/relay/machines.py
@@ -65,6 +65,7 @@
         self.ready = free_port()
         self.contracts: tuple[str, ...] = ()
         self.grace_s = 8
+        self.seeds = (f"{KEEPER_IP}:1", f"{OTHER_KEEPER_IP}:1")
         # Limits of each process that differ from those of `write_settings`.
         self.limits: dict[str, int] = {}
         self._internal = free_port()
@@ -82,7 +83,7 @@
             internal_port=self._internal,
             store=store or self._store.address,
             data_dir=self._folder / name,
-            seeds=(f"{KEEPER_IP}:1", f"{OTHER_KEEPER_IP}:1"),
+            seeds=self.seeds,
             front=f"{ip}:{self.front}",
             ready=f"{ip}:{self.ready}",
             contracts=self.contracts,
--- a/wisteriastair/http1/caller.py
+++ b/wisteriastair/http1/caller.py
@@ -23,15 +23,8 @@
 from anyio.abc import TaskGroup
 
 from ..core.routes import CallerLimits
-from ..scheduling.buffers import (
-    CONNECTIONS,
-    OVER_SHARE_TIMEOUT_S,
-    SMALL_REQUEST_BYTES,
-    STALL_TIMEOUT_S,
-    UNFINISHED,
-    WAITING,
-    Account,
-)
+from ..scheduling.buffers import CONNECTIONS, UNFINISHED, WAITING
+from .holding import HeldBytes
 from .messages import (
     LAST_CHUNK,
     BadRequest,
@@ -64,8 +57,6 @@
     WAITING: "the server sends nothing while others need room",
     CONNECTIONS: "too many connections",
 }
-# Interval at which a caller above its share is measured while its server waits.
-SHARE_POLL_S: Final = 0.02
 HEAD_METHOD: Final = "HEAD"
 CONTINUE_RESPONSE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -128,9 +119,8 @@
         self._handler = handler
         self._group = group
         self._caller_conns = caller_conns
-        self._meter = meter
+        self._held = HeldBytes(meter)
         self._max_connections = max_connections
-        self._account: Account | None = None
         self._loop = asyncio.get_running_loop()
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport
@@ -162,12 +152,7 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self._caller_conns.add(self)
-        if self._meter is not None:
-            self._account = self._meter.buffers.open(
-                is_caller=True,
-                measure=transport.get_write_buffer_size,
-                disconnect=self._disconnect,
-            )
+        self._held.open(transport, self._disconnect)
         if self._max_connections and len(self._caller_conns) > self._max_connections:
             self._close_another()
 
@@ -188,19 +173,17 @@
 
     def _longest_waiting(self) -> CallerConnection | None:
         waiting = [
-            (conn._account.waiting_at, conn)
+            (since, conn)
             for conn in self._caller_conns
-            if conn._account is not None and conn._account.waiting_at is not None
+            if (since := conn._held.stalled_since(self._active_at)) is not None
         ]
         if not waiting:
             return None
-        waiting_at, conn = min(waiting, key=lambda item: item[0])
-        return conn if self._active_at - waiting_at >= STALL_TIMEOUT_S else None
+        _, conn = min(waiting, key=lambda item: item[0])
+        return conn
 
     def _close_for_others(self, reason: str) -> None:
-        if self._account is not None and self._meter is not None:
-            self._meter.buffers.disconnect(self._account, reason)
-        else:
+        if not self._held.disconnect(reason):
             self.abort()
         self._caller_conns.discard(self)
 
@@ -208,7 +191,7 @@
         """Cancel the current request and discard queued ones."""
         self.closed = True
         self._caller_conns.discard(self)
-        self._close_account()
+        self._held.close()
         self._writable.set()
         self._queue.clear()
         # The parser refers to this connection: the cycle would keep both, and the body
@@ -232,8 +215,7 @@
 
     def data_received(self, data: bytes | memoryview) -> None:
         """Parse data from the caller."""
-        if self._meter is not None:
-            self._meter.traffic.received_bytes += len(data)
+        self._held.record_received(len(data))
         self._active_at = self._loop.time()
         if self._finishing:
             return
@@ -360,9 +342,7 @@
             self._reject(431, f"headers over {limits.max_header_bytes} bytes")
         elif length and int(length) > limits.max_body_bytes:
             self._reject(413, f"body over {limits.max_body_bytes} bytes")
-        elif self._meter is not None and not self._meter.buffers.admits(
-            int(length or 0)
-        ):
+        elif not self._held.admits(int(length or 0)):
             # Nothing is read or reserved for the request, so another relay can run it.
             self._reject(503, BUFFERS_FULL, OVERLOAD_RETRY_S)
         elif header(self._headers, b"expect").lower() == "100-continue":
@@ -402,8 +382,7 @@
         )
         self._queue.append(req)
         self._queued_bytes += req.held_bytes
-        if self._account is not None and self._meter is not None:
-            self._meter.buffers.keep_arrived(self._account, req.held_bytes)
+        self._held.keep_arrived(req.held_bytes)
         self._reset_request()
         if self._has_full_queue() and not self._reading_paused:
             self._reading_paused = True
@@ -429,8 +408,7 @@
             )
             self._body = bytearray()
             self._headers = []
-            if self._account is not None and self._meter is not None:
-                self._meter.buffers.drop_arriving(self._account)
+            self._held.drop_arriving()
 
     # Responses
 
@@ -452,7 +430,7 @@
                     self._close_write_side()
                     return
                 await self._serve_request(req)
-                self._free_request(req)
+                self._held.free(req.held_bytes)
                 if self._queue and not self._writable.is_set():
                     # A caller that reads nothing could otherwise collect the responses
                     # to any number of requests in its send buffer.
@@ -469,8 +447,7 @@
         self._streaming = False
         self._sends_body = req.method != HEAD_METHOD
         self._keep_alive = req.keep_alive
-        if self._account is not None and self._meter is not None:
-            self._meter.buffers.start_waiting(self._account, self._loop.time())
+        self._held.start_waiting(self._loop.time())
         with anyio.CancelScope() as scope:
             self._request_scope = scope
             await self._run_handler(req)
@@ -537,47 +514,36 @@
     def abort(self) -> None:
         """Reset the connection, so that the response is seen to be incomplete."""
         self.closed = True
-        self._close_account()
+        self._held.close()
         self._transport.abort()
 
     @property
     def is_writable(self) -> bool:
         """Whether the write buffer has capacity for more data.
 
-        With a budget, it has as long as the caller is within its share.
+        With shares, it has as long as the caller is within its share.
         """
-        if self._account is None or self._meter is None or not self._meter.has_shares:
+        if not self._held.has_share:
             return self._writable.is_set()
-        return self._meter.buffers.is_within_share(self._account)
+        return self._held.is_within_share()
 
     async def wait_writable(self) -> None:
         """Wait until the write buffer has capacity for more data.
 
-        With a budget, the caller is disconnected if that takes too long: a server whose
-        response remains unread aborts it.
+        With shares, the caller is disconnected if that takes too long.
         """
-        if self._account is None or self._meter is None or not self._meter.has_shares:
+        if self._held.has_share:
+            await self._held.wait_within_share()
+        else:
             await self._writable.wait()
-            return
-        buffers, account = self._meter.buffers, self._account
-        with anyio.move_on_after(OVER_SHARE_TIMEOUT_S):
-            while not buffers.is_within_share(account):
-                await anyio.sleep(SHARE_POLL_S)
-                buffers.measure(account)
-            return
-        buffers.disconnect_slow(account)
 
     # Budget
 
     def _write(self, data: bytes) -> None:
         self._transport.write(data)
         self._written_bytes += len(data)
-        if self._account is None or self._meter is None:
-            return
-        self._meter.traffic.sent_bytes += len(data)
-        self._meter.buffers.record_written(
-            self._account, len(data), self._transport.get_write_buffer_size()
-        )
+        unsent_bytes = self._transport.get_write_buffer_size()
+        self._held.record_written(len(data), unsent_bytes)
 
     def _request_bytes(self) -> int:
         """Return the memory that the arriving request takes."""
@@ -589,19 +555,9 @@
         return len(self._body) + head_bytes + header_bytes
 
     def _record_arriving(self) -> None:
-        if self._account is None or self._meter is None or self._finishing:
-            return
-        size = self._request_bytes()
-        if size == 0:
-            return
-        if size > SMALL_REQUEST_BYTES and not self._meter.buffers.has_room(size):
+        size = 0 if self._finishing else self._request_bytes()
+        if size > 0 and not self._held.record_arriving(size, self._active_at):
             self._reject(503, BUFFERS_FULL, OVERLOAD_RETRY_S)
-            return
-        self._meter.buffers.set_arriving(self._account, size, self._active_at)
-
-    def _free_request(self, req: Request) -> None:
-        if self._account is not None and self._meter is not None:
-            self._meter.buffers.free(self._account, req.held_bytes)
 
     def _disconnect(self, reason: str) -> None:
         """Free what is held, by rejecting the unfinished request or by a reset."""
@@ -613,10 +569,6 @@
         self.close_reason = CLOSE_REASONS.get(reason, f"{SLOW_CALLER}: {reason}")
         self.abort()
 
-    def _close_account(self) -> None:
-        if self._account is not None and self._meter is not None:
-            self._meter.buffers.close(self._account)
-
     def _encode_response_head(self, head: ResponseHead) -> bytes:
         headers = head.headers
         if self._handler.is_closing() or self._finishing:
