--- a/tests/crowds/relays.py
+++ b/tests/crowds/relays.py
@@ -169,3 +169,26 @@
             await scenario()
 
     anyio.run(main)
+
+
+def check_crowds(
+    crowds: Sequence[Crowd],
+    port: str,
+    folder: Path,
+    *,
+    contract: str = "plain",
+    max_fds: int = MANY_FDS,
+) -> None:
+    """Check a process that bears crowds at one of its ports.
+
+    Its memory with unread data, and its descriptors, stay within its settings.
+    """
+
+    async def scenario() -> None:
+        async with crowded_relay(folder, contract, max_fds=max_fds) as relay:
+            with relay.watch(port) as watch:
+                await relay.bear(crowds, port)
+            assert watch.peak().memory_bytes <= MEMORY_MB * MIB
+            assert watch.peak().descriptors <= max_fds - RESERVED_FDS
+
+    run(scenario)
--- a/tests/crowds/test_generated_crowds.py
+++ b/tests/crowds/test_generated_crowds.py
@@ -13,7 +13,6 @@
 from tests.crowds.crowd import (
     KB,
     MB,
-    MIB,
     Crowd,
     Form,
     chunked,
@@ -26,14 +25,10 @@
 from tests.crowds.relays import (
     CONTRACTS,
     FRONT,
-    MANY_FDS,
-    MEMORY_MB,
     READY,
     RELAY_METRICS,
-    RESERVED_FDS,
     SLOW,
-    crowded_relay,
-    run,
+    check_crowds,
 )
 
 SEEDS = range(1, 9)
@@ -83,11 +78,4 @@
     port = rng.choice((FRONT, FRONT, FRONT, READY, RELAY_METRICS))
     crowds = [draw_crowd(rng) for _ in range(CROWDS_AT_ONCE)]
 
-    async def scenario() -> None:
-        async with crowded_relay(tmp_path, contract, max_fds=MANY_FDS) as relay:
-            with relay.watch(port) as watch:
-                await relay.bear(crowds, port)
-            assert watch.peak().memory_bytes <= MEMORY_MB * MIB
-            assert watch.peak().descriptors <= MANY_FDS - RESERVED_FDS
-
-    run(scenario)
+    check_crowds(crowds, port, tmp_path, contract=contract)
--- a/tests/crowds/test_relay_crowds.py
+++ b/tests/crowds/test_relay_crowds.py
@@ -27,15 +27,11 @@
     FRONT,
     KEEPER_METRICS,
     LARGE,
-    MANY_FDS,
     MAX_FDS,
-    MEMORY_MB,
     READY,
     RELAY_METRICS,
-    RESERVED_FDS,
     SLOW,
-    crowded_relay,
-    run,
+    check_crowds,
 )
 
 SHORT_LINE = b"a: b\r\n"
@@ -88,15 +84,7 @@
     name: str, contract: str, tmp_path: Path
 ) -> None:
     """Guards against callers that fill the memory of a relay or take it from others."""
-
-    async def scenario() -> None:
-        async with crowded_relay(tmp_path, contract, max_fds=MANY_FDS) as relay:
-            with relay.watch(FRONT) as watch:
-                await relay.bear([CROWDS[name]], FRONT)
-            assert watch.peak().memory_bytes <= MEMORY_MB * MIB
-            assert watch.peak().descriptors <= MANY_FDS - RESERVED_FDS
-
-    run(scenario)
+    check_crowds([CROWDS[name]], FRONT, tmp_path, contract=contract)
 
 
 @pytest.mark.parametrize("port", [READY, RELAY_METRICS, KEEPER_METRICS])
@@ -105,15 +93,7 @@
     name: str, port: str, tmp_path: Path
 ) -> None:
     """Guards against probes and scrapes that fill the memory of a process."""
-
-    async def scenario() -> None:
-        async with crowded_relay(tmp_path, "plain", max_fds=MANY_FDS) as relay:
-            with relay.watch(port) as watch:
-                await relay.bear([PROBE_CROWDS[name]], port)
-            assert watch.peak().memory_bytes <= MEMORY_MB * MIB
-            assert watch.peak().descriptors <= MANY_FDS - RESERVED_FDS
-
-    run(scenario)
+    check_crowds([PROBE_CROWDS[name]], port, tmp_path)
 
 
 @pytest.mark.parametrize("port", [FRONT, READY, KEEPER_METRICS])
@@ -126,11 +106,4 @@
     Accepting without a free descriptor took all processor time, and probes were not
     answered, so that the platform would have taken the relay for dead.
     """
-
-    async def scenario() -> None:
-        async with crowded_relay(tmp_path, "plain", max_fds=MAX_FDS) as relay:
-            with relay.watch(port) as watch:
-                await relay.bear([CONNECTIONS[name]], port)
-            assert watch.peak().descriptors <= MAX_FDS - RESERVED_FDS
-
-    run(scenario)
+    check_crowds([CONNECTIONS[name]], port, tmp_path, max_fds=MAX_FDS)
--- a/wisteriastair/daemons/connections.py
+++ b/wisteriastair/daemons/connections.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any, Final
@@ -11,6 +10,7 @@
 import anyio
 
 from ..callers.api import BUFFERS_KEY
+from ..http1.monitor import REFRESH_INTERVAL_S, BufferMonitor
 from ..scheduling.buffers import (
     CONNECTIONS,
     UNFINISHED,
@@ -36,16 +36,12 @@
 REQUEST_TIMEOUT_S: Final = 60.0
 # Time for the HTTP library to end the requests of a caller that has left.
 LEAVE_TIMEOUT_S: Final = 1.0
-CHECK_INTERVAL_S: Final = 0.25
-LOG_INTERVAL_S: Final = 1.0
 
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 Application = Callable[..., Awaitable[None]]
 
-log = logging.getLogger(__name__)
-
 
 class HttpConnection:
     """A connection of a caller.
@@ -156,8 +152,7 @@
         by_descriptors = max(1, int(descriptors * DESCRIPTOR_FRACTION))
         self.max_connections = min(by_memory, by_descriptors)
         self._by_peer: dict[Any, HttpConnection] = {}
-        self._logged_at = 0.0
-        self._logged_counts = dict(self.buffers.disconnected_counts)
+        self._monitor = BufferMonitor(self.buffers)
 
     def open(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -203,32 +198,14 @@
     async def run(self) -> None:
         """Enforce timeouts and the budget until cancelled."""
         while True:
-            await anyio.sleep(CHECK_INTERVAL_S)
+            await anyio.sleep(REFRESH_INTERVAL_S)
             now = time.monotonic()
             for conn in list(self._by_peer.values()):
                 if conn.is_unused(now):
                     conn.end()
                 elif conn.is_too_slow(now):
                     self.buffers.disconnect(conn.account, UNFINISHED)
-            self.buffers.refresh(now)
-            if now - self._logged_at >= LOG_INTERVAL_S:
-                self._log_changes(now)
-
-    def _log_changes(self, now: float) -> None:
-        counts = dict(self.buffers.disconnected_counts)
-        if counts == self._logged_counts:
-            return
-        changes = {r: count - self._logged_counts[r] for r, count in counts.items()}
-        log.warning(
-            "connections closed to free buffers",
-            extra={
-                "held_bytes": self.buffers.held_bytes,
-                "limit_bytes": self.buffers.limits.budget_bytes,
-                **changes,
-            },
-        )
-        self._logged_at = now
-        self._logged_counts = counts
+            self._monitor.refresh(now)
 
 
 class _CountedRequest:
