--- a/tests/crowds/test_relay_crowds.py
+++ b/tests/crowds/test_relay_crowds.py
@@ -6,8 +6,11 @@
 
 from __future__ import annotations
 
+from contextlib import closing
 from pathlib import Path
 
+import anyio
+import anyio.to_thread
 import pytest
 
 from tests.crowds.crowd import (
@@ -27,11 +30,14 @@
     FRONT,
     KEEPER_METRICS,
     LARGE,
+    MANY_FDS,
     MAX_FDS,
     READY,
     RELAY_METRICS,
     SLOW,
     check_crowds,
+    crowded_relay,
+    run,
 )
 
 SHORT_LINE = b"a: b\r\n"
@@ -107,3 +113,19 @@
     answered, so that the platform would have taken the relay for dead.
     """
     check_crowds([CONNECTIONS[name]], port, tmp_path, max_fds=MAX_FDS)
+
+
+@pytest.mark.parametrize("contract", CONTRACTS)
+@pytest.mark.parametrize("name", ["length-short", "slow-servers", "slow-readers"])
+def test_a_relay_stops_beside_a_crowd(name: str, contract: str, tmp_path: Path) -> None:
+    """Guards against callers that keep a relay from ending when it is told to stop."""
+
+    async def scenario() -> None:
+        async with crowded_relay(tmp_path, contract, max_fds=MANY_FDS) as relay:
+            with closing(relay.make_run(CROWDS[name], FRONT)) as crowd_run:
+                await crowd_run.run()
+                process = relay.process_at(FRONT)
+                process.terminate()
+                assert await anyio.to_thread.run_sync(process.wait) == 0
+
+    run(scenario)
