Entry: events that wait for callers are on the account

Each request had a queue without a bound, on the ground that the budget of one program limits it. Any number of callers may attach to a program and read nothing.

Change: the queue is an account of the process's budget. Callers that read nothing for 5 s while the budget is half full, or hold the most when it is full, lose their events; the response ends without a final event, which callers take as a reason to attach again from where they were.

--- a/wisteriastair/daemons/entry.py
+++ b/wisteriastair/daemons/entry.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import math
 import signal
 import time
 import uuid
@@ -13,7 +12,6 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from anyio.streams.memory import MemoryObjectSendStream
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
@@ -25,10 +23,8 @@
 from ..core.entry import (
     CallerEvent,
     DeliverToCaller,
-    Done,
     EntryCore,
     ProgramRows,
-    Refused,
     RequestSpec,
 )
 from ..core.entry import EntryOptions as CoreOptions
@@ -50,12 +46,14 @@
 from ..metrics import entry_metrics_route
 from ..operators.api import OperatorApi
 from ..operators.changes import make_change
-from ..options import EntryOptions, split_pairs
+from ..options import BYTES_PER_MB, EntryOptions, split_pairs
 from ..peers.corecodec import CORE_CODEC
 from ..peers.transport import Transport
 from ..platform.instances import make_instance_list
 from ..platform.kv import make_key_value_store
 from ..tracing import make_tracer, start_span, traceparent_of
+from .callerevents import CallerEvents
+from .connections import HttpConnections
 from .platform_link import PlatformLink
 from .side import make_member_id
 from .web import serve_http
@@ -92,7 +90,8 @@
         self._platform = PlatformLink(
             self._key_value, make_instance_list(common.platform_url), self._on_event
         )
-        self._streams: dict[str, MemoryObjectSendStream[CallerEvent]] = {}
+        self._conns = HttpConnections(cfg.common.memory_mb * BYTES_PER_MB)
+        self._streams: dict[str, CallerEvents] = {}
         self._group: TaskGroup
         self._stop = anyio.Event()
 
@@ -111,7 +110,7 @@
                 self._stop,
                 tls_cert=self._cfg.tls_cert,
                 tls_key=self._cfg.tls_key,
-                memory_mb=self._cfg.common.memory_mb,
+                conns=self._conns,
             )
             group.cancel_scope.cancel()
         log.info("entry stopped", extra={"member": self.member})
@@ -161,9 +160,9 @@
                 case Send(to, message):
                     self.transport.send(to, message)
                 case DeliverToCaller(request_id, event):
-                    stream = self._streams.get(request_id)
-                    if stream is not None:
-                        stream.send_nowait(event)
+                    events = self._streams.get(request_id)
+                    if events is not None:
+                        events.put(event)
                 case KvRead() | KvSwap() | KvWatch():
                     self._platform.execute(effect, self._group)
                 case _:
@@ -189,34 +188,34 @@
         """Submit a request and yield its events."""
         request_id = uuid.uuid4().hex
         span = start_span(self._tracer, f"entry {spec.kind}", "", request=request_id)
-        # The stream buffers at most the output of one program, which its budget limits.
-        send, receive = anyio.create_memory_object_stream[CallerEvent](math.inf)
-        self._streams[request_id] = send
+        events = CallerEvents(self._conns.buffers)
+        self._streams[request_id] = events
         try:
             traced = spec._replace(trace=traceparent_of(span))
             self._execute(self.core.submit(request_id, traced, time.time()))
-            yield _until_final_event(receive)
+            yield events.until_final()
         finally:
             self.core.drop_request(request_id)
             del self._streams[request_id]
-            send.close()
-            receive.close()
+            events.close()
             span.end()
 
     async def list_programs(self, customer: str, limit: int) -> ProgramRows:
         """List the programs of all primaries."""
         request_id = uuid.uuid4().hex
-        send, receive = anyio.create_memory_object_stream[CallerEvent](1)
-        self._streams[request_id] = send
+        events = CallerEvents(self._conns.buffers)
+        self._streams[request_id] = events
         try:
             self._execute(
                 self.core.list_programs(request_id, customer, limit, time.time())
             )
-            event = await receive.receive()
+            event = await events.get()
         finally:
             del self._streams[request_id]
-            send.close()
-            receive.close()
+            events.close()
+        if event is None:
+            # Dropped for lack of memory: nothing is known of any primary.
+            return ProgramRows((), self._cfg.common.slots)
         assert isinstance(event, ProgramRows), "a listing ends with its rows"
         return event
 
@@ -242,12 +241,3 @@
     def slot_rows(self) -> list[SlotRow]:
         """Return the slot table."""
         return list(self.core.placement.rows.values())
-
-
-async def _until_final_event(
-    events: AsyncIterator[CallerEvent],
-) -> AsyncIterator[CallerEvent]:
-    async for event in events:
-        yield event
-        if isinstance(event, Done | Refused):
-            return
--- a/wisteriastair/daemons/side.py
+++ b/wisteriastair/daemons/side.py
@@ -37,13 +37,14 @@
 from ..core.wire import GateCall, Message, ProgramStart
 from ..engines.client import make_engine
 from ..metrics import make_side_app
-from ..options import SideOptions, split_pairs
+from ..options import BYTES_PER_MB, SideOptions, split_pairs
 from ..peers.corecodec import CORE_CODEC
 from ..peers.transport import Transport
 from ..platform.instances import make_instance_list
 from ..platform.kv import make_key_value_store
 from ..services.client import make_plain_service
 from ..tracing import make_tracer, start_span, traceparent_of
+from .connections import HttpConnections
 from .platform_link import PlatformLink
 from .web import serve_http
 
@@ -120,7 +121,7 @@
                 app,
                 self._cfg.common.http,
                 self._stop,
-                memory_mb=self._cfg.common.memory_mb,
+                conns=HttpConnections(self._cfg.common.memory_mb * BYTES_PER_MB),
             )
             group.cancel_scope.cancel()
         log.info("side process stopped", extra={"member": self.member})
--- a/wisteriastair/daemons/web.py
+++ b/wisteriastair/daemons/web.py
@@ -21,11 +21,10 @@
 from starlette.applications import Starlette
 
 from ..http1.listener import LISTEN_BACKLOG
-from ..options import DEFAULT_MEMORY_MB
+from ..options import BYTES_PER_MB, DEFAULT_MEMORY_MB
 from ..scheduling.connections import ACCEPTS_PER_ITERATION, RECEIVE_BUFFER_BYTES
 from .connections import HttpConnections
 
-BYTES_PER_MB: Final = 1024 * 1024
 GRACEFUL_TIMEOUT_S: Final = 30.0
 KEEP_ALIVE_TIMEOUT_S: Final = 75.0
 
@@ -112,16 +111,16 @@
     *,
     tls_cert: str = "",
     tls_key: str = "",
-    memory_mb: int = DEFAULT_MEMORY_MB,
+    conns: HttpConnections | None = None,
 ) -> None:
     """Serve until ``stop`` is set, then finish the requests in progress.
 
     Parameters
     ----------
-    memory_mb : int
-        Memory in MB that the process may use.
+    conns : HttpConnections or None
+        Limits of the connections; None for those of the default settings.
     """
-    conns = HttpConnections(memory_mb * BYTES_PER_MB)
+    conns = conns or HttpConnections(DEFAULT_MEMORY_MB * BYTES_PER_MB)
     cfg = HypercornConfig()
     cfg.bind = [address]
     cfg.accesslog = None
--- a/wisteriastair/options.py
+++ b/wisteriastair/options.py
@@ -20,6 +20,7 @@
 ADDRESS_PATTERN: Final = re.compile(r"^[0-9.]+:[0-9]{1,5}$")
 MAX_SLOTS: Final = 65_536
 MAX_PORT: Final = 65_535
+BYTES_PER_MB: Final = 1024 * 1024
 DEFAULT_MEMORY_MB: Final = 1024
 
 
