--- a/wisteriastair/callers/api.py
+++ b/wisteriastair/callers/api.py
@@ -176,7 +176,10 @@
 
 async def read_body(req: Request, limit: int) -> bytes | Failure:
     """Read a request body of limited size, if there is memory for it."""
-    length = int(req.headers.get("content-length", 0))
+    length_text = req.headers.get("content-length", "0")
+    if not length_text.isdecimal():
+        return Failure(Code.BAD_REQUEST, "Content-Length is no number")
+    length = int(length_text)
     buffers: BufferBudget | None = req.scope.get("extensions", {}).get(BUFFERS_KEY)
     if length > limit:
         return Failure(Code.TOO_LARGE, f"the body is over {limit} bytes")
--- a/wisteriastair/daemons/web.py
+++ b/wisteriastair/daemons/web.py
@@ -27,6 +27,8 @@
 
 GRACEFUL_TIMEOUT_S: Final = 30.0
 KEEP_ALIVE_TIMEOUT_S: Final = 75.0
+# Connections are counted once their handshake has ended.
+HANDSHAKE_TIMEOUT_S: Final = 10.0
 
 
 class _HttpServer:
@@ -54,8 +56,10 @@
     async def start(self, sock: socket.socket) -> asyncio.Server:
         """Accept connections on a bound socket."""
         ssl_context: ssl.SSLContext | None = None
+        handshake_timeout_s: float | None = None
         if self._cfg.ssl_enabled:
             ssl_context = self._cfg.create_ssl_context()
+            handshake_timeout_s = HANDSHAKE_TIMEOUT_S
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         listener = await asyncio.start_server(
             self._serve_connection,
@@ -63,6 +67,7 @@
             backlog=ACCEPTS_PER_ITERATION,
             limit=RECEIVE_BUFFER_BYTES,
             ssl=ssl_context,
+            ssl_handshake_timeout=handshake_timeout_s,
         )
         sock.listen(LISTEN_BACKLOG)
         return listener
