--- a/wisteriastair/daemons/connections.py
+++ b/wisteriastair/daemons/connections.py
@@ -235,7 +235,9 @@
         scope.setdefault("extensions", {})[BUFFERS_KEY] = self._buffers
         self._conn.requests += 1
         self._conn.answered_early = False
-        if not any(name in BODY_HEADERS for name, _ in scope["headers"]):
+        if not any(
+            name in BODY_HEADERS and value != b"0" for name, value in scope["headers"]
+        ):
             self._record_complete()
         try:
             await app(scope, self.receive, self.send)
